--- /dev/null
+++ b/ava.config.js
@@ -0,0 +1,6 @@
+export default {
+  files: ['packages/*/dist/tests/**/*.test.js'],
+  timeout: '5m',
+  workerThreads: false,
+  concurrency: 6
+}
--- /dev/null
+++ b/packages/platform/src/instance-list.ts
@@ -0,0 +1,23 @@
+import type { Finding } from '@hibiscusledge/runtime/finding.js'
+import type { Result } from 'ts-results'
+
+/** One entry of the platform's lagging list of workers and executors. */
+export interface ListedTarget {
+  readonly id: string
+  readonly kind: 'executor' | 'worker'
+  readonly address: string
+  readonly state: 'live' | 'leaving'
+  readonly failureDomain: string
+  readonly rack: string
+  readonly cores: number
+  readonly memoryMb: number
+  readonly accelerators: number
+  readonly slots: number
+  readonly connections: number
+  readonly labels: Readonly<Record<string, string>>
+}
+
+/** The platform's list of live and leaving instances. */
+export interface InstanceList {
+  fetchTargets (): Promise<Result<readonly ListedTarget[], readonly Finding[]>>
+}
--- /dev/null
+++ b/packages/platform/src/key-value-store.ts
@@ -0,0 +1,68 @@
+import type { Result } from 'ts-results'
+import type { StoreError } from './store-error.js'
+
+/** A key of the store with its value. */
+export interface StoredValue {
+  readonly key: string
+  readonly value: string
+  readonly createRevision: number
+  readonly modRevision: number
+  /** Empty when the key has no lease. */
+  readonly leaseId: string
+}
+
+/** Condition of a transaction. `modRevision` 0 means that the key must not exist. */
+export interface Comparison {
+  readonly key: string
+  readonly modRevision: number
+}
+
+export type Mutation =
+  | { readonly type: 'put', readonly key: string, readonly value: string, readonly leaseId?: string }
+  | { readonly type: 'delete', readonly key: string }
+  | { readonly type: 'deletePrefix', readonly prefix: string }
+
+/** All mutations take effect when all comparisons hold, none otherwise. */
+export interface Transaction {
+  readonly comparisons: readonly Comparison[]
+  readonly mutations: readonly Mutation[]
+}
+
+export interface TransactionOutcome {
+  readonly isCommitted: boolean
+  readonly revision: number
+}
+
+export interface PrefixListing {
+  readonly revision: number
+  readonly values: readonly StoredValue[]
+}
+
+export type WatchEvent =
+  | { readonly type: 'put', readonly value: StoredValue }
+  | { readonly type: 'delete', readonly key: string, readonly modRevision: number }
+
+export interface WatchHandler {
+  onEvents (events: readonly WatchEvent[], revision: number): void
+  /** The watch ended; the caller lists again and opens a new one. */
+  onClosed (reason: string): void
+}
+
+export interface Watch {
+  close (): void
+}
+
+/** Priority of a call when the call budget is short: `critical` for renewals and commits, `background` for polls. */
+export type CallPriority = 'critical' | 'background'
+
+/** The platform's key-value store. */
+export interface KeyValueStore {
+  readKey (key: string, priority: CallPriority): Promise<Result<StoredValue | undefined, StoreError>>
+  listPrefix (prefix: string, priority: CallPriority): Promise<Result<PrefixListing, StoreError>>
+  commitTransaction (transaction: Transaction, priority: CallPriority): Promise<Result<TransactionOutcome, StoreError>>
+  grantLease (ttlSeconds: number): Promise<Result<string, StoreError>>
+  /** Returns the remaining seconds; `leaseNotFound` when the lease has lapsed. */
+  renewLease (leaseId: string): Promise<Result<number, StoreError>>
+  revokeLease (leaseId: string): Promise<Result<void, StoreError>>
+  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler): Watch
+}
--- /dev/null
+++ b/packages/platform/src/store-error.ts
@@ -0,0 +1,17 @@
+export const STORE_ERROR_CODES = {
+  unavailable: 'unavailable',
+  timeout: 'timeout',
+  rateLimited: 'rateLimited',
+  tooLarge: 'tooLarge',
+  leaseNotFound: 'leaseNotFound',
+  protocol: 'protocol'
+} as const
+export type StoreErrorCode = typeof STORE_ERROR_CODES[keyof typeof STORE_ERROR_CODES]
+
+/** A failed call to the platform's store. */
+export interface StoreError {
+  readonly code: StoreErrorCode
+  readonly message: string
+  /** True when a write may have taken effect although its reply was lost. */
+  readonly isEffectUnknown: boolean
+}
--- /dev/null
+++ b/packages/runtime/src/fake-clock.ts
@@ -0,0 +1,75 @@
+import type { Clock, Timer } from './clock.js'
+
+interface PendingTimer {
+  dueMs: number
+  order: number
+  callback: () => void
+}
+
+/** A clock that only moves when a test calls `advanceBy`. Timers run in order of their due time. */
+export class FakeClock implements Clock {
+  #nowMs: number
+  readonly #wallOffsetMs: number
+  #nextOrder = 0
+  readonly #timers = new Set<PendingTimer>()
+
+  constructor (startMs = 0, wallStartMs = 1_700_000_000_000) {
+    this.#nowMs = startMs
+    this.#wallOffsetMs = wallStartMs - startMs
+  }
+
+  readMonotonicMs (): number {
+    return this.#nowMs
+  }
+
+  readWallMs (): number {
+    return this.#nowMs + this.#wallOffsetMs
+  }
+
+  startTimer (delayMs: number, callback: () => void): Timer {
+    const timer: PendingTimer = { dueMs: this.#nowMs + Math.max(0, delayMs), order: this.#nextOrder++, callback }
+    this.#timers.add(timer)
+    return { cancel: () => { this.#timers.delete(timer) } }
+  }
+
+  startInterval (periodMs: number, callback: () => void): Timer {
+    let current = this.startTimer(periodMs, run)
+    const clock = this
+    function run (): void {
+      current = clock.startTimer(periodMs, run)
+      callback()
+    }
+    return { cancel: () => current.cancel() }
+  }
+
+  /** Moves time forward and runs every timer that falls due; pending promises settle between timers. */
+  async advanceBy (durationMs: number): Promise<void> {
+    const endMs = this.#nowMs + durationMs
+    for (let timer = this.#findNextTimer(endMs); timer !== undefined; timer = this.#findNextTimer(endMs)) {
+      this.#timers.delete(timer)
+      this.#nowMs = Math.max(this.#nowMs, timer.dueMs)
+      timer.callback()
+      await this.#settlePromises()
+    }
+    this.#nowMs = endMs
+    await this.#settlePromises()
+  }
+
+  /** Moves time forward without running timers, as when a process is stopped and resumed. */
+  skipBy (durationMs: number): void {
+    this.#nowMs += durationMs
+  }
+
+  #findNextTimer (endMs: number): PendingTimer | undefined {
+    let next: PendingTimer | undefined
+    for (const timer of this.#timers) {
+      if (timer.dueMs > endMs) continue
+      if (next === undefined || timer.dueMs < next.dueMs || (timer.dueMs === next.dueMs && timer.order < next.order)) next = timer
+    }
+    return next
+  }
+
+  async #settlePromises (): Promise<void> {
+    for (let turn = 0; turn < 3; turn++) await new Promise<void>((resolve) => { setImmediate(resolve) })
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/system-clock.ts
@@ -0,0 +1,22 @@
+import type { Clock, Timer } from './clock.js'
+
+/** The process's own clock. */
+export class SystemClock implements Clock {
+  readMonotonicMs (): number {
+    return performance.now()
+  }
+
+  readWallMs (): number {
+    return Date.now()
+  }
+
+  startTimer (delayMs: number, callback: () => void): Timer {
+    const handle = setTimeout(callback, Math.max(0, delayMs))
+    return { cancel: () => clearTimeout(handle) }
+  }
+
+  startInterval (periodMs: number, callback: () => void): Timer {
+    const handle = setInterval(callback, periodMs)
+    return { cancel: () => clearInterval(handle) }
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/system-random-source.ts
@@ -0,0 +1,17 @@
+import { randomBytes, randomInt } from 'node:crypto'
+import type { RandomSource } from './random-source.js'
+
+/** The operating system's random source. */
+export class SystemRandomSource implements RandomSource {
+  drawFraction (): number {
+    return Math.random()
+  }
+
+  drawInteger (bound: number): number {
+    return randomInt(bound)
+  }
+
+  drawHex (byteCount: number): string {
+    return randomBytes(byteCount).toString('hex')
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/resources.ts
@@ -0,0 +1,29 @@
+/** Amounts of what a worker has or a task needs. */
+export interface Resources {
+  readonly cores: number
+  readonly memoryMb: number
+  readonly accelerators: number
+}
+
+export const NO_RESOURCES: Resources = { cores: 0, memoryMb: 0, accelerators: 0 }
+
+export function addResources (left: Resources, right: Resources): Resources {
+  return {
+    cores: left.cores + right.cores,
+    memoryMb: left.memoryMb + right.memoryMb,
+    accelerators: left.accelerators + right.accelerators
+  }
+}
+
+export function subtractResources (left: Resources, right: Resources): Resources {
+  return {
+    cores: left.cores - right.cores,
+    memoryMb: left.memoryMb - right.memoryMb,
+    accelerators: left.accelerators - right.accelerators
+  }
+}
+
+/** Whether `needed` fits into `available` in every dimension. */
+export function isFitting (needed: Resources, available: Resources): boolean {
+  return needed.cores <= available.cores && needed.memoryMb <= available.memoryMb && needed.accelerators <= available.accelerators
+}
--- /dev/null
+++ b/scripts/ensure-setup.mjs
@@ -0,0 +1,23 @@
+// Installs the locked dependencies when they are missing or older than the lock file, then builds all packages.
+import { spawnSync } from 'node:child_process'
+import { existsSync, statSync } from 'node:fs'
+import { dirname, join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+const root = join(dirname(fileURLToPath(import.meta.url)), '..')
+
+function run (command, args) {
+  const result = spawnSync(command, args, { cwd: root, stdio: 'inherit' })
+  if (result.status !== 0) process.exit(result.status ?? 1)
+}
+
+function isInstallCurrent () {
+  const installed = join(root, 'node_modules', '.package-lock.json')
+  const lock = join(root, 'package-lock.json')
+  return existsSync(installed) && statSync(installed).mtimeMs >= statSync(lock).mtimeMs
+}
+
+if (!isInstallCurrent()) {
+  run('npm', ['ci', '--prefer-offline', '--no-audit', '--no-fund'])
+}
+run(process.execPath, [join(root, 'node_modules', 'typescript', 'bin', 'tsc'), '-b'])
