--- /dev/null
+++ b/packages/tables/src/check-joins.ts
@@ -0,0 +1,96 @@
+import type { PoolPolicy } from '@hibiscusledge/scheduling/pool-policy.js'
+import { TARGET_KINDS } from '@hibiscusledge/scheduling/target.js'
+import type { Route } from './route.js'
+import type { RowReader } from './row-reader.js'
+import type { PoolColumn, RouteColumn } from './table-columns.js'
+import { TABLE_PROBLEMS } from './table-messages.js'
+
+/** A route with the reader of its row, for findings that concern several rows. */
+export interface RouteRow {
+  readonly route: Route
+  readonly reader: RowReader<RouteColumn>
+}
+
+/** A pool with the reader of its row. */
+export interface PoolRow {
+  readonly pool: PoolPolicy
+  readonly reader: RowReader<PoolColumn>
+}
+
+/** Two rows for the same kind, customer and team would leave open which one applies. */
+export function checkDuplicateRoutes (rows: readonly RouteRow[]): void {
+  const lines = new Map<string, number>()
+  for (const { route, reader } of rows) {
+    if (!reader.isSound('kind', 'customer', 'team')) continue
+    const key = `${route.kind}|${route.customer}|${route.team}`
+    const line = lines.get(key)
+    if (line === undefined) lines.set(key, reader.line)
+    else reader.addFinding('kind', TABLE_PROBLEMS.duplicateRoute(line))
+  }
+}
+
+/** Reports pools of the same name and pools that select the same targets after defaulting. */
+export function checkDuplicatePools (rows: readonly PoolRow[]): void {
+  const names = new Map<string, number>()
+  const selections = new Map<string, PoolRow>()
+  for (const row of rows) {
+    const { pool, reader } = row
+    if (!reader.isSound('pool')) continue
+    const line = names.get(pool.name)
+    if (line !== undefined) {
+      reader.addFinding('pool', TABLE_PROBLEMS.duplicatePool(pool.name, line))
+      continue
+    }
+    names.set(pool.name, reader.line)
+    if (!reader.isSound('targets', 'failureDomains', 'racks', 'labels')) continue
+    const key = encodeSelection(pool)
+    const other = selections.get(key)
+    if (other === undefined) selections.set(key, row)
+    else reader.addFinding('targets', TABLE_PROBLEMS.duplicateSelection(other.pool.name, other.reader.line))
+  }
+}
+
+function encodeSelection (pool: PoolPolicy): string {
+  const labels = Object.entries(pool.labels).map(([name, value]) => `${name}=${value}`)
+  return JSON.stringify([pool.targetKind, [...pool.failureDomains].sort(), [...pool.racks].sort(), labels.sort()])
+}
+
+/** Checks each route against the pool that it names. A pool whose row has findings still counts as known. */
+export function checkJoins (routes: readonly RouteRow[], pools: readonly PoolRow[]): void {
+  const byName = new Map(pools.map((row) => [row.pool.name, row]))
+  for (const { route, reader } of routes) {
+    if (!reader.isSound('pool')) continue
+    const row = byName.get(route.pool)
+    if (row === undefined) {
+      reader.addFinding('pool', TABLE_PROBLEMS.unknownPool(route.pool))
+      continue
+    }
+    if (row.reader.isSound('targets')) {
+      if (row.pool.targetKind === TARGET_KINDS.executor) checkExecutorRoute(route, reader)
+      else checkWorkerRoute(route, reader)
+    }
+    checkClassLimit(route, reader, row.pool)
+  }
+}
+
+function checkExecutorRoute (route: Route, reader: RowReader<RouteColumn>): void {
+  for (const dimension of ['cores', 'memoryMb', 'accelerators'] as const) {
+    if (route.resources[dimension] > 0) reader.addFinding(dimension, TABLE_PROBLEMS.executorResources(dimension))
+  }
+  if (route.taskCount > 1) reader.addFinding('tasks', TABLE_PROBLEMS.executorGang())
+  if (route.isResumable) reader.addFinding('resumable', TABLE_PROBLEMS.executorTask('resumable'))
+  if (route.isService) reader.addFinding('service', TABLE_PROBLEMS.executorTask('service'))
+}
+
+function checkWorkerRoute (route: Route, reader: RowReader<RouteColumn>): void {
+  for (const dimension of ['cores', 'memoryMb'] as const) {
+    if (reader.isSound(dimension) && route.resources[dimension] === 0) {
+      reader.addFinding(dimension, TABLE_PROBLEMS.workerResources(dimension))
+    }
+  }
+}
+
+function checkClassLimit (route: Route, reader: RowReader<RouteColumn>, pool: PoolPolicy): void {
+  if (!reader.isSound('urgency') || pool.classes[route.urgency].limitPercent > 0) return
+  reader.addFinding('urgency', TABLE_PROBLEMS.classWithoutCapacity(route.urgency, pool.name))
+}
--- /dev/null
+++ b/packages/tables/src/decode-stored-tables.ts
@@ -0,0 +1,16 @@
+import type { Finding } from '@hibiscusledge/runtime/finding.js'
+import tsResults, { type Result } from 'ts-results'
+import { parseTables } from './parse-tables.js'
+import { parseStoredTables, TABLES_KEY } from './stored-tables.js'
+import { TABLE_PROBLEMS } from './table-messages.js'
+import type { TableSet } from './table-set.js'
+
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err } = tsResults
+
+/** Decodes the value of {@link TABLES_KEY} as read at `revision`, the key's modification revision. */
+export function decodeStoredTables (value: string, revision: number): Result<TableSet, readonly Finding[]> {
+  const stored = parseStoredTables(value)
+  if (stored !== undefined) return parseTables({ routes: stored.routes, pools: stored.pools }, revision)
+  return new Err([{ ...TABLE_PROBLEMS.storedValue('not a JSON object with routes, pools, nonce, author and appliedAt'), place: TABLES_KEY }])
+}
--- /dev/null
+++ b/packages/tables/src/row-reader.ts
@@ -0,0 +1,159 @@
+import type { Finding } from '@hibiscusledge/runtime/finding.js'
+import { createTableFinding, type CsvRow, type CsvTable } from './csv-table.js'
+import { type Bounds, FRACTION_DIGITS, LABEL_VALUE_PATTERN, NAME_PATTERN } from './table-limits.js'
+import { TABLE_PROBLEMS, type TableProblem } from './table-messages.js'
+
+const LIST_SEPARATOR = '|'
+const INTEGER_PATTERN = /^\d{1,15}$/
+const DECIMAL_PATTERN = new RegExp(`^\\d{1,12}(\\.\\d{1,${FRACTION_DIGITS}})?$`)
+const BOOLEANS: ReadonlyMap<string, boolean> = new Map([['true', true], ['yes', true], ['false', false], ['no', false]])
+
+/** Reads the typed cells of one row. A bad cell adds a finding and reads as its default, so that reading goes on to the other cells. */
+export class RowReader<Column extends string> {
+  readonly #table: CsvTable<Column>
+  readonly #row: CsvRow
+  readonly #findings: Finding[]
+  readonly #unsound = new Set<Column>()
+
+  constructor (table: CsvTable<Column>, row: CsvRow, findings: Finding[]) {
+    this.#table = table
+    this.#row = row
+    this.#findings = findings
+  }
+
+  get line (): number { return this.#row.line }
+
+  addFinding (column: Column, problem: TableProblem): void {
+    this.#unsound.add(column)
+    const position = this.#table.positions.get(column) ?? 0
+    this.#findings.push(createTableFinding(this.#table.file, this.#row.line, position + 1, problem))
+  }
+
+  /** Whether all these cells were present and read without a finding, so that rules across cells can be checked. */
+  isSound (...columns: readonly Column[]): boolean {
+    return columns.every((column) => this.#table.positions.has(column) && !this.#unsound.has(column))
+  }
+
+  isEmpty (column: Column): boolean {
+    return this.#readText(column) === ''
+  }
+
+  /** A name that must be given. */
+  readName (column: Column): string {
+    const text = this.#readText(column)
+    if (text !== '') return this.readOptionalName(column)
+    this.#addEmptyCell(column)
+    return text
+  }
+
+  /** A name, or the empty string. */
+  readOptionalName (column: Column): string {
+    const text = this.#readText(column)
+    if (text !== '' && !NAME_PATTERN.test(text)) this.addFinding(column, TABLE_PROBLEMS.invalidName(column, text))
+    return text
+  }
+
+  /** One of a fixed set of names. Without a default the cell must be given. */
+  readChoice<Choice extends string> (column: Column, choices: readonly [Choice, ...Choice[]], fallback?: Choice): Choice {
+    const text = this.#readText(column)
+    const choice = choices.find((candidate) => candidate === text)
+    if (choice !== undefined) return choice
+    if (text !== '') this.addFinding(column, TABLE_PROBLEMS.unknownName(column, text, choices))
+    else if (fallback === undefined) this.#addEmptyCell(column)
+    return fallback ?? choices[0]
+  }
+
+  /** `true`, `false`, `yes` or `no` in any case, as spreadsheets write `TRUE`. */
+  readBoolean (column: Column, fallback: boolean): boolean {
+    const text = this.#readText(column)
+    if (text === '') return fallback
+    const value = BOOLEANS.get(text.toLowerCase())
+    if (value === undefined) this.addFinding(column, TABLE_PROBLEMS.invalidBoolean(column, text))
+    return value ?? fallback
+  }
+
+  readInteger<Fallback extends number | undefined> (column: Column, bounds: Bounds, fallback: Fallback): number | Fallback {
+    const text = this.#readText(column)
+    if (text === '') return fallback
+    return this.#readNumber(column, text, INTEGER_PATTERN, 'a whole number', bounds) ?? fallback
+  }
+
+  readDecimal (column: Column, bounds: Bounds, fallback: number): number {
+    const text = this.#readText(column)
+    if (text === '') return fallback
+    return this.#readNumber(column, text, DECIMAL_PATTERN, `a number with at most ${FRACTION_DIGITS} decimals`, bounds) ?? fallback
+  }
+
+  /** Names separated by `|`. */
+  readNames (column: Column): string[] {
+    const names = new Set<string>()
+    for (const item of this.#readItems(column)) {
+      if (!NAME_PATTERN.test(item)) this.addFinding(column, TABLE_PROBLEMS.invalidName(column, item))
+      else if (names.has(item)) this.addFinding(column, TABLE_PROBLEMS.duplicateListItem(column, item))
+      else names.add(item)
+    }
+    return [...names]
+  }
+
+  /** `name=value` pairs separated by `|`. */
+  readLabels (column: Column): Readonly<Record<string, string>> {
+    return this.#readPairs(column, (text) => {
+      if (LABEL_VALUE_PATTERN.test(text)) return text
+      this.addFinding(column, TABLE_PROBLEMS.invalidLabelValue(column, text))
+      return undefined
+    })
+  }
+
+  /** `name=percent` pairs separated by `|`. */
+  readPercentages (column: Column, bounds: Bounds): Readonly<Record<string, number>> {
+    return this.#readPairs(column, (text) => {
+      return this.#readNumber(column, text, DECIMAL_PATTERN, `a number with at most ${FRACTION_DIGITS} decimals`, bounds)
+    })
+  }
+
+  #readPairs<Value> (column: Column, readValue: (text: string) => Value | undefined): Readonly<Record<string, Value>> {
+    // Without a prototype, a lookup of a team named "constructor" finds nothing instead of a function.
+    const pairs = Object.create(null) as Record<string, Value>
+    for (const item of this.#readItems(column)) {
+      const separator = item.indexOf('=')
+      const name = item.slice(0, separator).trim()
+      if (separator < 0) this.addFinding(column, TABLE_PROBLEMS.invalidPair(column, item))
+      else if (!NAME_PATTERN.test(name)) this.addFinding(column, TABLE_PROBLEMS.invalidName(column, name))
+      else if (name in pairs) this.addFinding(column, TABLE_PROBLEMS.duplicateListItem(column, name))
+      else {
+        const value = readValue(item.slice(separator + 1).trim())
+        if (value !== undefined) pairs[name] = value
+      }
+    }
+    return pairs
+  }
+
+  #readItems (column: Column): string[] {
+    const text = this.#readText(column)
+    if (text === '') return []
+    const items = text.split(LIST_SEPARATOR).map((item) => item.trim())
+    if (items.includes('')) this.addFinding(column, TABLE_PROBLEMS.emptyListItem(column))
+    return items.filter((item) => item !== '')
+  }
+
+  #readNumber (column: Column, text: string, pattern: RegExp, form: string, bounds: Bounds): number | undefined {
+    if (!pattern.test(text)) {
+      this.addFinding(column, TABLE_PROBLEMS.invalidNumber(column, text, form))
+      return undefined
+    }
+    const value = Number(text)
+    if (value >= bounds.least && value <= bounds.greatest) return value
+    this.addFinding(column, TABLE_PROBLEMS.outOfBounds(column, text, bounds.least, bounds.greatest))
+    return undefined
+  }
+
+  /** A missing column is reported once for the file, so its cells read as empty. */
+  #readText (column: Column): string {
+    const position = this.#table.positions.get(column)
+    return position === undefined ? '' : this.#row.cells[position] ?? ''
+  }
+
+  #addEmptyCell (column: Column): void {
+    if (this.#table.positions.has(column)) this.addFinding(column, TABLE_PROBLEMS.emptyCell(column))
+  }
+}
--- /dev/null
+++ b/packages/tables/src/table-limits.ts
@@ -0,0 +1,58 @@
+import type { Urgency } from '@hibiscusledge/scheduling/urgency.js'
+
+/** Inclusive bounds of a numeric cell. */
+export interface Bounds {
+  readonly least: number
+  readonly greatest: number
+}
+
+const ONE_WEEK_MS = 604_800_000
+
+/** Bounds of numeric cells. The greatest values only catch slips such as bytes given as megabytes. */
+export const CELL_BOUNDS = {
+  cores: { least: 0, greatest: 1_024 },
+  memoryMb: { least: 0, greatest: 16_777_216 },
+  accelerators: { least: 0, greatest: 64 },
+  tasks: { least: 1, greatest: 1_024 },
+  runtimeMs: { least: 1, greatest: ONE_WEEK_MS },
+  deadlineMs: { least: 1, greatest: ONE_WEEK_MS },
+  retryLimit: { least: 0, greatest: 10 },
+  slots: { least: 1, greatest: 10_000 },
+  connections: { least: 1, greatest: 100_000 },
+  maxQueueMs: { least: 0, greatest: ONE_WEEK_MS },
+  percent: { least: 0, greatest: 100 },
+  quotaPercent: { least: 0.001, greatest: 100 }
+} as const satisfies Record<string, Bounds>
+
+/** Values that empty cells of `routes.csv` take. */
+export const ROUTE_DEFAULTS = {
+  urgency: 'normal',
+  cores: 0,
+  memoryMb: 0,
+  accelerators: 0,
+  tasks: 1,
+  idempotent: false,
+  exclusive: false,
+  resumable: false,
+  service: false,
+  deadlineMs: 60_000,
+  /** For idempotent routes; a non-idempotent route is never retried. */
+  retryLimit: 2
+} as const
+
+/** Values that empty cells of `pools.csv` take. */
+export const POOL_DEFAULTS = {
+  floorPercent: 0,
+  limitPercent: 100,
+  /** The urgent value leaves 0.4 s of the required 1.9 s (p99) for the hops and the placement. */
+  maxQueueMs: { urgent: 1_500, high: 10_000, normal: 60_000, low: 300_000 } satisfies Record<Urgency, number>
+} as const
+
+/** Numbers with a fraction have at most three decimals, so that sums of percentages can be compared exactly in thousandths. */
+export const FRACTION_DIGITS = 3
+
+export const MAX_NAME_LENGTH = 63
+/** Also keeps names such as `__proto__` out of labels and quotas. */
+export const NAME_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/
+/** Label values may also hold `/` and `:`, as in image names and addresses. */
+export const LABEL_VALUE_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._:/-]{0,62}$/
