Add the store adapter, call budget, in-memory store and instance list

Cause: the packages above need the platform's store and instance list, and a fake of the store for their tests. Ruled out: an etcd client over gRPC, because the platform publishes the JSON gateway; retrying writes inside the adapter, because a write whose reply was lost may have taken effect; failing the whole instance list for one bad entry, because the good targets would lose their work.

--- /dev/null
+++ b/packages/platform/src/budgeted-store.ts
@@ -0,0 +1,117 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import { Err, type Result } from 'ts-results'
+import { CallBudget, type CallBudgetCounts, type CallRates } from './call-budget.js'
+import type {
+  CallPriority, KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch, WatchHandler
+} from './key-value-store.js'
+import type { StoreError } from './store-error.js'
+
+export interface StoreBudgetOptions {
+  readonly readsPerSecond: number
+  readonly writesPerSecond: number
+  /** Calls of each kind that may wait for the budget. */
+  readonly maxWaitingCalls?: number
+  /** A call that waited this long is refused without having been sent. */
+  readonly maxWaitMs?: number
+}
+
+export interface StoreBudgetCounts {
+  readonly reads: CallBudgetCounts
+  readonly writes: CallBudgetCounts
+  readonly openWatches: number
+}
+
+const DEFAULT_MAX_WAITING_CALLS = 1_000
+const DEFAULT_MAX_WAIT_MS = 2_000
+
+const MESSAGES = { overBudget: 'the call budget is exhausted; the call was not sent' } as const
+
+/** Keeps the calls of a store within its rates. Calls over the budget wait, `critical` ones ahead of `background` ones. */
+export class BudgetedStore implements KeyValueStore {
+  readonly #store: KeyValueStore
+  readonly #reads: CallBudget
+  readonly #writes: CallBudget
+  #openWatches = 0
+
+  constructor (store: KeyValueStore, clock: Clock, options: StoreBudgetOptions) {
+    const limits = {
+      maxWaitingCalls: options.maxWaitingCalls ?? DEFAULT_MAX_WAITING_CALLS,
+      maxWaitMs: options.maxWaitMs ?? DEFAULT_MAX_WAIT_MS
+    }
+    this.#store = store
+    this.#reads = new CallBudget(clock, options.readsPerSecond, limits)
+    this.#writes = new CallBudget(clock, options.writesPerSecond, limits)
+  }
+
+  /** Changes the rates, as when the number of members that share the site's budget changes. */
+  setRates (rates: CallRates): void {
+    this.#reads.setRate(rates.readsPerSecond)
+    this.#writes.setRate(rates.writesPerSecond)
+  }
+
+  readCounts (): StoreBudgetCounts {
+    return { reads: this.#reads.readCounts(), writes: this.#writes.readCounts(), openWatches: this.#openWatches }
+  }
+
+  async readKey (key: string, priority: CallPriority): Promise<Result<StoredValue | undefined, StoreError>> {
+    return await this.#spend(this.#reads, priority, () => this.#store.readKey(key, priority))
+  }
+
+  async listPrefix (prefix: string, priority: CallPriority): Promise<Result<PrefixListing, StoreError>> {
+    return await this.#spend(this.#reads, priority, () => this.#store.listPrefix(prefix, priority))
+  }
+
+  async commitTransaction (transaction: Transaction, priority: CallPriority): Promise<Result<TransactionOutcome, StoreError>> {
+    return await this.#spend(this.#writes, priority, () => this.#store.commitTransaction(transaction, priority))
+  }
+
+  async grantLease (ttlSeconds: number): Promise<Result<string, StoreError>> {
+    return await this.#spend(this.#writes, 'critical', () => this.#store.grantLease(ttlSeconds))
+  }
+
+  async renewLease (leaseId: string): Promise<Result<number, StoreError>> {
+    return await this.#spend(this.#writes, 'critical', () => this.#store.renewLease(leaseId))
+  }
+
+  async revokeLease (leaseId: string): Promise<Result<void, StoreError>> {
+    return await this.#spend(this.#writes, 'critical', () => this.#store.revokeLease(leaseId))
+  }
+
+  /** Opening a watch takes one read; while it waits it takes no more. */
+  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler): Watch {
+    let inner: Watch | undefined
+    let isClosed = false
+    const end = (): boolean => {
+      if (isClosed) return false
+      isClosed = true
+      this.#openWatches--
+      return true
+    }
+    this.#openWatches++
+    this.#reads.acquire('background').then((isGranted) => {
+      if (isClosed) return
+      if (!isGranted) {
+        end()
+        handler.onClosed(MESSAGES.overBudget)
+        return
+      }
+      inner = this.#store.watchPrefix(prefix, fromRevision, {
+        onEvents: (events, revision) => handler.onEvents(events, revision),
+        onClosed: (reason) => { if (end()) handler.onClosed(reason) }
+      })
+    }).catch((error: unknown) => { if (end()) handler.onClosed(String(error)) })
+    return {
+      close: () => {
+        end()
+        inner?.close()
+      }
+    }
+  }
+
+  async #spend<Value> (
+    budget: CallBudget, priority: CallPriority, call: () => Promise<Result<Value, StoreError>>
+  ): Promise<Result<Value, StoreError>> {
+    if (await budget.acquire(priority)) return await call()
+    return Err({ code: 'rateLimited', message: MESSAGES.overBudget, isEffectUnknown: false })
+  }
+}
--- /dev/null
+++ b/packages/platform/src/call-budget.ts
@@ -0,0 +1,137 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { CallPriority } from './key-value-store.js'
+
+export interface CallRates {
+  readonly readsPerSecond: number
+  readonly writesPerSecond: number
+}
+
+export interface CallBudgetLimits {
+  readonly maxWaitingCalls: number
+  readonly maxWaitMs: number
+}
+
+/** Totals since the start, and the calls that wait now. */
+export interface CallBudgetCounts {
+  readonly granted: number
+  readonly refused: number
+  readonly waiting: number
+}
+
+interface WaitingCall {
+  readonly resolve: (isGranted: boolean) => void
+  readonly expiry: Timer
+}
+
+// A tenth of a second's calls may start at once, so that a burst neither waits long nor shows in the store's per-second rate.
+const BURST_SECONDS = 0.1
+
+/** A token bucket with a bounded queue in order of priority, then arrival. */
+export class CallBudget {
+  readonly #clock: Clock
+  readonly #limits: CallBudgetLimits
+  readonly #waiting: Record<CallPriority, Set<WaitingCall>> = { critical: new Set(), background: new Set() }
+  #callsPerSecond: number
+  #tokens: number
+  #refilledAtMs: number
+  #refillTimer: Timer | undefined
+  #granted = 0
+  #refused = 0
+
+  constructor (clock: Clock, callsPerSecond: number, limits: CallBudgetLimits) {
+    this.#clock = clock
+    this.#limits = limits
+    this.#callsPerSecond = callsPerSecond
+    this.#tokens = this.#computeCapacity()
+    this.#refilledAtMs = clock.readMonotonicMs()
+  }
+
+  setRate (callsPerSecond: number): void {
+    this.#refill()
+    this.#callsPerSecond = callsPerSecond
+    this.#tokens = Math.min(this.#tokens, this.#computeCapacity())
+    this.#refillTimer?.cancel()
+    this.#refillTimer = undefined
+    this.#grantWaiting()
+  }
+
+  readCounts (): CallBudgetCounts {
+    return { granted: this.#granted, refused: this.#refused, waiting: this.#countWaiting() }
+  }
+
+  /** Resolves to true when the call may be sent, to false when it waited too long or the queue is full. */
+  acquire (priority: CallPriority): Promise<boolean> {
+    this.#refill()
+    if (this.#countWaiting() === 0 && this.#takeToken()) {
+      this.#granted++
+      return Promise.resolve(true)
+    }
+    if (this.#countWaiting() >= this.#limits.maxWaitingCalls && !this.#evictFor(priority)) {
+      this.#refused++
+      return Promise.resolve(false)
+    }
+    return new Promise((resolve) => {
+      const call: WaitingCall = { resolve, expiry: this.#clock.startTimer(this.#limits.maxWaitMs, () => this.#refuse(priority, call)) }
+      this.#waiting[priority].add(call)
+      this.#grantWaiting()
+    })
+  }
+
+  #grantWaiting (): void {
+    this.#refill()
+    for (const queue of [this.#waiting.critical, this.#waiting.background]) {
+      for (const call of queue) {
+        if (!this.#takeToken()) return this.#scheduleRefill()
+        queue.delete(call)
+        call.expiry.cancel()
+        this.#granted++
+        call.resolve(true)
+      }
+    }
+  }
+
+  #refuse (priority: CallPriority, call: WaitingCall): void {
+    this.#waiting[priority].delete(call)
+    call.expiry.cancel()
+    this.#refused++
+    call.resolve(false)
+  }
+
+  // A full queue refuses the newest background call rather than a critical one.
+  #evictFor (priority: CallPriority): boolean {
+    const newest = priority === 'critical' ? [...this.#waiting.background].at(-1) : undefined
+    if (newest !== undefined) this.#refuse('background', newest)
+    return newest !== undefined
+  }
+
+  #refill (): void {
+    const nowMs = this.#clock.readMonotonicMs()
+    const gained = (nowMs - this.#refilledAtMs) / 1000 * this.#callsPerSecond
+    this.#tokens = Math.min(this.#computeCapacity(), this.#tokens + gained)
+    this.#refilledAtMs = nowMs
+  }
+
+  #takeToken (): boolean {
+    // The tolerance absorbs rounding, which would otherwise delay a token by one more timer.
+    if (this.#tokens < 1 - 1e-6) return false
+    this.#tokens = Math.max(0, this.#tokens - 1)
+    return true
+  }
+
+  #scheduleRefill (): void {
+    if (this.#refillTimer !== undefined || this.#callsPerSecond <= 0) return
+    const delayMs = Math.max(1, (1 - this.#tokens) / this.#callsPerSecond * 1000)
+    this.#refillTimer = this.#clock.startTimer(delayMs, () => {
+      this.#refillTimer = undefined
+      this.#grantWaiting()
+    })
+  }
+
+  #computeCapacity (): number {
+    return Math.max(1, this.#callsPerSecond * BURST_SECONDS)
+  }
+
+  #countWaiting (): number {
+    return this.#waiting.critical.size + this.#waiting.background.size
+  }
+}
--- /dev/null
+++ b/packages/platform/src/etcd-error.ts
@@ -0,0 +1,57 @@
+import { z } from 'zod'
+import type { HttpAnswer, HttpFailure } from './http-exchange.js'
+import type { StoreError, StoreErrorCode } from './store-error.js'
+
+export type CallEffect = 'read' | 'write'
+
+const GRPC_CODES = { invalidArgument: 3, notFound: 5, resourceExhausted: 8, outOfRange: 11 } as const
+
+// `error` is a text for unary calls and an object for streamed ones; older gateways send no `code`.
+const errorBody = z.object({
+  code: z.number().int().optional(),
+  message: z.string().optional(),
+  error: z.union([z.string(), z.object({ message: z.string().default(''), grpc_code: z.number().int().optional() })]).optional()
+})
+
+// etcd answers these codes before it proposes the change to its members, so the change has no effect.
+const CODES_WITHOUT_EFFECT: ReadonlySet<number> = new Set(Object.values(GRPC_CODES))
+
+/** Converts an error answer of the gateway. */
+export function parseErrorAnswer (answer: HttpAnswer, effect: CallEffect): StoreError {
+  const body = parseErrorBody(answer.text)
+  const grpcCode = body?.grpcCode
+  const isRefusal = grpcCode === undefined ? answer.status === 429 || answer.status === 413 : CODES_WITHOUT_EFFECT.has(grpcCode)
+  return {
+    code: chooseErrorCode(answer.status, grpcCode, body?.message ?? ''),
+    message: `HTTP ${answer.status}: ${body?.message ?? answer.text.slice(0, 200)}`,
+    isEffectUnknown: effect === 'write' && !isRefusal
+  }
+}
+
+/** Converts a call that got no whole answer. */
+export function toStoreError (failure: HttpFailure, effect: CallEffect): StoreError {
+  return {
+    code: failure.type === 'timeout' ? 'timeout' : 'unavailable',
+    message: failure.message,
+    isEffectUnknown: effect === 'write' && failure.type !== 'notSent'
+  }
+}
+
+function parseErrorBody (text: string): { grpcCode: number | undefined, message: string } | undefined {
+  try {
+    const body = errorBody.parse(JSON.parse(text))
+    const inner = typeof body.error === 'object' ? body.error : { message: body.error ?? '', grpc_code: undefined }
+    return { grpcCode: body.code ?? inner.grpc_code, message: body.message ?? inner.message }
+  } catch {
+    return undefined
+  }
+}
+
+function chooseErrorCode (status: number, grpcCode: number | undefined, message: string): StoreErrorCode {
+  if (message.includes('too large') || message.includes('larger than max') || status === 413) return 'tooLarge'
+  if (message.includes('lease not found')) return 'leaseNotFound'
+  if (grpcCode === GRPC_CODES.resourceExhausted || status === 429) return 'rateLimited'
+  if (status === 504) return 'timeout'
+  if (status >= 500) return 'unavailable'
+  return 'protocol'
+}
--- /dev/null
+++ b/packages/platform/src/etcd-gateway-store.ts
@@ -0,0 +1,178 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import { Err, Ok, type Result } from 'ts-results'
+import { Agent } from 'undici'
+import type { z } from 'zod'
+import {
+  encodeBase64, encodePrefix, encodeTransaction, leaseGrantAnswer, leaseKeepAliveAnswer, leaseRevokeAnswer, rangeAnswer, toStoredValue,
+  transactionAnswer
+} from './etcd-codec.js'
+import { parseErrorAnswer, toStoreError, type CallEffect } from './etcd-error.js'
+import { EtcdWatch } from './etcd-watch.js'
+import { fetchText, type HttpAnswer } from './http-exchange.js'
+import type {
+  CallPriority, KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch, WatchHandler
+} from './key-value-store.js'
+import type { StoreError } from './store-error.js'
+
+export interface EtcdGatewayStoreOptions {
+  /** Origins such as `http://10.0.0.5:2379`, tried in turn. */
+  readonly endpoints: readonly string[]
+  readonly clock: Clock
+  /** Limit of one call over all endpoints. */
+  readonly requestTimeoutMs?: number
+  readonly watchIdleLimitMs?: number
+  readonly maxConnections?: number
+}
+
+interface GatewayCall<Schema extends z.ZodType> {
+  readonly path: string
+  readonly body: unknown
+  readonly effect: CallEffect
+  readonly schema: Schema
+}
+
+const DEFAULT_REQUEST_TIMEOUT_MS = 1_000
+const DEFAULT_WATCH_IDLE_LIMIT_MS = 15_000
+const DEFAULT_MAX_CONNECTIONS = 16
+// A full listing of a ledger partition is the largest answer; values are at most 1 MB each.
+const MAX_RESPONSE_BYTES = 256 * 1024 * 1024
+
+const MESSAGES = {
+  noEndpoint: 'no endpoint is configured',
+  closed: 'the store client is closed',
+  malformed: (path: string, detail: string) => `unexpected answer of ${path}: ${detail}`,
+  leaseLapsed: (leaseId: string) => `lease ${leaseId} does not exist`,
+  incomplete: 'the listing is incomplete'
+} as const
+
+/** Adapter of the etcd v3 JSON gateway. It never repeats a write that may have taken effect. */
+export class EtcdGatewayStore implements KeyValueStore {
+  readonly #endpoints: readonly string[]
+  readonly #clock: Clock
+  readonly #requestTimeoutMs: number
+  readonly #watchIdleLimitMs: number
+  readonly #callAgent: Agent
+  // Watches have their own agent so that they never take a connection from the calls.
+  readonly #watchAgent: Agent
+  readonly #watches = new Set<Watch>()
+  #preferred = 0
+
+  constructor (options: EtcdGatewayStoreOptions) {
+    this.#endpoints = options.endpoints
+    this.#clock = options.clock
+    this.#requestTimeoutMs = options.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS
+    this.#watchIdleLimitMs = options.watchIdleLimitMs ?? DEFAULT_WATCH_IDLE_LIMIT_MS
+    this.#callAgent = new Agent({
+      connections: options.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
+      maxResponseSize: MAX_RESPONSE_BYTES,
+      connect: { timeout: this.#requestTimeoutMs }
+    })
+    this.#watchAgent = new Agent({ connect: { timeout: this.#requestTimeoutMs } })
+  }
+
+  async readKey (key: string, _priority: CallPriority): Promise<Result<StoredValue | undefined, StoreError>> {
+    const answer = await this.#sendCall({ path: '/v3/kv/range', body: { key: encodeBase64(key) }, effect: 'read', schema: rangeAnswer })
+    return answer.map(({ kvs }) => kvs[0] === undefined ? undefined : toStoredValue(kvs[0]))
+  }
+
+  async listPrefix (prefix: string, _priority: CallPriority): Promise<Result<PrefixListing, StoreError>> {
+    const answer = await this.#sendCall({ path: '/v3/kv/range', body: encodePrefix(prefix), effect: 'read', schema: rangeAnswer })
+    if (answer.err) return answer
+    if (answer.val.more) return Err({ code: 'protocol', message: MESSAGES.incomplete, isEffectUnknown: false })
+    return Ok({ revision: answer.val.header.revision, values: answer.val.kvs.map(toStoredValue) })
+  }
+
+  async commitTransaction (transaction: Transaction, _priority: CallPriority): Promise<Result<TransactionOutcome, StoreError>> {
+    const body = encodeTransaction(transaction)
+    const answer = await this.#sendCall({ path: '/v3/kv/txn', body, effect: 'write', schema: transactionAnswer })
+    return answer.map(({ header, succeeded }) => ({ isCommitted: succeeded, revision: header.revision }))
+  }
+
+  async grantLease (ttlSeconds: number): Promise<Result<string, StoreError>> {
+    const body = { TTL: String(ttlSeconds), ID: '0' }
+    const answer = await this.#sendCall({ path: '/v3/lease/grant', body, effect: 'write', schema: leaseGrantAnswer })
+    return answer.map(({ ID }) => ID)
+  }
+
+  async renewLease (leaseId: string): Promise<Result<number, StoreError>> {
+    const answer = await this.#sendCall({ path: '/v3/lease/keepalive', body: { ID: leaseId }, effect: 'write', schema: leaseKeepAliveAnswer })
+    if (answer.err) return answer
+    const ttlSeconds = answer.val.result.TTL
+    // The gateway answers a keep-alive of an unknown lease with 200 and without a TTL.
+    if (ttlSeconds <= 0) return Err({ code: 'leaseNotFound', message: MESSAGES.leaseLapsed(leaseId), isEffectUnknown: false })
+    return Ok(ttlSeconds)
+  }
+
+  async revokeLease (leaseId: string): Promise<Result<void, StoreError>> {
+    const answer = await this.#sendCall({ path: '/v3/lease/revoke', body: { ID: leaseId }, effect: 'write', schema: leaseRevokeAnswer })
+    return answer.map(() => undefined)
+  }
+
+  /** Delivers changes with a revision of `fromRevision` or later; 0 starts at the next change. */
+  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler): Watch {
+    const position = this.#preferred
+    const watch = new EtcdWatch({
+      dispatcher: this.#watchAgent,
+      clock: this.#clock,
+      origin: this.#endpoints[position] ?? '',
+      prefix,
+      fromRevision,
+      handler,
+      idleLimitMs: this.#watchIdleLimitMs,
+      onFailed: () => {
+        this.#watches.delete(watch)
+        this.#skipEndpoint(position)
+      }
+    })
+    this.#watches.add(watch)
+    watch.start()
+    return { close: () => { this.#watches.delete(watch); watch.close() } }
+  }
+
+  /** Ends every watch and connection; calls in flight fail. */
+  async close (): Promise<void> {
+    for (const watch of this.#watches) watch.close()
+    this.#watches.clear()
+    await Promise.all([this.#callAgent.destroy(), this.#watchAgent.destroy()])
+  }
+
+  async #sendCall<Schema extends z.ZodType> (call: GatewayCall<Schema>): Promise<Result<z.output<Schema>, StoreError>> {
+    const deadlineMs = this.#clock.readMonotonicMs() + this.#requestTimeoutMs
+    let error: StoreError = { code: 'unavailable', message: MESSAGES.noEndpoint, isEffectUnknown: false }
+    for (let attempt = 0; attempt < this.#endpoints.length; attempt++) {
+      const timeoutMs = deadlineMs - this.#clock.readMonotonicMs()
+      if (timeoutMs <= 0) break
+      const position = this.#preferred
+      const origin = this.#endpoints[position] ?? ''
+      const answer = await fetchText(this.#callAgent, this.#clock, { origin, path: call.path, method: 'POST', body: call.body, timeoutMs })
+      if (answer.ok && answer.val.status === 200) return parseAnswer(call, answer.val)
+      error = answer.ok ? parseErrorAnswer(answer.val, call.effect) : toStoreError(answer.val, call.effect)
+      // Another endpoint can only help where this one failed, and must not repeat a write that may have taken effect.
+      if (error.code !== 'unavailable' && error.code !== 'timeout') break
+      this.#skipEndpoint(position)
+      if (error.isEffectUnknown) break
+    }
+    return Err(error)
+  }
+
+  #skipEndpoint (position: number): void {
+    // Only the call that saw the preferred endpoint fail moves on; concurrent failures must not skip endpoints.
+    if (this.#preferred === position) this.#preferred = (position + 1) % Math.max(1, this.#endpoints.length)
+  }
+}
+
+function parseAnswer<Schema extends z.ZodType> (call: GatewayCall<Schema>, answer: HttpAnswer): Result<z.output<Schema>, StoreError> {
+  try {
+    // A streamed call ends each message with a newline; its first message is the answer.
+    const parsed = call.schema.safeParse(JSON.parse(answer.text.trimEnd().split('\n', 1)[0] ?? ''))
+    if (parsed.success) return Ok(parsed.data)
+    const issue = parsed.error.issues[0]
+    return Err(createMalformedError(call, `${issue?.path.join('.') ?? ''} ${issue?.message ?? ''}`))
+  } catch (error) {
+    return Err(createMalformedError(call, error instanceof Error ? error.message : String(error)))
+  }
+}
+
+function createMalformedError (call: GatewayCall<z.ZodType>, detail: string): StoreError {
+  return { code: 'protocol', message: MESSAGES.malformed(call.path, detail), isEffectUnknown: call.effect === 'write' }
+}
--- /dev/null
+++ b/packages/platform/src/etcd-watch.ts
@@ -0,0 +1,119 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { Dispatcher } from 'undici'
+import { encodePrefix, toWatchEvent, watchMessage } from './etcd-codec.js'
+import { toHttpFailure } from './http-exchange.js'
+import type { Watch, WatchHandler } from './key-value-store.js'
+
+export interface EtcdWatchOptions {
+  readonly dispatcher: Dispatcher
+  readonly clock: Clock
+  readonly origin: string
+  readonly prefix: string
+  readonly fromRevision: number
+  readonly handler: WatchHandler
+  /** A stream without a byte for this long is closed: an open connection can go silent for good. */
+  readonly idleLimitMs: number
+  /** Called when the stream ends other than by `close`. */
+  readonly onFailed: () => void
+}
+
+// The largest event message holds a transaction of the largest request (1.5 MB) in base64, so this is ample.
+const MAX_MESSAGE_CHARACTERS = 16 * 1024 * 1024
+
+const REASONS = {
+  idle: (limitMs: number) => `no message for ${limitMs} ms`,
+  ended: 'the store ended the stream',
+  tooLong: 'a message is over the size limit',
+  malformed: (detail: string) => `malformed message: ${detail}`,
+  status: (status: number) => `HTTP ${status}`,
+  compacted: (revision: number) => `history before revision ${revision} is compacted`,
+  cancelled: (reason: string) => `cancelled by the store: ${reason}`
+} as const
+
+/** One `/v3/watch` stream. It ends once, with one `onClosed`, unless its caller closes it first. */
+export class EtcdWatch implements Watch {
+  readonly #options: EtcdWatchOptions
+  readonly #controller = new AbortController()
+  #idleTimer: Timer | undefined
+  #isEnded = false
+
+  constructor (options: EtcdWatchOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#restartIdleTimer()
+    this.#readStream().catch((error: unknown) => this.#end(toHttpFailure(error).message))
+  }
+
+  close (): void {
+    this.#isEnded = true
+    this.#release()
+  }
+
+  async #readStream (): Promise<void> {
+    const { dispatcher, origin, prefix, fromRevision } = this.#options
+    const start = fromRevision > 0 ? { start_revision: String(fromRevision) } : {}
+    const answer = await dispatcher.request({
+      origin,
+      path: '/v3/watch',
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ create_request: { ...encodePrefix(prefix), ...start, progress_notify: true } }),
+      signal: this.#controller.signal,
+      headersTimeout: 0,
+      bodyTimeout: 0
+    })
+    if (answer.statusCode !== 200) {
+      answer.body.on('error', () => {})
+      return this.#end(REASONS.status(answer.statusCode))
+    }
+    const decoder = new TextDecoder()
+    let text = ''
+    for await (const chunk of answer.body) {
+      this.#restartIdleTimer()
+      text += decoder.decode(chunk as Uint8Array, { stream: true })
+      const lines = text.split('\n')
+      text = lines.pop() ?? ''
+      for (const line of lines) this.#handleLine(line)
+      if (text.length > MAX_MESSAGE_CHARACTERS) return this.#end(REASONS.tooLong)
+      if (this.#isEnded) return
+    }
+    this.#end(REASONS.ended)
+  }
+
+  #handleLine (line: string): void {
+    if (this.#isEnded || line.trim() === '') return
+    let message
+    try {
+      message = watchMessage.parse(JSON.parse(line))
+    } catch (error) {
+      return this.#end(REASONS.malformed(error instanceof Error ? error.message : String(error)))
+    }
+    if (message.error !== undefined) return this.#end(REASONS.cancelled(message.error.message))
+    const result = message.result
+    if (result === undefined) return
+    if (result.compact_revision > 0) return this.#end(REASONS.compacted(result.compact_revision))
+    if (result.canceled) return this.#end(REASONS.cancelled(result.cancel_reason))
+    if (result.events.length > 0) this.#options.handler.onEvents(result.events.map(toWatchEvent), result.header.revision)
+  }
+
+  #restartIdleTimer (): void {
+    this.#idleTimer?.cancel()
+    const limitMs = this.#options.idleLimitMs
+    if (!this.#isEnded) this.#idleTimer = this.#options.clock.startTimer(limitMs, () => this.#end(REASONS.idle(limitMs)))
+  }
+
+  #end (reason: string): void {
+    if (this.#isEnded) return
+    this.#isEnded = true
+    this.#release()
+    this.#options.onFailed()
+    this.#options.handler.onClosed(reason)
+  }
+
+  #release (): void {
+    this.#idleTimer?.cancel()
+    this.#controller.abort()
+  }
+}
--- /dev/null
+++ b/packages/platform/src/http-exchange.ts
@@ -0,0 +1,68 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import { Err, Ok, type Result } from 'ts-results'
+import type { Dispatcher } from 'undici'
+
+/** One HTTP request with a JSON body or none. */
+export interface HttpExchange {
+  readonly origin: string
+  readonly path: string
+  readonly method: 'GET' | 'POST'
+  readonly body?: unknown
+  readonly timeoutMs: number
+}
+
+export interface HttpAnswer {
+  readonly status: number
+  readonly text: string
+}
+
+/** Why no whole answer came. Only `notSent` proves that the server never received the request. */
+export interface HttpFailure {
+  readonly type: 'notSent' | 'timeout' | 'broken'
+  readonly message: string
+}
+
+const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'ENOTFOUND', 'EAI_AGAIN', 'UND_ERR_CONNECT_TIMEOUT'
+])
+
+const MESSAGES = {
+  timeout: (timeoutMs: number) => `no whole answer within ${timeoutMs} ms`
+} as const
+
+/** Sends one request and reads the whole answer under one time limit. */
+export async function fetchText (dispatcher: Dispatcher, clock: Clock, exchange: HttpExchange): Promise<Result<HttpAnswer, HttpFailure>> {
+  const controller = new AbortController()
+  const timer = clock.startTimer(exchange.timeoutMs, () => controller.abort())
+  try {
+    const answer = await dispatcher.request({
+      origin: exchange.origin,
+      path: exchange.path,
+      method: exchange.method,
+      headers: exchange.body === undefined ? {} : { 'content-type': 'application/json' },
+      body: exchange.body === undefined ? null : JSON.stringify(exchange.body),
+      signal: controller.signal,
+      // The injected clock's timer is the only limit, so that tests with a fake clock control it.
+      headersTimeout: 0,
+      bodyTimeout: 0
+    })
+    return Ok({ status: answer.statusCode, text: await answer.body.text() })
+  } catch (error) {
+    if (controller.signal.aborted) return Err({ type: 'timeout', message: MESSAGES.timeout(exchange.timeoutMs) })
+    return Err(toHttpFailure(error))
+  } finally {
+    timer.cancel()
+  }
+}
+
+/** Classifies an error of the HTTP client by whether the request can have reached the server. */
+export function toHttpFailure (error: unknown): HttpFailure {
+  const message = error instanceof Error ? error.message || error.name : String(error)
+  const code = findErrorCode(error)
+  return { type: code !== undefined && CONNECT_ERROR_CODES.has(code) ? 'notSent' : 'broken', message: code === undefined ? message : `${code}: ${message}` }
+}
+
+function findErrorCode (error: unknown): string | undefined {
+  if (typeof error !== 'object' || error === null) return undefined
+  return 'code' in error && typeof error.code === 'string' ? error.code : undefined
+}
--- /dev/null
+++ b/packages/platform/src/in-memory-store.ts
@@ -0,0 +1,155 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import { Err, Ok, type Result } from 'ts-results'
+import { KeySpace } from './key-space.js'
+import type {
+  CallPriority, KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch, WatchEvent, WatchHandler
+} from './key-value-store.js'
+import type { StoreError } from './store-error.js'
+
+/** Faults that a test can set at any time. */
+export interface InMemoryStoreFaults {
+  /** Every call fails without effect and every watch ends. */
+  isDown: boolean
+  /** This many next calls fail without effect. */
+  failNextCalls: number
+  /** This many next writes take effect and then time out. */
+  loseNextReplies: number
+  /** Each call takes this long on the passed clock, and takes effect at the end of it. */
+  delayMs: number
+}
+
+const MESSAGES = { down: 'the store is down', lost: 'the reply was lost', closedByFault: 'the store went down', leaseNotFound: 'lease not found' } as const
+const EXPIRY_CHECK_MS = 100
+
+/** Fake of the platform's store for tests. Several clients of one store share its `KeySpace` and each have their own faults. */
+export class InMemoryStore implements KeyValueStore {
+  readonly faults: InMemoryStoreFaults = { isDown: false, failNextCalls: 0, loseNextReplies: 0, delayMs: 0 }
+  readonly counts = { reads: 0, writes: 0, watches: 0 }
+  readonly #clock: Clock
+  readonly #keySpace: KeySpace
+  readonly #watches = new Set<{ handler: WatchHandler, end: () => void }>()
+
+  constructor (clock: Clock, keySpace: KeySpace = new KeySpace()) {
+    this.#clock = clock
+    this.#keySpace = keySpace
+  }
+
+  /** Another client of the same store, with its own faults, as another instance has it. */
+  createClient (): InMemoryStore {
+    return new InMemoryStore(this.#clock, this.#keySpace)
+  }
+
+  /** Sets `isDown` and ends the watches, as an outage does. */
+  setDown (isDown: boolean): void {
+    this.faults.isDown = isDown
+    if (!isDown) return
+    for (const { handler, end } of [...this.#watches]) {
+      end()
+      handler.onClosed(MESSAGES.closedByFault)
+    }
+  }
+
+  /** Ends a lease at once, as when its holder was paused past its time. */
+  expireLease (leaseId: string): void {
+    this.#keySpace.revokeLease(leaseId)
+  }
+
+  async readKey (key: string, _priority: CallPriority): Promise<Result<StoredValue | undefined, StoreError>> {
+    return await this.#run('reads', () => Ok(this.#keySpace.readKey(key)))
+  }
+
+  async listPrefix (prefix: string, _priority: CallPriority): Promise<Result<PrefixListing, StoreError>> {
+    return await this.#run('reads', () => Ok({ revision: this.#keySpace.readRevision(), values: this.#keySpace.listPrefix(prefix) }))
+  }
+
+  async commitTransaction (transaction: Transaction, _priority: CallPriority): Promise<Result<TransactionOutcome, StoreError>> {
+    return await this.#run('writes', () => {
+      const conditions = transaction.comparisons.map(({ key, modRevision }) => ({ key, target: 'modRevision', expected: modRevision }) as const)
+      const outcome = this.#keySpace.commit(conditions, transaction.mutations)
+      if (typeof outcome !== 'string') return Ok(outcome)
+      return Err({ code: outcome === 'leaseNotFound' ? 'leaseNotFound' : 'protocol', message: outcome, isEffectUnknown: false })
+    })
+  }
+
+  async grantLease (ttlSeconds: number): Promise<Result<string, StoreError>> {
+    return await this.#run('writes', () => {
+      const leaseId = this.#keySpace.grantLease(ttlSeconds * 1000, this.#clock.readMonotonicMs())
+      this.#scheduleExpiry(leaseId)
+      return Ok(leaseId)
+    })
+  }
+
+  async renewLease (leaseId: string): Promise<Result<number, StoreError>> {
+    return await this.#run('writes', () => {
+      const remainingMs = this.#keySpace.renewLease(leaseId, this.#clock.readMonotonicMs())
+      if (remainingMs > 0) return Ok(remainingMs / 1000)
+      return Err({ code: 'leaseNotFound', message: MESSAGES.leaseNotFound, isEffectUnknown: false })
+    })
+  }
+
+  async revokeLease (leaseId: string): Promise<Result<void, StoreError>> {
+    return await this.#run('writes', () => {
+      if (this.#keySpace.revokeLease(leaseId)) return Ok.EMPTY
+      return Err({ code: 'leaseNotFound', message: MESSAGES.leaseNotFound, isEffectUnknown: false })
+    })
+  }
+
+  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler): Watch {
+    this.counts.watches++
+    const queue = fromRevision > 0 ? [...this.#keySpace.listHistory(fromRevision) ?? []] : []
+    let isOpen = true
+    const deliver = (): void => {
+      for (const change of queue.splice(0)) {
+        if (!isOpen) return
+        const events = change.events.filter((event) => getEventKey(event).startsWith(prefix))
+        if (events.length > 0) handler.onEvents(events, change.revision)
+      }
+    }
+    const unsubscribe = this.#keySpace.subscribe((change) => {
+      queue.push(change)
+      queueMicrotask(deliver)
+    })
+    const end = (): void => {
+      isOpen = false
+      unsubscribe()
+      this.#watches.delete(watch)
+    }
+    const watch = { handler, end }
+    this.#watches.add(watch)
+    queueMicrotask(() => {
+      if (!this.faults.isDown) return deliver()
+      if (!isOpen) return
+      end()
+      handler.onClosed(MESSAGES.down)
+    })
+    return { close: end }
+  }
+
+  async #run<Value> (kind: 'reads' | 'writes', effect: () => Result<Value, StoreError>): Promise<Result<Value, StoreError>> {
+    this.counts[kind]++
+    const delayMs = this.faults.delayMs
+    if (delayMs > 0) await new Promise<void>((resolve) => { this.#clock.startTimer(delayMs, resolve) })
+    else await Promise.resolve()
+    if (this.faults.isDown || this.faults.failNextCalls > 0) {
+      if (!this.faults.isDown) this.faults.failNextCalls--
+      return Err({ code: 'unavailable', message: MESSAGES.down, isEffectUnknown: false })
+    }
+    this.#keySpace.expireLeases(this.#clock.readMonotonicMs())
+    const outcome = effect()
+    if (kind === 'reads' || this.faults.loseNextReplies === 0) return outcome
+    this.faults.loseNextReplies--
+    return Err({ code: 'timeout', message: MESSAGES.lost, isEffectUnknown: true })
+  }
+
+  // A timer per lease makes its keys vanish, and watches see it, without any call to the store.
+  #scheduleExpiry (leaseId: string): void {
+    const timer = this.#clock.startInterval(EXPIRY_CHECK_MS, () => {
+      this.#keySpace.expireLeases(this.#clock.readMonotonicMs())
+      if (!this.#keySpace.listLeases().includes(leaseId)) timer.cancel()
+    })
+  }
+}
+
+function getEventKey (event: WatchEvent): string {
+  return event.type === 'put' ? event.value.key : event.key
+}
--- /dev/null
+++ b/packages/platform/src/prometheus-instance-list.ts
@@ -0,0 +1,69 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { Finding } from '@hibiscusledge/runtime/finding.js'
+import { Err, type Result } from 'ts-results'
+import { Agent } from 'undici'
+import { fetchText } from './http-exchange.js'
+import type { InstanceList, ListedTarget } from './instance-list.js'
+import { parseInstanceList, type InstanceListing } from './parse-instance-list.js'
+
+/** An instance list that reports bad entries beside the good ones. */
+export interface DetailedInstanceList extends InstanceList {
+  fetchListing (): Promise<Result<InstanceListing, readonly Finding[]>>
+}
+
+export interface PrometheusInstanceListOptions {
+  /** For example `http://10.0.0.5:9000/instances`. */
+  readonly url: string
+  readonly clock: Clock
+  readonly timeoutMs?: number
+}
+
+const DEFAULT_TIMEOUT_MS = 2_000
+// About ten times the list of 4,800 workers.
+const MAX_RESPONSE_BYTES = 32 * 1024 * 1024
+
+const MESSAGES = {
+  status: (status: number) => `HTTP ${status}`,
+  json: (detail: string) => `not JSON: ${detail}`
+} as const
+
+/** Reads the platform's list in the format of Prometheus' HTTP service discovery. */
+export class PrometheusInstanceList implements DetailedInstanceList {
+  readonly #url: URL
+  readonly #clock: Clock
+  readonly #timeoutMs: number
+  readonly #agent: Agent
+
+  constructor (options: PrometheusInstanceListOptions) {
+    this.#url = new URL(options.url)
+    this.#clock = options.clock
+    this.#timeoutMs = options.timeoutMs ?? DEFAULT_TIMEOUT_MS
+    this.#agent = new Agent({ connections: 2, maxResponseSize: MAX_RESPONSE_BYTES, connect: { timeout: this.#timeoutMs } })
+  }
+
+  /** The good entries; use {@link fetchListing} to see the findings of the bad ones. */
+  async fetchTargets (): Promise<Result<readonly ListedTarget[], readonly Finding[]>> {
+    return (await this.fetchListing()).map(({ targets }) => targets)
+  }
+
+  async fetchListing (): Promise<Result<InstanceListing, readonly Finding[]>> {
+    const { origin, pathname, search } = this.#url
+    const answer = await fetchText(this.#agent, this.#clock, { origin, path: pathname + search, method: 'GET', timeoutMs: this.#timeoutMs })
+    if (answer.err) return Err([{ code: 'instanceListUnreachable', place: this.#url.href, message: answer.val.message }])
+    if (answer.val.status !== 200) {
+      return Err([{ code: 'instanceListStatus', place: this.#url.href, message: MESSAGES.status(answer.val.status) }])
+    }
+    let document: unknown
+    try {
+      document = JSON.parse(answer.val.text)
+    } catch (error) {
+      const message = MESSAGES.json(error instanceof Error ? error.message : String(error))
+      return Err([{ code: 'instanceListSyntax', place: 'instances', message }])
+    }
+    return parseInstanceList(document)
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+}
