--- /dev/null
+++ b/packages/dispatch/src/attempt-tracker.ts
@@ -0,0 +1,178 @@
+import { PEER_MESSAGE_KINDS } from '@hibiscusledge/peer/peer-message-kinds.js'
+import type { UnitOwner } from '@hibiscusledge/peer/ownership-directory.js'
+import type { InstanceId, UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { DispatchContext } from './dispatch-context.js'
+import {
+  withdrawReplySchema, type AttemptReport, type AttemptResultMessage, type RecordIntentMessage, type RecordIntentReply, type WithdrawReply
+} from './dispatch-messages.js'
+import type { HomeRequest, RequestPlan } from './home-request.js'
+import type { LedgerEntry } from './ledger-entry.js'
+import { sendCheckedRequest } from './message-handler.js'
+import type { OutcomeRecorder } from './outcome-recorder.js'
+import { COMMIT_RESULTS, type PartitionLedger } from './partition-ledger.js'
+import type { RequestAssigner } from './request-assigner.js'
+import type { RequestOutcome } from './request-outcome.js'
+
+const WITHDRAW_TIMEOUT_MS = 1000
+const RETRY_DELAY_MS = 50
+/** Targets that an attempt must avoid; the oldest are forgotten first. */
+const EXCLUDED_TARGETS_MAX = 8
+
+/** Follows the attempts of a home's requests: intents, results, and what a change of the shard owner means for them. */
+export class AttemptTracker {
+  readonly #context: DispatchContext
+  readonly #ledger: PartitionLedger
+  readonly #outcomes: OutcomeRecorder
+  readonly #assigner: RequestAssigner
+
+  constructor (context: DispatchContext, ledger: PartitionLedger, outcomes: OutcomeRecorder, assigner: RequestAssigner) {
+    this.#context = context
+    this.#ledger = ledger
+    this.#outcomes = outcomes
+    this.#assigner = assigner
+  }
+
+  /** Records the intent of an attempt. Granted only when it is durable and the request still wants this attempt. */
+  async recordIntent (request: HomeRequest, message: RecordIntentMessage): Promise<RecordIntentReply> {
+    const { plan } = request
+    const isExpected = request.isCurrentAttempt(message.attempt) && request.assignment?.unit === message.unit && plan !== undefined
+    if (!isExpected || !request.applyEvent('recordIntent')) return { isGranted: false, reason: 'the attempt is no longer wanted' }
+    const fence = { unit: message.unit, modRevision: message.ownerModRevision }
+    const result = await this.#ledger.append(this.#buildIntent(request, plan, message), fence)
+    const isStillWanted = request.isCurrentAttempt(message.attempt) && request.state === 'recording'
+    if (result === COMMIT_RESULTS.committed && isStillWanted) {
+      request.hasIntent = true
+      request.applyEvent('grant')
+      return { isGranted: true }
+    }
+    // A stalled entry may still be committed; the withdrawal that follows it in the ledger cancels it.
+    if (result !== COMMIT_RESULTS.fenced) void this.#ledger.append(buildWithdrawal(request, message.attempt))
+    if (isStillWanted) this.#reassign(request, 0)
+    return { isGranted: false, reason: result === COMMIT_RESULTS.committed ? 'the attempt is no longer wanted' : result }
+  }
+
+  /** Applies the end of an attempt. Returns whether the shard owner may forget it. */
+  async applyResult (request: HomeRequest, message: AttemptResultMessage): Promise<boolean> {
+    if (message.attempt !== request.attempt) return true
+    if (request.outcome === undefined || request.outcome.outcome === 'unknown') this.#applyReport(request, message.report)
+    if (request.outcome === undefined || !request.hasIntent) return true
+    return await this.#outcomes.record(request)
+  }
+
+  /** Called when a shard has another owner or epoch than when the request was assigned to it. */
+  async applyOwnerChange (request: HomeRequest, unit: UnitId, owner: UnitOwner | undefined): Promise<void> {
+    const { assignment, attempt } = request
+    if (assignment?.unit !== unit || request.state !== 'assigned') return
+    if (owner?.epoch === assignment.epoch && owner.instance === assignment.owner) return
+    // No intent can be recorded for the former owner any more, so it can't send the attempt.
+    if (request.plan?.isIntentNeeded === true) {
+      this.#reassign(request, 0)
+      return
+    }
+    const state = await this.withdraw(request, assignment.owner, false)
+    if (!request.isCurrentAttempt(attempt) || request.state !== 'assigned') return
+    // After a planned hand-over the former owner still follows what it has sent.
+    if (state === 'sent') return
+    if (state !== 'queued') request.mayHaveRun = true
+    this.#reassign(request, 0)
+  }
+
+  /** Takes the current attempt back from its shard owner. Undefined when the owner doesn't answer. */
+  async withdraw (request: HomeRequest, owner: InstanceId, isStopWanted: boolean): Promise<WithdrawReply['state'] | undefined> {
+    if (request.assignment === undefined) return undefined
+    const message = { unit: request.assignment.unit, requestId: request.requestId, attempt: request.attempt, isStopWanted }
+    const reply = await sendCheckedRequest(
+      this.#context.network, owner, PEER_MESSAGE_KINDS.withdraw, message, withdrawReplySchema, WITHDRAW_TIMEOUT_MS, request.trace
+    )
+    return reply.ok ? reply.val.state : undefined
+  }
+
+  #applyReport (request: HomeRequest, report: AttemptReport): void {
+    const { requestId } = request
+    switch (report.type) {
+      case 'succeeded':
+        this.#outcomes.end(request, { requestId, outcome: 'completed', result: report.result })
+        break
+      case 'failed':
+        this.#retryOrEnd(request, { requestId, outcome: 'completed', result: { error: report.message } }, undefined)
+        break
+      case 'notRun':
+        this.#excludeTarget(request, report.target)
+        this.#withdrawIntent(request)
+        this.#reassign(request, RETRY_DELAY_MS)
+        break
+      case 'expired':
+        this.#withdrawIntent(request)
+        this.#outcomes.endNotRun(request, 'deadlineExpired')
+        break
+      case 'checkpointed':
+        this.#withdrawIntent(request)
+        this.#reassign(request, 0)
+        break
+      case 'lost':
+        this.#retryOrEnd(request, { requestId, outcome: 'unknown', reason: report.message }, report.target)
+        break
+      case 'unknown':
+        if (request.plan?.work.isExclusive === true) this.#outcomes.end(request, { requestId, outcome: 'unknown', reason: report.message })
+        else {
+          request.mayHaveRun = true
+          this.#retryOrEnd(request, { requestId, outcome: 'unknown', reason: report.message }, report.target)
+        }
+        break
+    }
+  }
+
+  #retryOrEnd (request: HomeRequest, fallback: RequestOutcome, failedTarget: string | undefined): void {
+    const { plan } = request
+    const isTimeLeft = this.#context.clock.readMonotonicMs() < request.deadlineAtMs
+    const isAllowed = plan !== undefined && plan.work.isIdempotent && request.retries < plan.retryLimit && isTimeLeft
+    if (!isAllowed || request.payload === undefined || request.outcome !== undefined) {
+      this.#outcomes.end(request, fallback)
+      return
+    }
+    request.retries++
+    request.fallback = fallback
+    this.#excludeTarget(request, failedTarget)
+    this.#withdrawIntent(request)
+    this.#context.metrics.incrementCounter('requests.retried', 1, { kind: request.facts.kind })
+    this.#reassign(request, RETRY_DELAY_MS)
+  }
+
+  #reassign (request: HomeRequest, delayMs: number): void {
+    if (!request.applyEvent('unassign')) return
+    request.assignment = undefined
+    this.#assigner.startAssigning(request, delayMs)
+  }
+
+  #withdrawIntent (request: HomeRequest): void {
+    if (!request.hasIntent) return
+    request.hasIntent = false
+    void this.#ledger.append(buildWithdrawal(request, request.attempt))
+  }
+
+  #excludeTarget (request: HomeRequest, target: string | undefined): void {
+    if (target === undefined) return
+    request.excludedTargets.push(target as typeof request.excludedTargets[number])
+    if (request.excludedTargets.length > EXCLUDED_TARGETS_MAX) request.excludedTargets.shift()
+  }
+
+  #buildIntent (request: HomeRequest, plan: RequestPlan, message: RecordIntentMessage): LedgerEntry {
+    const { clock } = this.#context
+    const wallMs = clock.readWallMs()
+    return {
+      type: 'intent',
+      facts: request.facts,
+      work: plan.work,
+      attempt: message.attempt,
+      unit: message.unit,
+      epoch: message.epoch,
+      targets: message.targets,
+      deadlineWallMs: wallMs + request.deadlineAtMs - clock.readMonotonicMs(),
+      recordedWallMs: wallMs
+    }
+  }
+}
+
+function buildWithdrawal (request: HomeRequest, attempt: number): LedgerEntry {
+  return { type: 'withdrawn', requestId: request.requestId, attempt }
+}
--- /dev/null
+++ b/packages/dispatch/src/dispatch-context.ts
@@ -0,0 +1,26 @@
+import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { LoadDirectory } from '@hibiscusledge/peer/load-directory.js'
+import type { OwnershipDirectory } from '@hibiscusledge/peer/ownership-directory.js'
+import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import type { SpanRecorder } from '@hibiscusledge/runtime/span-recorder.js'
+import type { TableDirectory } from '@hibiscusledge/tables/table-directory.js'
+
+/** What the roles of an instance share. */
+export interface DispatchContext {
+  readonly store: KeyValueStore
+  readonly network: PeerNetwork
+  readonly ownership: OwnershipDirectory
+  readonly loads: LoadDirectory
+  readonly tables: TableDirectory
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: EventLogger
+  readonly metrics: MetricSink
+  readonly spans: SpanRecorder
+  /** How long outcomes stay askable. */
+  readonly outcomeRetentionMs: number
+}
--- /dev/null
+++ b/packages/dispatch/src/executor-client.ts
@@ -0,0 +1,191 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { TargetId } from '@hibiscusledge/runtime/identifiers.js'
+import { formatTraceparent } from '@hibiscusledge/runtime/trace-context.js'
+import { request } from 'undici'
+import { z } from 'zod'
+import type { RunOrder, RunReport, TargetAddress, TargetClient, TargetProgress } from './target-client.js'
+import { TargetPoolMap } from './target-pool-map.js'
+import { formatError, isNeverSent, readJsonBody } from './target-response.js'
+
+const PROGRESS_TIMEOUT_MS = 1000
+const LOOKUP_TIMEOUT_MS = 1000
+const FIRST_LOOKUP_DELAY_MS = 100
+const MAXIMUM_LOOKUP_DELAY_MS = 2000
+/** After this time without an answer the run is asked about on a new connection, as the first may have gone silent. */
+const SILENCE_BEFORE_LOOKUP_MS = 2000
+/** An order that the target doesn't know this long after it was sent counts as never arrived or forgotten. */
+const ABSENT_SETTLE_MS = 5000
+
+const lookupSchema = z.object({
+  state: z.enum(['running', 'completed', 'absent']),
+  attempt: z.number().optional(),
+  result: z.unknown(),
+  error: z.string().optional()
+})
+const progressSchema = z.object({ progress: z.number(), running: z.number(), leaving: z.boolean() })
+const errorSchema = z.object({ error: z.string() })
+
+/** Requests and replies on executors. The protocol is described in docs/target-protocols.md. */
+export class ExecutorClient implements TargetClient {
+  readonly #pools = new TargetPoolMap()
+  readonly #clock: Clock
+  readonly #source: string
+  readonly #followed = new Map<TargetId, Set<AbortController>>()
+
+  constructor (clock: Clock, source: string) {
+    this.#clock = clock
+    this.#source = source
+  }
+
+  async run (target: TargetAddress, order: RunOrder): Promise<RunReport> {
+    const abort = new AbortController()
+    const answer = this.#send(target, order, abort.signal)
+    const silence = this.#startSilenceWatch(target, order, abort.signal)
+    const report = await Promise.race([answer, silence])
+    abort.abort()
+    return report
+  }
+
+  async attach (target: TargetAddress, order: RunOrder): Promise<RunReport> {
+    const abort = new AbortController()
+    const followed = this.#followed.get(target.id) ?? new Set()
+    this.#followed.set(target.id, followed.add(abort))
+    const report = await this.#follow(target, order, abort.signal)
+    followed.delete(abort)
+    return report
+  }
+
+  detach (targetId: TargetId): void {
+    for (const abort of this.#followed.get(targetId) ?? []) abort.abort()
+    this.#followed.delete(targetId)
+  }
+
+  acknowledge (): void {}
+
+  async requestAction (): Promise<void> {}
+
+  async readProgress (target: TargetAddress): Promise<TargetProgress | undefined> {
+    try {
+      const response = await request(`http://${target.address}/progress`, {
+        headersTimeout: PROGRESS_TIMEOUT_MS, bodyTimeout: PROGRESS_TIMEOUT_MS, reset: true
+      })
+      const parsed = progressSchema.safeParse(await readJsonBody(response.body))
+      if (!parsed.success) return undefined
+      return { progress: parsed.data.progress, running: parsed.data.running, isLeaving: parsed.data.leaving }
+    } catch {
+      return undefined
+    }
+  }
+
+  async close (): Promise<void> {
+    for (const targetId of [...this.#followed.keys()]) this.detach(targetId)
+    await this.#pools.close()
+  }
+
+  async #send (target: TargetAddress, order: RunOrder, signal: AbortSignal): Promise<RunReport> {
+    try {
+      const response = await this.#pools.findPool(target).request({
+        method: 'POST',
+        path: '/run',
+        headers: this.#buildHeaders(order),
+        body: JSON.stringify(order.payload ?? null),
+        headersTimeout: order.timeoutMs,
+        bodyTimeout: order.timeoutMs,
+        signal
+      })
+      if (response.statusCode === 503 && response.headers['x-not-run'] === 'true') {
+        await response.body.dump()
+        return { type: 'notRun', message: 'refused by the target', isLeaving: true }
+      }
+      const body = await readJsonBody(response.body)
+      if (response.statusCode === 200) return { type: 'succeeded', result: body }
+      return { type: 'failed', message: readErrorText(body) ?? `status ${response.statusCode}` }
+    } catch (error) {
+      if (isNeverSent(error)) return { type: 'notRun', message: formatError(error), isLeaving: false }
+      return { type: 'unknown', message: formatError(error) }
+    }
+  }
+
+  #buildHeaders (order: RunOrder): Record<string, string> {
+    return {
+      'content-type': 'application/json',
+      'ce-id': order.requestId,
+      'ce-type': order.kind,
+      'ce-source': this.#source,
+      'ce-specversion': '1.0',
+      'x-attempt': String(order.attempt),
+      ...(order.trace === undefined ? {} : { traceparent: formatTraceparent(order.trace) })
+    }
+  }
+
+  /** Asks about an unanswered run on a new connection and settles it when the answer was produced but did not arrive. */
+  async #startSilenceWatch (target: TargetAddress, order: RunOrder, signal: AbortSignal): Promise<RunReport> {
+    await this.#wait(Math.min(SILENCE_BEFORE_LOOKUP_MS, order.timeoutMs), signal)
+    const startedAtMs = this.#clock.readMonotonicMs()
+    while (!signal.aborted && this.#clock.readMonotonicMs() - startedAtMs < order.timeoutMs) {
+      const found = await this.#lookup(target, order)
+      if (found.type === 'ended') {
+        this.#pools.replacePool(target)
+        return found.report
+      }
+      await this.#wait(MAXIMUM_LOOKUP_DELAY_MS, signal)
+    }
+    return { type: 'unknown', message: `no answer within ${order.timeoutMs} ms` }
+  }
+
+  async #follow (target: TargetAddress, order: RunOrder, signal: AbortSignal): Promise<RunReport> {
+    const startedAtMs = this.#clock.readMonotonicMs()
+    let delayMs = FIRST_LOOKUP_DELAY_MS
+    while (!signal.aborted) {
+      const found = await this.#lookup(target, order)
+      const elapsedMs = this.#clock.readMonotonicMs() - startedAtMs
+      if (found.type === 'ended') return found.report
+      if (found.type === 'absent' && elapsedMs > ABSENT_SETTLE_MS) {
+        return { type: 'unknown', message: 'the target has no record of the run' }
+      }
+      if (elapsedMs > order.timeoutMs) return { type: 'unknown', message: `no answer within ${order.timeoutMs} ms` }
+      await this.#wait(delayMs, signal)
+      delayMs = Math.min(MAXIMUM_LOOKUP_DELAY_MS, delayMs * 2)
+    }
+    return { type: 'detached' }
+  }
+
+  async #lookup (target: TargetAddress, order: RunOrder): Promise<RunLookup> {
+    try {
+      const response = await request(`http://${target.address}/runs/${encodeURIComponent(order.requestId)}`, {
+        headersTimeout: LOOKUP_TIMEOUT_MS, bodyTimeout: LOOKUP_TIMEOUT_MS, reset: true
+      })
+      const parsed = lookupSchema.safeParse(await readJsonBody(response.body))
+      if (!parsed.success) return { type: 'unreachable' }
+      const { state, attempt, result, error } = parsed.data
+      // A run of another attempt says nothing about this one.
+      if (state === 'absent' || (attempt !== undefined && attempt !== order.attempt)) return { type: 'absent' }
+      if (state === 'running') return { type: 'running' }
+      return { type: 'ended', report: error === undefined ? { type: 'succeeded', result } : { type: 'failed', message: error } }
+    } catch {
+      return { type: 'unreachable' }
+    }
+  }
+
+  #wait (delayMs: number, signal: AbortSignal): Promise<void> {
+    return new Promise((resolve) => {
+      if (signal.aborted) { resolve(); return }
+      const finish = (): void => {
+        timer.cancel()
+        signal.removeEventListener('abort', finish)
+        resolve()
+      }
+      const timer = this.#clock.startTimer(delayMs, finish)
+      signal.addEventListener('abort', finish)
+    })
+  }
+}
+
+type RunLookup =
+  | { readonly type: 'running' | 'absent' | 'unreachable' }
+  | { readonly type: 'ended', readonly report: RunReport }
+
+function readErrorText (body: unknown): string | undefined {
+  const parsed = errorSchema.safeParse(body)
+  return parsed.success ? parsed.data.error : undefined
+}
--- /dev/null
+++ b/packages/dispatch/src/foreign-runs.ts
@@ -0,0 +1,50 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { RequestId } from '@hibiscusledge/runtime/identifiers.js'
+import { RUN_RESULTS } from '@hibiscusledge/scheduling/decision.js'
+import type { RecoveredStart, ShardScheduler } from '@hibiscusledge/scheduling/shard-scheduler.js'
+
+/** A former owner that has gone reports no ends, so its runs stop counting after this time. */
+const EXPIRY_MS = 60_000
+const SWEEP_PERIOD_MS = 1000
+
+/** Runs that an earlier owner sent without an intent and that still use capacity of this shard. */
+export class ForeignRuns {
+  readonly #scheduler: ShardScheduler
+  readonly #clock: Clock
+  readonly #onReleased: () => void
+  readonly #runs = new Map<RequestId, RecoveredStart>()
+  readonly #timer: Timer
+
+  constructor (scheduler: ShardScheduler, clock: Clock, onReleased: () => void) {
+    this.#scheduler = scheduler
+    this.#clock = clock
+    this.#onReleased = onReleased
+    this.#timer = clock.startInterval(SWEEP_PERIOD_MS, () => { this.#expireRuns() })
+  }
+
+  add (start: RecoveredStart): void {
+    if (this.#runs.has(start.item.requestId)) return
+    this.#runs.set(start.item.requestId, start)
+    this.#scheduler.recoverStart(start)
+  }
+
+  release (requestId: RequestId, attempt: number): void {
+    const start = this.#runs.get(requestId)
+    if (start?.item.attempt !== attempt) return
+    this.#runs.delete(requestId)
+    const nowMs = this.#clock.readMonotonicMs()
+    start.targets.forEach((_target, index) => { this.#scheduler.releaseTask(requestId, index, RUN_RESULTS.withdrawn, nowMs) })
+    this.#onReleased()
+  }
+
+  stop (): void {
+    this.#timer.cancel()
+  }
+
+  #expireRuns (): void {
+    const nowMs = this.#clock.readMonotonicMs()
+    for (const start of this.#runs.values()) {
+      if (nowMs - start.startedAtMs > EXPIRY_MS) this.release(start.item.requestId, start.item.attempt)
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/home-partition.ts
@@ -0,0 +1,308 @@
+import type { UnitOwner } from '@hibiscusledge/peer/ownership-directory.js'
+import type { Timer } from '@hibiscusledge/runtime/clock.js'
+import type { InstanceId, RequestId, UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
+import { AttemptTracker } from './attempt-tracker.js'
+import type { DispatchContext } from './dispatch-context.js'
+import type {
+  AttemptResultMessage, RecordIntentMessage, RecordIntentReply, RequestStatusReply, SubmitMessage, SubmitReply
+} from './dispatch-messages.js'
+import { HomeRequest } from './home-request.js'
+import type { LedgerRecord } from './ledger-state.js'
+import { OutcomeRecorder } from './outcome-recorder.js'
+import { COMMIT_RESULTS, PartitionLedger } from './partition-ledger.js'
+import { RequestAssigner } from './request-assigner.js'
+import { buildPlan } from './request-plan.js'
+
+const SWEEP_PERIOD_MS = 250
+/** How long after its deadline a request waits for the shard owner's word before the home decides. */
+const DEADLINE_GRACE_MS = 1500
+/** Outcomes of requests that the ledger does not know are kept this long. */
+const UNRECORDED_RETENTION_MS = 120_000
+/** Requests in progress at one partition; beyond it new ones are refused, which bounds the memory. */
+const ACTIVE_REQUESTS_MAX = 20_000
+
+/** Serves one ledger partition: the authority on the state of its requests. */
+export class HomePartition {
+  readonly #context: DispatchContext
+  readonly #partition: UnitId
+  readonly #requests = new Map<RequestId, HomeRequest>()
+  readonly #active = new Set<HomeRequest>()
+  /** Ended requests in the order of their ends, apart by retention. */
+  readonly #endedRecorded = new Set<HomeRequest>()
+  readonly #endedUnrecorded = new Set<HomeRequest>()
+  readonly #ledger: PartitionLedger
+  readonly #outcomes: OutcomeRecorder
+  readonly #assigner: RequestAssigner
+  readonly #attempts: AttemptTracker
+  readonly #sweepTimer: Timer
+  #isServing = false
+
+  constructor (context: DispatchContext, partition: UnitId, owner: UnitOwner, onOwnershipLost: () => void) {
+    this.#context = context
+    this.#partition = partition
+    this.#ledger = new PartitionLedger({
+      partition,
+      ownerModRevision: owner.modRevision,
+      store: context.store,
+      clock: context.clock,
+      random: context.random,
+      logger: context.logger,
+      metrics: context.metrics,
+      retentionMs: context.outcomeRetentionMs,
+      onOwnershipLost
+    })
+    this.#outcomes = new OutcomeRecorder(context, this.#ledger)
+    this.#assigner = new RequestAssigner(context, this.#ledger, this.#outcomes, owner.epoch)
+    this.#attempts = new AttemptTracker(context, this.#ledger, this.#outcomes, this.#assigner)
+    this.#sweepTimer = context.clock.startInterval(SWEEP_PERIOD_MS, () => { this.#sweep() })
+  }
+
+  /** Loads the ledger and takes up what an earlier owner left. */
+  async start (): Promise<void> {
+    await this.#ledger.load()
+    for (const [requestId, record] of this.#ledger.state.listRecords()) this.#recoverRequest(requestId, record)
+    this.#isServing = true
+  }
+
+  /** Refuses new messages and finishes the commits under way. */
+  async prepareHandOver (): Promise<void> {
+    this.#isServing = false
+    await this.#ledger.flush()
+  }
+
+  stop (): void {
+    this.#isServing = false
+    this.#sweepTimer.cancel()
+    this.#ledger.close()
+  }
+
+  async submit (message: SubmitMessage, from: InstanceId, trace: TraceContext | undefined): Promise<SubmitReply> {
+    if (!this.#isServing) return { type: 'notOwner' }
+    const existing = this.#requests.get(message.facts.requestId)
+    if (existing !== undefined) return await this.#joinRequest(existing, message, from)
+    if (this.#active.size >= ACTIVE_REQUESTS_MAX) return { type: 'unavailable', reason: 'too many requests in progress' }
+    if (!message.isWaiting && this.#ledger.isStalled()) return { type: 'unavailable', reason: 'the store does not record requests now' }
+    const request = this.#createRequest(message, trace)
+    if (request.plan === undefined) {
+      this.#outcomes.endNotRun(request, 'noRoute')
+      return this.#buildSubmitReply(request, message)
+    }
+    return await this.#beginRequest(request, message, from)
+  }
+
+  lookup (requestId: RequestId): RequestStatusReply {
+    if (!this.#isServing) return { type: 'notOwner' }
+    const request = this.#requests.get(requestId)
+    if (request === undefined) return { type: 'absent' }
+    return request.outcome === undefined ? { type: 'pending', requestId } : { type: 'outcome', outcome: request.outcome }
+  }
+
+  /** Cancels a request. `notRun` is said only once it is durable, so that no successor runs the request after all. */
+  async cancel (requestId: RequestId): Promise<RequestStatusReply> {
+    if (!this.#isServing) return { type: 'notOwner' }
+    const request = this.#requests.get(requestId)
+    if (request === undefined) return { type: 'absent' }
+    if (request.outcome === undefined) await this.#withdrawForCancel(request)
+    if (request.outcome?.outcome === 'notRun' && request.isCancelled && !await this.#outcomes.record(request)) {
+      return { type: 'unavailable', reason: 'the cancellation is not recorded yet' }
+    }
+    return this.lookup(requestId)
+  }
+
+  async recordIntent (message: RecordIntentMessage): Promise<RecordIntentReply> {
+    const request = this.#isServing ? this.#requests.get(message.requestId) : undefined
+    if (request === undefined) return { isGranted: false, reason: 'the request is not known here' }
+    return await this.#attempts.recordIntent(request, message)
+  }
+
+  /** Whether the shard owner may forget the attempt. */
+  async applyResult (message: AttemptResultMessage): Promise<boolean> {
+    if (!this.#isServing) return false
+    const request = this.#requests.get(message.requestId)
+    if (request === undefined) return true
+    return await this.#attempts.applyResult(request, message)
+  }
+
+  applyOwnerChange (unit: UnitId, owner: UnitOwner | undefined): void {
+    for (const request of this.#active) void this.#attempts.applyOwnerChange(request, unit, owner)
+  }
+
+  findAssignment (requestId: RequestId): { readonly unit: UnitId, readonly owner: InstanceId } | undefined {
+    return this.#requests.get(requestId)?.assignment
+  }
+
+  countActive (): number {
+    return this.#active.size
+  }
+
+  #createRequest (message: SubmitMessage, trace: TraceContext | undefined): HomeRequest {
+    const nowMs = this.#context.clock.readMonotonicMs()
+    const request = new HomeRequest(message.facts, nowMs + message.remainingMs)
+    request.receivedAtMs = nowMs
+    request.trace = trace
+    request.plan = buildPlan(this.#context.tables, message.facts)
+    this.#requests.set(request.requestId, request)
+    this.#active.add(request)
+    return request
+  }
+
+  async #beginRequest (request: HomeRequest, message: SubmitMessage, from: InstanceId): Promise<SubmitReply> {
+    if (message.isWaiting) {
+      request.waiters.add(from)
+      this.#assigner.startAssigning(request)
+      return { type: 'pending' }
+    }
+    const isRecorded = await this.#recordAccepted(request, message)
+    this.#assigner.startAssigning(request)
+    // Not confirmed in time is not the same as not recorded: the request goes on, and its truth can be asked for.
+    if (!isRecorded) return { type: 'outcome', outcome: buildUnconfirmed(request.requestId) }
+    return { type: 'accepted' }
+  }
+
+  async #recordAccepted (request: HomeRequest, message: SubmitMessage): Promise<boolean> {
+    if (request.isDurable) return true
+    const deadlineWallMs = this.#context.clock.readWallMs() + message.remainingMs
+    request.isDurable = true
+    return await this.#ledger.append({ type: 'accepted', facts: message.facts, deadlineWallMs }) === COMMIT_RESULTS.committed
+  }
+
+  async #joinRequest (request: HomeRequest, message: SubmitMessage, from: InstanceId): Promise<SubmitReply> {
+    if (request.facts.fingerprint !== message.facts.fingerprint) return { type: 'conflict' }
+    // A request that was not run may be asked for again under the same key, unless it was cancelled.
+    if (request.outcome?.outcome === 'notRun' && !request.isCancelled) {
+      if (!message.isWaiting && this.#ledger.isStalled()) return { type: 'unavailable', reason: 'the store does not record requests now' }
+      this.#restartRequest(request, message)
+      return await this.#beginRequest(request, message, from)
+    }
+    if (request.outcome !== undefined) return this.#buildSubmitReply(request, message)
+    request.payload ??= { value: message.facts.payload }
+    if (message.isWaiting) request.waiters.add(from)
+    else if (!await this.#recordAccepted(request, message)) return { type: 'outcome', outcome: buildUnconfirmed(request.requestId) }
+    this.#assigner.startAssigning(request)
+    return { type: message.isWaiting ? 'pending' : 'accepted' }
+  }
+
+  #restartRequest (request: HomeRequest, message: SubmitMessage): void {
+    request.applyEvent('restart')
+    request.outcome = undefined
+    request.fallback = undefined
+    request.isDurable = false
+    request.retries = 0
+    request.payload = { value: message.facts.payload }
+    request.plan = buildPlan(this.#context.tables, message.facts)
+    request.receivedAtMs = this.#context.clock.readMonotonicMs()
+    request.deadlineAtMs = request.receivedAtMs + message.remainingMs
+    this.#endedRecorded.delete(request)
+    this.#endedUnrecorded.delete(request)
+    this.#active.add(request)
+  }
+
+  #buildSubmitReply (request: HomeRequest, message: SubmitMessage): SubmitReply {
+    if (request.outcome !== undefined) return { type: 'outcome', outcome: request.outcome }
+    return { type: message.isWaiting ? 'pending' : 'accepted' }
+  }
+
+  async #withdrawForCancel (request: HomeRequest): Promise<void> {
+    request.isCancelled = true
+    const { assignment, attempt } = request
+    const isSendable = request.state === 'granted' || (request.state === 'assigned' && request.plan?.isIntentNeeded !== true)
+    if (!isSendable || assignment === undefined) {
+      this.#outcomes.endNotRun(request, 'cancelled')
+      return
+    }
+    const state = await this.#attempts.withdraw(request, assignment.owner, true)
+    if (state === 'queued' && request.isCurrentAttempt(attempt)) this.#outcomes.endNotRun(request, 'cancelled')
+  }
+
+  /** Decides on requests past their deadline, and forgets outcomes after their retention. */
+  #sweep (): void {
+    if (!this.#isServing) return
+    const nowMs = this.#context.clock.readMonotonicMs()
+    for (const request of this.#active) {
+      if (request.outcome !== undefined) this.#noteEnded(request)
+      else if (nowMs > request.deadlineAtMs + DEADLINE_GRACE_MS) this.#endOverdue(request)
+    }
+    this.#forgetEnded(this.#endedRecorded, nowMs - this.#context.outcomeRetentionMs)
+    this.#forgetEnded(this.#endedUnrecorded, nowMs - UNRECORDED_RETENTION_MS)
+  }
+
+  #noteEnded (request: HomeRequest): void {
+    this.#active.delete(request)
+    const ended = request.isDurable || request.hasIntent ? this.#endedRecorded : this.#endedUnrecorded
+    ended.add(request)
+  }
+
+  #forgetEnded (ended: Set<HomeRequest>, endedBeforeMs: number): void {
+    for (const request of ended) {
+      if (request.outcome !== undefined && request.endedAtMs > endedBeforeMs) return
+      ended.delete(request)
+      if (request.outcome !== undefined) this.#requests.delete(request.requestId)
+    }
+  }
+
+  #endOverdue (request: HomeRequest): void {
+    const { requestId, assignment, attempt } = request
+    if (request.state === 'granted') {
+      // A service has no deadline for its end, only for its start.
+      if (request.plan?.work.isService === true) return
+      this.#outcomes.end(request, { requestId, outcome: 'unknown', reason: 'no answer by the deadline' })
+    } else if (request.state === 'assigned' && request.plan?.isIntentNeeded !== true && assignment !== undefined) {
+      void this.#attempts.withdraw(request, assignment.owner, false).then((state) => {
+        if (!request.isCurrentAttempt(attempt)) return
+        if (state !== 'queued') request.mayHaveRun = true
+        this.#outcomes.endNotRun(request, 'deadlineExpired')
+      })
+    } else {
+      this.#outcomes.endNotRun(request, 'deadlineExpired')
+    }
+  }
+
+  #recoverRequest (requestId: RequestId, record: LedgerRecord): void {
+    const { clock, tables } = this.#context
+    const facts = record.accepted?.facts ?? record.intent?.facts ?? {
+      requestId, fingerprint: record.outcome?.fingerprint ?? '', kind: '', customer: '', team: ''
+    }
+    const deadlineWallMs = record.intent?.deadlineWallMs ?? record.accepted?.deadlineWallMs ?? 0
+    const nowMs = clock.readMonotonicMs()
+    const request = new HomeRequest(facts, nowMs + deadlineWallMs - clock.readWallMs())
+    request.receivedAtMs = nowMs
+    request.isDurable = true
+    request.plan = buildPlan(tables, facts)
+    this.#requests.set(requestId, request)
+    if (record.intent !== undefined) this.#recoverIntent(request, record.intent)
+    if (record.outcome !== undefined) {
+      request.applyEvent('end')
+      request.isCancelled = record.outcome.isCancelled
+      request.outcome = buildRecoveredOutcome(record.outcome)
+      request.endedAtMs = nowMs
+      this.#endedRecorded.add(request)
+      return
+    }
+    this.#active.add(request)
+    this.#assigner.startAssigning(request)
+  }
+
+  /** The shard's present owner reports the end of an attempt whose intent is recorded. */
+  #recoverIntent (request: HomeRequest, intent: NonNullable<LedgerRecord['intent']>): void {
+    request.hasIntent = true
+    request.attempt = intent.attempt
+    request.assignment = { unit: intent.unit, epoch: intent.epoch, owner: this.#context.network.self.instance }
+    request.applyEvent('assign')
+    request.applyEvent('recordIntent')
+    request.applyEvent('grant')
+  }
+}
+
+function buildUnconfirmed (requestId: RequestId): { requestId: RequestId, outcome: 'unknown', reason: string } {
+  return { requestId, outcome: 'unknown', reason: 'the store has not confirmed the record in time' }
+}
+
+function buildRecoveredOutcome (entry: NonNullable<LedgerRecord['outcome']>): HomeRequest['outcome'] {
+  if (entry.resultDigest === undefined) return entry.outcome
+  return {
+    requestId: entry.requestId,
+    outcome: 'unknown',
+    reason: `completed, but its result is no longer available (SHA-256 ${entry.resultDigest})`
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/home-role.ts
@@ -0,0 +1,95 @@
+import type { OwnershipDirectory, UnitOwner, UnitRole } from '@hibiscusledge/peer/ownership-directory.js'
+import { PEER_MESSAGE_KINDS } from '@hibiscusledge/peer/peer-message-kinds.js'
+import type { RequestId, UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { WaitExplanation } from '@hibiscusledge/scheduling/shard-scheduler.js'
+import type { DispatchContext } from './dispatch-context.js'
+import { DISPATCH_EVENTS } from './dispatch-events.js'
+import {
+  attemptResultSchema, DISPATCH_MESSAGE_KINDS, explanationReplySchema, recordIntentSchema, requestQuerySchema, submitSchema
+} from './dispatch-messages.js'
+import { HomePartition } from './home-partition.js'
+import { registerCheckedHandler, sendCheckedRequest } from './message-handler.js'
+import { findPartition, PARTITION_PREFIX } from './request-id.js'
+
+const EXPLAIN_TIMEOUT_MS = 1000
+
+/** Serves the ledger partitions that this instance owns. */
+export class HomeRole implements UnitRole {
+  readonly #context: DispatchContext
+  readonly #partitions = new Map<UnitId, HomePartition>()
+
+  constructor (context: DispatchContext) {
+    this.#context = context
+    this.#registerHandlers()
+    context.ownership.registerRole(PARTITION_PREFIX, this)
+    context.ownership.subscribe((unit, owner) => { this.#applyOwnerChange(unit, owner) })
+  }
+
+  async startUnit (unit: UnitId, owner: UnitOwner): Promise<void> {
+    this.#partitions.get(unit)?.stop()
+    const partition = new HomePartition(this.#context, unit, owner, () => { this.stopUnit(unit) })
+    this.#partitions.set(unit, partition)
+    await partition.start()
+    this.#context.logger.logInfo(DISPATCH_EVENTS.partitionStarted, { unit, epoch: owner.epoch, active: partition.countActive() })
+  }
+
+  async prepareHandOver (unit: UnitId): Promise<void> {
+    await this.#partitions.get(unit)?.prepareHandOver()
+  }
+
+  stopUnit (unit: UnitId): void {
+    const partition = this.#partitions.get(unit)
+    if (partition === undefined) return
+    this.#partitions.delete(unit)
+    partition.stop()
+    this.#context.logger.logInfo(DISPATCH_EVENTS.partitionStopped, { unit })
+  }
+
+  countActive (): number {
+    let count = 0
+    for (const partition of this.#partitions.values()) count += partition.countActive()
+    return count
+  }
+
+  #registerHandlers (): void {
+    const { network, logger } = this.#context
+    registerCheckedHandler(network, logger, PEER_MESSAGE_KINDS.submit, submitSchema, async (message, from, trace) =>
+      await this.#findHome(message.facts.requestId)?.submit(message, from.instance, trace) ?? { type: 'notOwner' })
+    registerCheckedHandler(network, logger, PEER_MESSAGE_KINDS.lookup, requestQuerySchema, async (message) =>
+      this.#findHome(message.requestId)?.lookup(message.requestId) ?? { type: 'notOwner' })
+    registerCheckedHandler(network, logger, PEER_MESSAGE_KINDS.cancel, requestQuerySchema, async (message) =>
+      await this.#findHome(message.requestId)?.cancel(message.requestId) ?? { type: 'notOwner' })
+    registerCheckedHandler(network, logger, PEER_MESSAGE_KINDS.recordIntent, recordIntentSchema, async (message) =>
+      await this.#findHome(message.requestId)?.recordIntent(message) ?? { isGranted: false, reason: 'not the home of the request' })
+    registerCheckedHandler(network, logger, PEER_MESSAGE_KINDS.attemptResult, attemptResultSchema, async (message) =>
+      ({ isRecorded: await this.#findHome(message.requestId)?.applyResult(message) ?? false }))
+    registerCheckedHandler(network, logger, DISPATCH_MESSAGE_KINDS.explainRequest, requestQuerySchema, async (message) =>
+      ({ explanation: await this.#explainRequest(message.requestId) }))
+  }
+
+  async #explainRequest (requestId: RequestId): Promise<WaitExplanation | undefined> {
+    const assignment = this.#findHome(requestId)?.findAssignment(requestId)
+    const owner = assignment === undefined ? undefined : this.#context.ownership.findOwner(assignment.unit)
+    if (assignment === undefined || owner === undefined) return undefined
+    const reply = await sendCheckedRequest(
+      this.#context.network, owner.instance, DISPATCH_MESSAGE_KINDS.explain, { unit: assignment.unit, requestId },
+      explanationReplySchema, EXPLAIN_TIMEOUT_MS
+    )
+    return reply.ok ? reply.val.explanation : undefined
+  }
+
+  #findHome (requestId: RequestId): HomePartition | undefined {
+    const unit = findPartition(requestId)
+    return unit === undefined ? undefined : this.#partitions.get(unit)
+  }
+
+  #applyOwnerChange (unit: UnitId, owner: UnitOwner | undefined): void {
+    if (unit.startsWith(PARTITION_PREFIX)) return
+    for (const partition of this.#partitions.values()) partition.applyOwnerChange(unit, owner)
+  }
+}
+
+/** Units of the ledger, in the order that the hash of a key counts them. */
+export function listPartitions (ownership: OwnershipDirectory): UnitId[] {
+  return ownership.listUnits().filter((unit) => unit.startsWith(PARTITION_PREFIX)).sort()
+}
--- /dev/null
+++ b/packages/dispatch/src/ledger-entry.ts
@@ -0,0 +1,73 @@
+import { toRequestId, toTargetId, toUnitId } from '@hibiscusledge/runtime/identifiers.js'
+import { URGENCIES } from '@hibiscusledge/scheduling/urgency.js'
+import { z } from 'zod'
+import { requestOutcomeSchema } from './request-outcome.js'
+
+const requestId = z.string().min(1).max(128).transform(toRequestId)
+const unit = z.string().min(1).transform(toUnitId)
+const target = z.string().min(1).transform(toTargetId)
+
+export const resourcesSchema = z.object({ cores: z.number(), memoryMb: z.number(), accelerators: z.number() })
+
+/** What a request asks for, as its caller sent it. */
+export const requestFactsSchema = z.object({
+  requestId,
+  fingerprint: z.string(),
+  kind: z.string().min(1),
+  customer: z.string(),
+  team: z.string(),
+  payload: z.unknown()
+})
+export type RequestFacts = z.output<typeof requestFactsSchema>
+
+/** The part of a route that a shard needs. */
+export const workFactsSchema = z.object({
+  pool: z.string(),
+  urgency: z.enum(URGENCIES),
+  resources: resourcesSchema,
+  taskCount: z.number().int().min(1),
+  isIdempotent: z.boolean(),
+  isExclusive: z.boolean(),
+  isResumable: z.boolean(),
+  isService: z.boolean(),
+  runtimeMs: z.number().optional()
+})
+export type WorkFacts = z.output<typeof workFactsSchema>
+
+/** The request is accepted and must not be lost, whatever happens to the instance that accepted it. */
+const acceptedEntry = z.object({ type: z.literal('accepted'), facts: requestFactsSchema, deadlineWallMs: z.number() })
+
+/** The attempt may be sent to these targets from now on. */
+const intentEntry = z.object({
+  type: z.literal('intent'),
+  facts: requestFactsSchema.omit({ payload: true }),
+  work: workFactsSchema,
+  attempt: z.number().int(),
+  unit,
+  epoch: z.number().int(),
+  targets: z.array(target).min(1),
+  deadlineWallMs: z.number(),
+  recordedWallMs: z.number()
+})
+export type IntentEntry = z.output<typeof intentEntry>
+
+/** The attempt was proved not to have been sent, or to have ended without a result, so its capacity is free. */
+const withdrawnEntry = z.object({ type: z.literal('withdrawn'), requestId, attempt: z.number().int() })
+
+/** What became of the request. A digest stands for a result over the size that the ledger keeps. */
+const outcomeEntry = z.object({
+  type: z.literal('outcome'),
+  requestId,
+  fingerprint: z.string(),
+  outcome: requestOutcomeSchema,
+  resultDigest: z.string().optional(),
+  isCancelled: z.boolean(),
+  endedWallMs: z.number()
+})
+export type OutcomeEntry = z.output<typeof outcomeEntry>
+
+export const ledgerEntrySchema = z.discriminatedUnion('type', [acceptedEntry, intentEntry, withdrawnEntry, outcomeEntry])
+export type LedgerEntry = z.output<typeof ledgerEntrySchema>
+
+/** A stored segment: the entries of one group commit, with the nonce that tells whose write it was. */
+export const ledgerSegmentSchema = z.object({ nonce: z.string(), entries: z.array(ledgerEntrySchema) })
--- /dev/null
+++ b/packages/dispatch/src/ledger-segment.ts
@@ -0,0 +1,57 @@
+import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { StoreError } from '@hibiscusledge/platform/store-error.js'
+import type { Finding } from '@hibiscusledge/runtime/finding.js'
+import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import { Err, Ok, type Result } from 'ts-results'
+import { ledgerSegmentSchema, type LedgerEntry } from './ledger-entry.js'
+import { PARTITION_PREFIX } from './request-id.js'
+import { LEDGER_KEY_PREFIX } from './store-keys.js'
+
+/** Digits of a sequence number, so that keys sort in commit order. */
+const SEQUENCE_DIGITS = 12
+
+/** The segments of one partition as read from the store. */
+export interface LoadedLedger {
+  readonly keys: string[]
+  readonly entries: LedgerEntry[]
+  readonly nextSequence: number
+  /** Segments that could not be decoded. */
+  readonly findings: Finding[]
+}
+
+export function buildSegmentPrefix (partition: UnitId): string {
+  return `${LEDGER_KEY_PREFIX}${partition.slice(PARTITION_PREFIX.length)}/`
+}
+
+export function buildSegmentKey (partition: UnitId, sequence: number): string {
+  return `${buildSegmentPrefix(partition)}${String(sequence).padStart(SEQUENCE_DIGITS, '0')}`
+}
+
+export function encodeSegment (nonce: string, entries: readonly LedgerEntry[]): string {
+  return JSON.stringify({ nonce, entries })
+}
+
+/** Reads all segments of a partition in commit order. */
+export async function loadLedger (store: KeyValueStore, partition: UnitId): Promise<Result<LoadedLedger, StoreError>> {
+  const listing = await store.listPrefix(buildSegmentPrefix(partition), 'critical')
+  if (!listing.ok) return Err(listing.val)
+  const loaded: LoadedLedger = { keys: [], entries: [], nextSequence: 0, findings: [] }
+  let nextSequence = 0
+  for (const stored of [...listing.val.values].sort((left, right) => left.key < right.key ? -1 : 1)) {
+    loaded.keys.push(stored.key)
+    nextSequence = Math.max(nextSequence, Number(stored.key.slice(-SEQUENCE_DIGITS)) + 1)
+    const decoded = decodeSegment(stored.value)
+    if (decoded.ok) loaded.entries.push(...decoded.val)
+    else loaded.findings.push({ code: 'segmentUnreadable', place: stored.key, message: decoded.val })
+  }
+  return Ok({ ...loaded, nextSequence })
+}
+
+function decodeSegment (text: string): Result<LedgerEntry[], string> {
+  try {
+    const parsed = ledgerSegmentSchema.safeParse(JSON.parse(text))
+    return parsed.success ? Ok(parsed.data.entries) : Err(parsed.error.issues.map((issue) => issue.message).join('; '))
+  } catch (error) {
+    return Err(error instanceof Error ? error.message : 'not JSON')
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/ledger-state.ts
@@ -0,0 +1,88 @@
+import type { RequestId } from '@hibiscusledge/runtime/identifiers.js'
+import type { IntentEntry, LedgerEntry, OutcomeEntry, RequestFacts } from './ledger-entry.js'
+
+/** What the ledger says about one request. */
+export interface LedgerRecord {
+  accepted: { readonly facts: RequestFacts, readonly deadlineWallMs: number } | undefined
+  intent: IntentEntry | undefined
+  outcome: OutcomeEntry | undefined
+}
+
+/** The replayed content of one partition. Entries are applied in the order of their commits. */
+export class LedgerState {
+  readonly #records = new Map<RequestId, LedgerRecord>()
+
+  applyEntry (entry: LedgerEntry): void {
+    switch (entry.type) {
+      case 'accepted':
+        this.#ensureRecord(entry.facts.requestId).accepted = entry
+        break
+      case 'intent': {
+        const record = this.#ensureRecord(entry.facts.requestId)
+        record.intent = entry
+        // A request that runs again after a `notRun` no longer has that outcome.
+        record.outcome = undefined
+        break
+      }
+      case 'withdrawn': {
+        const record = this.#records.get(entry.requestId)
+        if (record?.intent?.attempt === entry.attempt) record.intent = undefined
+        if (record !== undefined && isEmptyRecord(record)) this.#records.delete(entry.requestId)
+        break
+      }
+      case 'outcome': {
+        const record = this.#ensureRecord(entry.requestId)
+        record.outcome = entry
+        record.accepted = undefined
+        // An unknown outcome keeps its intent: the target is still asked.
+        if (entry.outcome.outcome !== 'unknown') record.intent = undefined
+        break
+      }
+    }
+  }
+
+  findRecord (requestId: RequestId): LedgerRecord | undefined {
+    return this.#records.get(requestId)
+  }
+
+  listRecords (): IterableIterator<[RequestId, LedgerRecord]> {
+    return this.#records.entries()
+  }
+
+  countRecords (): number {
+    return this.#records.size
+  }
+
+  /** Forgets outcomes that ended before `endedBeforeWallMs`. */
+  pruneOutcomes (endedBeforeWallMs: number): void {
+    for (const [requestId, record] of this.#records) {
+      if (record.outcome !== undefined && record.outcome.endedWallMs < endedBeforeWallMs) this.#records.delete(requestId)
+    }
+  }
+
+  /** The shortest list of entries that gives the same state. */
+  buildEntries (): LedgerEntry[] {
+    const entries: LedgerEntry[] = []
+    for (const record of this.#records.values()) {
+      if (record.accepted !== undefined) {
+        entries.push({ type: 'accepted', facts: record.accepted.facts, deadlineWallMs: record.accepted.deadlineWallMs })
+      }
+      if (record.intent !== undefined) entries.push(record.intent)
+      if (record.outcome !== undefined) entries.push(record.outcome)
+    }
+    return entries
+  }
+
+  #ensureRecord (requestId: RequestId): LedgerRecord {
+    let record = this.#records.get(requestId)
+    if (record === undefined) {
+      record = { accepted: undefined, intent: undefined, outcome: undefined }
+      this.#records.set(requestId, record)
+    }
+    return record
+  }
+}
+
+function isEmptyRecord (record: LedgerRecord): boolean {
+  return record.accepted === undefined && record.intent === undefined && record.outcome === undefined
+}
--- /dev/null
+++ b/packages/dispatch/src/partition-ledger.ts
@@ -0,0 +1,286 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import type { Comparison, KeyValueStore, Mutation } from '@hibiscusledge/platform/key-value-store.js'
+import { DISPATCH_EVENTS } from './dispatch-events.js'
+import type { LedgerEntry } from './ledger-entry.js'
+import { buildSegmentKey, encodeSegment, loadLedger } from './ledger-segment.js'
+import { LedgerState } from './ledger-state.js'
+import { OWNER_KEY_PREFIX } from './store-keys.js'
+
+/** Longest time an entry waits for others to share its commit. */
+const BATCH_WINDOW_MS = 10
+/** Stays below the store's 1 MB limit for a value with room for the envelope. */
+const BATCH_MAX_BYTES = 512 * 1024
+const BATCH_MAX_ENTRIES = 2000
+/** Segments are merged beyond this count; a commit deletes them in one transaction, and etcd allows 128 operations in one. */
+const SEGMENTS_BEFORE_COMPACTION = 48
+const RETRY_DELAY_MS = 200
+/** A commit that takes longer marks the ledger as stalled, so that work which needs it does not hold capacity meanwhile. */
+const STALL_MS = 1000
+
+export const COMMIT_RESULTS = { committed: 'committed', fenced: 'fenced', stalled: 'stalled', closed: 'closed' } as const
+/** `fenced`: the unit named by the entry has another owner now. `stalled`: not known yet; the entry may still be committed. */
+export type CommitResult = typeof COMMIT_RESULTS[keyof typeof COMMIT_RESULTS]
+
+/** Fences an entry: it is committed only while this owner record is unchanged. */
+export interface Fence {
+  readonly unit: UnitId
+  readonly modRevision: number
+}
+
+interface PendingEntry {
+  readonly entry: LedgerEntry
+  readonly fence: Fence | undefined
+  readonly bytes: number
+  readonly addedAtMs: number
+  resolve (result: CommitResult): void
+}
+
+export interface PartitionLedgerOptions {
+  readonly partition: UnitId
+  /** Modification revision of the partition's own owner record. */
+  readonly ownerModRevision: number
+  readonly store: KeyValueStore
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: EventLogger
+  readonly metrics: MetricSink
+  readonly retentionMs: number
+  /** Called when the store shows that the partition has another owner. */
+  readonly onOwnershipLost: () => void
+}
+
+/**
+ * The durable record of one partition. Entries are committed in groups, one transaction at a time. Each transaction
+ * compares the owner records of the partition and of the units that its entries name, so an outdated owner commits nothing.
+ */
+export class PartitionLedger {
+  readonly #options: PartitionLedgerOptions
+  readonly #state = new LedgerState()
+  #segments: string[] = []
+  #nextSequence = 0
+  #pending: PendingEntry[] = []
+  #isCommitting = false
+  #isClosed = false
+  #windowTimer: Timer | undefined
+  #commitStartedAtMs: number | undefined
+  #stallTimer: Timer | undefined
+  #inFlight: PendingEntry[] = []
+
+  constructor (options: PartitionLedgerOptions) {
+    this.#options = options
+  }
+
+  get state (): LedgerState {
+    return this.#state
+  }
+
+  /** Reads the partition's segments; retries until the store answers or the ledger is closed. */
+  async load (): Promise<void> {
+    while (!this.#isClosed) {
+      const loaded = await loadLedger(this.#options.store, this.#options.partition)
+      if (loaded.ok) {
+        this.#segments = loaded.val.keys
+        this.#nextSequence = loaded.val.nextSequence
+        for (const entry of loaded.val.entries) this.#state.applyEntry(entry)
+        for (const finding of loaded.val.findings) this.#options.logger.logError(DISPATCH_EVENTS.ledgerSegmentUnreadable, { ...finding })
+        return
+      }
+      this.#options.logger.logWarning(DISPATCH_EVENTS.ledgerLoadFailed, { partition: this.#options.partition, code: loaded.val.code })
+      await this.#wait(RETRY_DELAY_MS)
+    }
+  }
+
+  /** Whether commits currently take too long for work to wait for them with capacity reserved. */
+  isStalled (): boolean {
+    const startedAtMs = this.#commitStartedAtMs
+    return startedAtMs !== undefined && this.#options.clock.readMonotonicMs() - startedAtMs > STALL_MS
+  }
+
+  /** Adds an entry to the next group commit and waits for its result. */
+  append (entry: LedgerEntry, fence?: Fence): Promise<CommitResult> {
+    if (this.#isClosed) return Promise.resolve(COMMIT_RESULTS.closed)
+    const bytes = JSON.stringify(entry).length
+    return new Promise((resolve) => {
+      this.#pending.push({ entry, fence, bytes, addedAtMs: this.#options.clock.readMonotonicMs(), resolve })
+      this.#windowTimer ??= this.#options.clock.startTimer(BATCH_WINDOW_MS, () => { this.#startCommit() })
+    })
+  }
+
+  /** Waits until nothing is pending, for a planned hand-over. */
+  async flush (): Promise<void> {
+    while (!this.#isClosed && (this.#pending.length > 0 || this.#isCommitting)) await this.#wait(BATCH_WINDOW_MS)
+  }
+
+  close (): void {
+    this.#isClosed = true
+    this.#windowTimer?.cancel()
+    this.#stallTimer?.cancel()
+    this.#settle([...this.#inFlight, ...this.#pending], COMMIT_RESULTS.closed)
+    this.#pending = []
+  }
+
+  #startCommit (): void {
+    this.#windowTimer = undefined
+    if (this.#isCommitting || this.#isClosed) return
+    this.#isCommitting = true
+    void this.#commitPending().finally(() => {
+      this.#isCommitting = false
+      this.#commitStartedAtMs = undefined
+      this.#stallTimer?.cancel()
+      if (this.#pending.length > 0 && !this.#isClosed) this.#startCommit()
+    })
+  }
+
+  async #commitPending (): Promise<void> {
+    const { clock, metrics } = this.#options
+    const batch = this.#takeBatch()
+    this.#inFlight = batch
+    this.#commitStartedAtMs = clock.readMonotonicMs()
+    this.#stallTimer = clock.startTimer(STALL_MS + 1, () => { this.#settle([...this.#inFlight, ...this.#pending], COMMIT_RESULTS.stalled) })
+    const committed = await this.#commitBatch(batch)
+    metrics.recordTiming('ledger.commit', clock.readMonotonicMs() - this.#commitStartedAtMs)
+    metrics.incrementCounter('ledger.entries', committed.length)
+    for (const pending of committed) this.#state.applyEntry(pending.entry)
+    this.#settle(committed, COMMIT_RESULTS.committed)
+    this.#inFlight = []
+    if (this.#segments.length > SEGMENTS_BEFORE_COMPACTION && !this.#isClosed) await this.#compact()
+  }
+
+  #takeBatch (): PendingEntry[] {
+    let bytes = 0
+    let count = 0
+    for (const pending of this.#pending) {
+      if (count > 0 && (bytes + pending.bytes > BATCH_MAX_BYTES || count >= BATCH_MAX_ENTRIES)) break
+      bytes += pending.bytes
+      count++
+    }
+    return this.#pending.splice(0, count)
+  }
+
+  /** Commits the batch and returns the entries that were committed; the others were fenced. */
+  async #commitBatch (batch: PendingEntry[]): Promise<PendingEntry[]> {
+    let remaining = batch
+    while (remaining.length > 0 && !this.#isClosed) {
+      const key = buildSegmentKey(this.#options.partition, this.#nextSequence)
+      const value = encodeSegment(this.#options.random.drawHex(12), remaining.map((pending) => pending.entry))
+      const isCommitted = await this.#writeSegments([{ key, value }], [], this.#buildComparisons(remaining))
+      if (isCommitted) return remaining
+      remaining = await this.#dropFenced(remaining)
+    }
+    return []
+  }
+
+  /**
+   * Writes segments in one transaction and retries the same transaction until its effect is known. The comparison on the
+   * segment's key makes a retry after a lost reply harmless, also when the first write takes effect late.
+   */
+  async #writeSegments (
+    segments: ReadonlyArray<{ key: string, value: string }>, deletions: readonly string[], comparisons: readonly Comparison[]
+  ): Promise<boolean> {
+    const { store, logger, partition } = this.#options
+    const mutations: Mutation[] = [
+      ...segments.map(({ key, value }) => ({ type: 'put' as const, key, value })),
+      ...deletions.map((key) => ({ type: 'delete' as const, key }))
+    ]
+    const guards = segments.map(({ key }) => ({ key, modRevision: 0 }))
+    let isEffectUnknown = false
+    while (!this.#isClosed) {
+      const outcome = await store.commitTransaction({ comparisons: [...comparisons, ...guards], mutations }, 'critical')
+      if (outcome.ok && outcome.val.isCommitted) {
+        this.#noteSegments(segments.map(({ key }) => key), deletions)
+        return true
+      }
+      if (outcome.ok) {
+        if (isEffectUnknown && await this.#isOwnSegment(segments[0])) {
+          this.#noteSegments(segments.map(({ key }) => key), deletions)
+          return true
+        }
+        return false
+      }
+      isEffectUnknown ||= outcome.val.isEffectUnknown
+      logger.logWarning(DISPATCH_EVENTS.ledgerCommitFailed, { partition, code: outcome.val.code })
+      await this.#wait(RETRY_DELAY_MS)
+    }
+    return false
+  }
+
+  async #isOwnSegment (segment: { key: string, value: string } | undefined): Promise<boolean> {
+    while (segment !== undefined && !this.#isClosed) {
+      const stored = await this.#options.store.readKey(segment.key, 'critical')
+      if (stored.ok) return stored.val?.value === segment.value
+      await this.#wait(RETRY_DELAY_MS)
+    }
+    return false
+  }
+
+  #noteSegments (added: readonly string[], removed: readonly string[]): void {
+    const removedKeys = new Set(removed)
+    this.#segments = [...this.#segments.filter((key) => !removedKeys.has(key)), ...added]
+    this.#nextSequence += added.length
+  }
+
+  /** Finds out which comparison failed; closes the ledger when it was the partition's own. */
+  async #dropFenced (batch: PendingEntry[]): Promise<PendingEntry[]> {
+    const owners = await this.#options.store.listPrefix(OWNER_KEY_PREFIX, 'critical')
+    if (!owners.ok) {
+      await this.#wait(RETRY_DELAY_MS)
+      return batch
+    }
+    const revisions = new Map(owners.val.values.map((stored) => [stored.key, stored.modRevision]))
+    const { partition, ownerModRevision, onOwnershipLost } = this.#options
+    if (revisions.get(`${OWNER_KEY_PREFIX}${partition}`) !== ownerModRevision) {
+      this.close()
+      onOwnershipLost()
+      return []
+    }
+    const isCurrent = ({ fence }: PendingEntry): boolean =>
+      fence === undefined || revisions.get(`${OWNER_KEY_PREFIX}${fence.unit}`) === fence.modRevision
+    this.#settle(batch.filter((pending) => !isCurrent(pending)), COMMIT_RESULTS.fenced)
+    return batch.filter(isCurrent)
+  }
+
+  #buildComparisons (batch: readonly PendingEntry[]): Comparison[] {
+    const comparisons = new Map<string, Comparison>()
+    const ownKey = `${OWNER_KEY_PREFIX}${this.#options.partition}`
+    comparisons.set(ownKey, { key: ownKey, modRevision: this.#options.ownerModRevision })
+    for (const { fence } of batch) {
+      if (fence === undefined) continue
+      const key = `${OWNER_KEY_PREFIX}${fence.unit}`
+      comparisons.set(`${key}@${fence.modRevision}`, { key, modRevision: fence.modRevision })
+    }
+    return [...comparisons.values()]
+  }
+
+  /** Replaces all segments by the shortest ones with the same content. */
+  async #compact (): Promise<void> {
+    this.#state.pruneOutcomes(this.#options.clock.readWallMs() - this.#options.retentionMs)
+    const segments: Array<{ key: string, value: string }> = []
+    let group: LedgerEntry[] = []
+    let bytes = 0
+    const closeGroup = (): void => {
+      const key = buildSegmentKey(this.#options.partition, this.#nextSequence + segments.length)
+      segments.push({ key, value: encodeSegment(this.#options.random.drawHex(12), group) })
+      group = []
+      bytes = 0
+    }
+    for (const entry of this.#state.buildEntries()) {
+      group.push(entry)
+      bytes += JSON.stringify(entry).length
+      if (bytes > BATCH_MAX_BYTES) closeGroup()
+    }
+    closeGroup()
+    await this.#writeSegments(segments, [...this.#segments], this.#buildComparisons([]))
+  }
+
+  #settle (entries: readonly PendingEntry[], result: CommitResult): void {
+    for (const pending of entries) pending.resolve(result)
+  }
+
+  #wait (delayMs: number): Promise<void> {
+    return new Promise((resolve) => { this.#options.clock.startTimer(delayMs, resolve) })
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/request-assigner.ts
@@ -0,0 +1,142 @@
+import { PEER_ERROR_CODES } from '@hibiscusledge/peer/peer-network.js'
+import { PEER_MESSAGE_KINDS } from '@hibiscusledge/peer/peer-message-kinds.js'
+import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import { REJECTION_REASONS } from '@hibiscusledge/scheduling/decision.js'
+import type { DispatchContext } from './dispatch-context.js'
+import { enqueueReplySchema, type EnqueueMessage } from './dispatch-messages.js'
+import type { HomeRequest, RequestPlan } from './home-request.js'
+import { sendCheckedRequest } from './message-handler.js'
+import type { OutcomeRecorder } from './outcome-recorder.js'
+import type { PartitionLedger } from './partition-ledger.js'
+import { ShardChooser } from './shard-chooser.js'
+
+const ENQUEUE_TIMEOUT_MS = 1000
+/** Delay before the next try when no shard has an owner, or the ledger is stalled. */
+const REASSIGN_DELAY_MS = 100
+/** A pool without targets on any shard is waited for this long: lists and tables may not have reached a shard owner yet. */
+const EMPTY_POOL_PATIENCE_MS = 3000
+/** Attempts of one home epoch stay apart from those of its predecessor, which may still be queued somewhere. */
+export const ATTEMPTS_PER_EPOCH = 100_000
+
+interface Rejection {
+  readonly reason: string
+  readonly detail: string
+  readonly retryAfterMs: number | undefined
+}
+
+type TryResult = { readonly type: 'settled' | 'skipped' } | { readonly type: 'rejected', readonly rejection: Rejection }
+
+/** Finds a shard that takes a request. */
+export class RequestAssigner {
+  readonly #context: DispatchContext
+  readonly #ledger: PartitionLedger
+  readonly #outcomes: OutcomeRecorder
+  readonly #chooser: ShardChooser
+  #nextAttempt: number
+
+  constructor (context: DispatchContext, ledger: PartitionLedger, outcomes: OutcomeRecorder, epoch: number) {
+    this.#context = context
+    this.#ledger = ledger
+    this.#outcomes = outcomes
+    this.#chooser = new ShardChooser(context.ownership, context.loads, context.random)
+    this.#nextAttempt = epoch * ATTEMPTS_PER_EPOCH
+  }
+
+  /** Starts assigning a request that is unassigned; does nothing when that is under way. */
+  startAssigning (request: HomeRequest, delayMs = 0): void {
+    if (request.isAssigning || request.state !== 'unassigned') return
+    request.isAssigning = true
+    if (delayMs === 0) void this.#assign(request)
+    else this.#context.clock.startTimer(delayMs, () => { void this.#assign(request) })
+  }
+
+  async #assign (request: HomeRequest): Promise<void> {
+    request.isAssigning = false
+    if (request.state !== 'unassigned') return
+    if (this.#context.clock.readMonotonicMs() >= request.deadlineAtMs) {
+      this.#outcomes.endNotRun(request, REJECTION_REASONS.deadlineExpired)
+      return
+    }
+    const { plan, payload } = request
+    // Work that needs the ledger waits here, where it holds no capacity, until commits pass again.
+    const isWaiting = plan === undefined || payload === undefined || (plan.isIntentNeeded && this.#ledger.isStalled())
+    if (isWaiting) this.startAssigning(request, REASSIGN_DELAY_MS)
+    else await this.#tryShards(request, plan, payload.value)
+  }
+
+  async #tryShards (request: HomeRequest, plan: RequestPlan, payload: unknown): Promise<void> {
+    request.isAssigning = true
+    const rejections: Rejection[] = []
+    const { work, targetKind } = plan
+    for (const unit of this.#chooser.rankShards(work.pool, targetKind, work.urgency)) {
+      const result = await this.#tryShard(request, plan, payload, unit)
+      if (result.type === 'settled') {
+        request.isAssigning = false
+        return
+      }
+      if (result.type === 'rejected') rejections.push(result.rejection)
+    }
+    request.isAssigning = false
+    if (rejections.length === 0 || this.#isEmptyPoolTolerated(request, rejections)) this.startAssigning(request, REASSIGN_DELAY_MS)
+    else this.#endRejected(request, rejections)
+  }
+
+  async #tryShard (request: HomeRequest, plan: RequestPlan, payload: unknown, unit: UnitId): Promise<TryResult> {
+    const owner = this.#context.ownership.findOwner(unit)
+    if (owner === undefined || !request.applyEvent('assign')) return { type: request.state === 'unassigned' ? 'skipped' : 'settled' }
+    const attempt = ++this.#nextAttempt
+    request.attempt = attempt
+    request.assignment = { unit, epoch: owner.epoch, owner: owner.instance }
+    const message = this.#buildMessage(request, plan, payload, unit)
+    const reply = await sendCheckedRequest(
+      this.#context.network, owner.instance, PEER_MESSAGE_KINDS.enqueue, message, enqueueReplySchema, ENQUEUE_TIMEOUT_MS, request.trace
+    )
+    if (!request.isCurrentAttempt(attempt) || request.state !== 'assigned') return { type: 'settled' }
+    if (reply.ok && reply.val.type === 'admitted') return { type: 'settled' }
+    request.applyEvent('unassign')
+    request.assignment = undefined
+    if (!reply.ok) {
+      // The message may have arrived, so an attempt that needs no intent may be sent.
+      if (reply.val.code !== PEER_ERROR_CODES.notConnected && !plan.isIntentNeeded) request.mayHaveRun = true
+      return { type: 'skipped' }
+    }
+    if (reply.val.type !== 'rejected') return { type: 'skipped' }
+    const { reason, detail, retryAfterMs } = reply.val
+    return { type: 'rejected', rejection: { reason, detail, retryAfterMs } }
+  }
+
+  #buildMessage (request: HomeRequest, plan: RequestPlan, payload: unknown, unit: UnitId): EnqueueMessage {
+    return {
+      unit,
+      requestId: request.requestId,
+      attempt: request.attempt,
+      kind: request.facts.kind,
+      customer: request.facts.customer,
+      team: request.facts.team,
+      work: plan.work,
+      payload,
+      remainingMs: request.deadlineAtMs - this.#context.clock.readMonotonicMs(),
+      isIntentNeeded: plan.isIntentNeeded,
+      isRetry: request.retries > 0,
+      excludedTargets: request.excludedTargets
+    }
+  }
+
+  #isEmptyPoolTolerated (request: HomeRequest, rejections: readonly Rejection[]): boolean {
+    const isEmpty = rejections.every(({ reason }) => reason === REJECTION_REASONS.noTargets || reason === REJECTION_REASONS.unknownPool)
+    return isEmpty && this.#context.clock.readMonotonicMs() - request.receivedAtMs < EMPTY_POOL_PATIENCE_MS
+  }
+
+  #endRejected (request: HomeRequest, rejections: readonly Rejection[]): void {
+    if (request.state !== 'unassigned') return
+    if (request.fallback !== undefined) {
+      this.#outcomes.end(request, request.fallback)
+      return
+    }
+    const passing = rejections.filter((rejection) => rejection.reason !== REJECTION_REASONS.impossible)
+    const rejection = passing[0] ?? rejections[0]
+    const delays = passing.flatMap(({ retryAfterMs }) => retryAfterMs === undefined ? [] : [retryAfterMs])
+    const retryAfterMs = delays.length === 0 ? undefined : Math.min(...delays)
+    this.#outcomes.endNotRun(request, `${rejection?.reason ?? 'rejected'}: ${rejection?.detail ?? ''}`, retryAfterMs)
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/shard-attempt.ts
@@ -0,0 +1,117 @@
+import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
+import type { RequestId, TargetId } from '@hibiscusledge/runtime/identifiers.js'
+import type { RunResult } from '@hibiscusledge/scheduling/decision.js'
+import type { WorkItem } from '@hibiscusledge/scheduling/work-item.js'
+import type { AttemptReport } from './dispatch-messages.js'
+import type { WorkFacts } from './ledger-entry.js'
+import type { RunOrder, RunReport } from './target-client.js'
+
+export const ATTEMPT_STATES = { queued: 'queued', recording: 'recording', sent: 'sent' } as const
+export type AttemptState = typeof ATTEMPT_STATES[keyof typeof ATTEMPT_STATES]
+
+/** One attempt at its shard owner. */
+export interface ShardAttempt {
+  readonly requestId: RequestId
+  readonly attempt: number
+  readonly item: WorkItem
+  readonly work: WorkFacts
+  readonly payload: unknown
+  readonly isIntentNeeded: boolean
+  readonly trace: TraceContext | undefined
+  state: AttemptState
+  targets: readonly TargetId[]
+  /** The home took the attempt back while its intent was being recorded. */
+  isWithdrawn: boolean
+}
+
+/** What the shard's owner needs to build a scheduler item. */
+export interface ItemSource {
+  readonly requestId: RequestId
+  readonly attempt: number
+  readonly kind: string
+  readonly customer: string
+  readonly team: string
+  readonly work: WorkFacts
+  readonly excludedTargets: readonly TargetId[]
+}
+
+export function buildWorkItem (source: ItemSource, enqueuedAtMs: number, deadlineAtMs: number): WorkItem {
+  const { work, requestId, attempt, kind, customer, team, excludedTargets } = source
+  return {
+    requestId,
+    attempt,
+    kind,
+    customer,
+    team,
+    excludedTargets,
+    pool: work.pool,
+    urgency: work.urgency,
+    resources: work.resources,
+    taskCount: work.taskCount,
+    isIdempotent: work.isIdempotent,
+    isExclusive: work.isExclusive,
+    isResumable: work.isResumable,
+    isService: work.isService,
+    runtimeMs: work.runtimeMs,
+    enqueuedAtMs,
+    deadlineAtMs
+  }
+}
+
+export function buildOrder (attempt: ShardAttempt, taskIndex: number, timeoutMs: number): RunOrder {
+  return {
+    requestId: attempt.requestId,
+    attempt: attempt.attempt,
+    taskIndex,
+    kind: attempt.item.kind,
+    resources: attempt.item.resources,
+    payload: attempt.payload,
+    timeoutMs,
+    trace: attempt.trace
+  }
+}
+
+/** What the scheduler learns from the end of one task. */
+export function convertToRunResult (report: RunReport): RunResult {
+  switch (report.type) {
+    case 'succeeded':
+    case 'checkpointed':
+      return 'succeeded'
+    case 'failed':
+      return 'failed'
+    case 'notRun':
+      return report.isLeaving ? 'refused' : 'failed'
+    case 'lost':
+    case 'unknown':
+      return 'lost'
+    case 'detached':
+      return 'withdrawn'
+  }
+}
+
+/** Joins the ends of an attempt's tasks into the end of the attempt; undefined when another owner reports it. */
+export function mergeReports (reports: readonly RunReport[], targets: readonly TargetId[]): AttemptReport | undefined {
+  if (reports.some((report) => report.type === 'detached')) return undefined
+  const findWith = <Type extends RunReport['type']>(type: Type): { report: Extract<RunReport, { type: Type }>, target: TargetId } | undefined => {
+    const index = reports.findIndex((report) => report.type === type)
+    const target = targets[index]
+    return target === undefined ? undefined : { report: reports[index] as Extract<RunReport, { type: Type }>, target }
+  }
+  const unknown = findWith('unknown')
+  if (unknown !== undefined) return { type: 'unknown', message: unknown.report.message, target: unknown.target }
+  const lost = findWith('lost')
+  if (lost !== undefined) return { type: 'lost', message: lost.report.message, target: lost.target }
+  const failed = findWith('failed')
+  if (failed !== undefined) return { type: 'failed', message: failed.report.message }
+  const notRun = findWith('notRun')
+  if (notRun !== undefined) return mergeNotRun(reports, notRun.report.message, notRun.target)
+  if (reports.some((report) => report.type === 'checkpointed')) return { type: 'checkpointed' }
+  const results = reports.map((report) => report.type === 'succeeded' ? report.result : null)
+  return { type: 'succeeded', result: results.length === 1 ? results[0] : { tasks: results } }
+}
+
+/** A gang of which only some tasks were refused has run in part. */
+function mergeNotRun (reports: readonly RunReport[], message: string, target: TargetId): AttemptReport {
+  const isWhole = reports.every((report) => report.type === 'notRun')
+  return isWhole ? { type: 'notRun', message, target } : { type: 'lost', message: `a task of the gang was not run: ${message}`, target }
+}
--- /dev/null
+++ b/packages/dispatch/src/shard-recovery.ts
@@ -0,0 +1,42 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import { DISPATCH_EVENTS } from './dispatch-events.js'
+import type { IntentEntry } from './ledger-entry.js'
+import { loadLedger } from './ledger-segment.js'
+import { LedgerState } from './ledger-state.js'
+
+const RETRY_DELAY_MS = 200
+
+/** An intent of an earlier owner whose end the ledger does not know. */
+export interface OpenIntent {
+  readonly intent: IntentEntry
+  /** The home has told `unknown` and still wants the truth. */
+  readonly isUnknownTold: boolean
+}
+
+/**
+ * Reads the open intents of a shard from all partitions. Called after the owner record has changed, so that no intent
+ * of an earlier owner can still be committed.
+ */
+export async function fetchOpenIntents (
+  store: KeyValueStore, partitions: readonly UnitId[], unit: UnitId, clock: Clock, logger: EventLogger, isWanted: () => boolean
+): Promise<OpenIntent[]> {
+  const open: OpenIntent[] = []
+  for (const partition of partitions) {
+    let loaded = await loadLedger(store, partition)
+    while (!loaded.ok && isWanted()) {
+      logger.logWarning(DISPATCH_EVENTS.ledgerLoadFailed, { partition, unit, code: loaded.val.code })
+      await new Promise<void>((resolve) => { clock.startTimer(RETRY_DELAY_MS, resolve) })
+      loaded = await loadLedger(store, partition)
+    }
+    if (!loaded.ok) return []
+    const state = new LedgerState()
+    for (const entry of loaded.val.entries) state.applyEntry(entry)
+    for (const [, record] of state.listRecords()) {
+      if (record.intent?.unit === unit) open.push({ intent: record.intent, isUnknownTold: record.outcome !== undefined })
+    }
+  }
+  return open
+}
--- /dev/null
+++ b/packages/dispatch/src/target-monitor.ts
@@ -0,0 +1,107 @@
+import type { Timer } from '@hibiscusledge/runtime/clock.js'
+import { toRequestId, type TargetId } from '@hibiscusledge/runtime/identifiers.js'
+import { NO_RESOURCES } from '@hibiscusledge/scheduling/resources.js'
+import type { ShardScheduler } from '@hibiscusledge/scheduling/shard-scheduler.js'
+import type { Target } from '@hibiscusledge/scheduling/target.js'
+import type { DispatchContext } from './dispatch-context.js'
+import { DISPATCH_EVENTS } from './dispatch-events.js'
+import type { ForeignRuns } from './foreign-runs.js'
+import type { TargetAddress, TargetClient, TargetProgress } from './target-client.js'
+
+const TURN_PERIOD_MS = 100
+/** Each target is asked about this often, unless the shard has too many for the rate limit below. */
+const POLL_PERIOD_MS = 2000
+/** Bounds the control traffic of a large shard. */
+const POLLS_PER_TURN_MAX = 5
+const LEAVING_SUSPENSION_MS = 10_000
+
+interface KnownTarget {
+  address: TargetAddress
+  nextPollAtMs: number
+}
+
+/** Asks targets for their progress counters, and remembers the addresses of targets that have left the list. */
+export class TargetMonitor {
+  readonly #context: DispatchContext
+  readonly #scheduler: ShardScheduler
+  readonly #client: TargetClient
+  readonly #listTargets: () => Iterable<Target>
+  readonly #known = new Map<TargetId, KnownTarget>()
+  readonly #timer: Timer
+
+  constructor (context: DispatchContext, scheduler: ShardScheduler, client: TargetClient, listTargets: () => Iterable<Target>) {
+    this.#context = context
+    this.#scheduler = scheduler
+    this.#client = client
+    this.#listTargets = listTargets
+    this.#timer = context.clock.startInterval(TURN_PERIOD_MS, () => { this.#pollDue() })
+  }
+
+  stop (): void {
+    this.#timer.cancel()
+  }
+
+  /** Work that was sent before a target left the list is still followed at its last address. */
+  findFormerTarget (targetId: TargetId): TargetAddress | undefined {
+    return this.#known.get(targetId)?.address
+  }
+
+  /** Counts what executors run beyond what the ledger knows, so that a new owner does not exceed their slots. */
+  async countForeignRuns (foreign: ForeignRuns, knownRuns: ReadonlyMap<TargetId, number>): Promise<void> {
+    await Promise.all([...this.#listTargets()].map(async (target) => {
+      const progress = await this.#client.readProgress(target)
+      const excess = (progress?.running ?? 0) - (knownRuns.get(target.id) ?? 0)
+      for (let index = 0; index < excess; index++) foreign.add(this.#buildForeignRun(target, index))
+    }))
+  }
+
+  #pollDue (): void {
+    const nowMs = this.#context.clock.readMonotonicMs()
+    let polls = 0
+    for (const target of this.#listTargets()) {
+      const known = this.#known.get(target.id) ?? { address: target, nextPollAtMs: nowMs }
+      known.address = target
+      this.#known.set(target.id, known)
+      if (known.nextPollAtMs > nowMs || polls >= POLLS_PER_TURN_MAX) continue
+      known.nextPollAtMs = nowMs + POLL_PERIOD_MS
+      polls++
+      void this.#client.readProgress(target).then((progress) => { this.#applyProgress(target.id, progress) })
+    }
+  }
+
+  #applyProgress (targetId: TargetId, progress: TargetProgress | undefined): void {
+    if (progress === undefined) return
+    const nowMs = this.#context.clock.readMonotonicMs()
+    this.#scheduler.recordProgress(targetId, progress.progress, progress.running, nowMs)
+    if (!progress.isLeaving) return
+    this.#context.logger.logInfo(DISPATCH_EVENTS.targetLeaving, { target: targetId })
+    this.#scheduler.suspendTarget(targetId, nowMs + LEAVING_SUSPENSION_MS)
+  }
+
+  #buildForeignRun (target: Target, index: number): Parameters<ForeignRuns['add']>[0] {
+    const nowMs = this.#context.clock.readMonotonicMs()
+    return {
+      targets: [target.id],
+      startedAtMs: nowMs,
+      item: {
+        requestId: toRequestId(`foreign:${target.id}:${index}`),
+        attempt: 0,
+        kind: 'foreign',
+        customer: '',
+        team: '',
+        pool: '',
+        urgency: 'normal',
+        resources: NO_RESOURCES,
+        taskCount: 1,
+        isIdempotent: true,
+        isExclusive: false,
+        isResumable: false,
+        isService: false,
+        runtimeMs: undefined,
+        enqueuedAtMs: nowMs,
+        deadlineAtMs: nowMs,
+        excludedTargets: []
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/target-response.ts
@@ -0,0 +1,31 @@
+import type { Dispatcher } from 'undici'
+
+/** Largest body that is read from a target; the message limit between instances bounds it. */
+export const RESULT_MAX_BYTES = 768 * 1024
+
+/** Reads a JSON body up to the limit; rejects when it is larger, cut off or not JSON. */
+export async function readJsonBody (body: Dispatcher.ResponseData['body']): Promise<unknown> {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  for await (const chunk of body) {
+    bytes += (chunk as Buffer).length
+    if (bytes > RESULT_MAX_BYTES) {
+      body.destroy()
+      throw new Error(`the answer is larger than ${RESULT_MAX_BYTES} bytes`)
+    }
+    chunks.push(chunk as Buffer)
+  }
+  return JSON.parse(Buffer.concat(chunks).toString('utf8'))
+}
+
+/** Error codes of attempts to connect: nothing was sent. */
+const NOT_CONNECTED_CODES = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT'])
+
+/** Whether the error proves that the request was never sent. */
+export function isNeverSent (error: unknown): boolean {
+  return error instanceof Error && 'code' in error && NOT_CONNECTED_CODES.has(String(error.code))
+}
+
+export function formatError (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
--- /dev/null
+++ b/packages/dispatch/src/worker-client.ts
@@ -0,0 +1,98 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { TargetId } from '@hibiscusledge/runtime/identifiers.js'
+import { formatTraceparent } from '@hibiscusledge/runtime/trace-context.js'
+import { request } from 'undici'
+import type { RunOrder, RunReport, TargetAddress, TargetClient, TargetProgress, UsageListener } from './target-client.js'
+import { formatError, isNeverSent, readJsonBody } from './target-response.js'
+import { formatTaskId, WORKER_LEASE_MS, WorkerSession } from './worker-session.js'
+
+const START_TIMEOUT_MS = 3000
+const ACTION_TIMEOUT_MS = 2000
+
+/** Tasks under leases on workers. The protocol is described in docs/target-protocols.md. */
+export class WorkerClient implements TargetClient {
+  readonly #clock: Clock
+  readonly #onUsage: UsageListener
+  readonly #sessions = new Map<TargetId, WorkerSession>()
+
+  constructor (clock: Clock, onUsage: UsageListener) {
+    this.#clock = clock
+    this.#onUsage = onUsage
+  }
+
+  async run (target: TargetAddress, order: RunOrder): Promise<RunReport> {
+    const session = this.#findSession(target)
+    const ended = session.follow(order)
+    const refusal = await this.#sendStart(target, order)
+    if (refusal === undefined) return await ended
+    session.drop(order)
+    return refusal
+  }
+
+  attach (target: TargetAddress, order: RunOrder): Promise<RunReport> {
+    return this.#findSession(target).follow(order)
+  }
+
+  detach (targetId: TargetId): void {
+    this.#sessions.get(targetId)?.close()
+    this.#sessions.delete(targetId)
+  }
+
+  acknowledge (targetId: TargetId, order: RunOrder): void {
+    this.#sessions.get(targetId)?.acknowledge(order)
+  }
+
+  async requestAction (target: TargetAddress, order: RunOrder, action: 'stop' | 'checkpoint' | 'throttle'): Promise<void> {
+    const path = `/tasks/${encodeURIComponent(formatTaskId(order))}/${action}`
+    await request(`http://${target.address}${path}`, {
+      method: 'POST', headersTimeout: ACTION_TIMEOUT_MS, bodyTimeout: ACTION_TIMEOUT_MS, reset: true
+    }).then((response) => response.body.dump()).catch(() => {})
+  }
+
+  readProgress (target: TargetAddress): Promise<TargetProgress | undefined> {
+    return this.#findSession(target).readProgress()
+  }
+
+  async close (): Promise<void> {
+    for (const targetId of [...this.#sessions.keys()]) this.detach(targetId)
+  }
+
+  /** Returns a report when the start provably did not happen; undefined when the session has to find out. */
+  async #sendStart (target: TargetAddress, order: RunOrder): Promise<RunReport | undefined> {
+    try {
+      const response = await request(`http://${target.address}/tasks/${encodeURIComponent(formatTaskId(order))}`, {
+        method: 'PUT',
+        headers: {
+          'content-type': 'application/json',
+          ...(order.trace === undefined ? {} : { traceparent: formatTraceparent(order.trace) })
+        },
+        body: JSON.stringify({
+          requestId: order.requestId,
+          attempt: order.attempt,
+          kind: order.kind,
+          resources: order.resources,
+          leaseMs: WORKER_LEASE_MS,
+          payload: order.payload ?? null
+        }),
+        headersTimeout: START_TIMEOUT_MS,
+        bodyTimeout: START_TIMEOUT_MS
+      })
+      await readJsonBody(response.body).catch(() => undefined)
+      if (response.statusCode === 503 && response.headers['x-not-run'] === 'true') {
+        return { type: 'notRun', message: 'refused by the target', isLeaving: true }
+      }
+      return undefined
+    } catch (error) {
+      return isNeverSent(error) ? { type: 'notRun', message: formatError(error), isLeaving: false } : undefined
+    }
+  }
+
+  #findSession (target: TargetAddress): WorkerSession {
+    let session = this.#sessions.get(target.id)
+    if (session === undefined) {
+      session = new WorkerSession(target, this.#clock, this.#onUsage)
+      this.#sessions.set(target.id, session)
+    }
+    return session
+  }
+}
--- /dev/null
+++ b/packages/dispatch/src/worker-session.ts
@@ -0,0 +1,200 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import { request } from 'undici'
+import { z } from 'zod'
+import { resourcesSchema } from './ledger-entry.js'
+import type { RunOrder, RunReport, TargetAddress, TargetProgress, UsageListener } from './target-client.js'
+import { readJsonBody } from './target-response.js'
+
+export const WORKER_LEASE_MS = 15_000
+/** Covers the difference between two clocks' rates and a renewal that was on its way. */
+const LEASE_MARGIN_MS = 2000
+/** The worker answers a sync at once when a task has ended, else after this time. */
+const SYNC_WAIT_MS = 1000
+const SYNC_TIMEOUT_MS = SYNC_WAIT_MS + 2000
+const RETRY_DELAY_MS = 500
+/**
+ * A worker that has not answered for this long gets no more renewals: if only its answers are lost, its leases must
+ * still lapse before the tasks count as ended.
+ */
+const RENEWAL_WITHOUT_ANSWER_MS = 5000
+
+const syncSchema = z.object({
+  progress: z.number(),
+  leaving: z.boolean(),
+  tasks: z.array(z.object({
+    taskId: z.string(),
+    state: z.enum(['running', 'throttled', 'completed', 'failed', 'stopped', 'checkpointed', 'lost']),
+    result: z.unknown(),
+    error: z.string().optional(),
+    usage: resourcesSchema.optional()
+  }))
+})
+type SyncedTask = z.output<typeof syncSchema>['tasks'][number]
+
+interface FollowedTask {
+  readonly order: RunOrder
+  readonly followedSinceMs: number
+  /** When a renewal that the worker may have received was last sent. */
+  lastRenewedAtMs: number
+  isSeen: boolean
+  resolve (report: RunReport): void
+}
+
+export function formatTaskId (order: Pick<RunOrder, 'requestId' | 'attempt' | 'taskIndex'>): string {
+  return `${order.requestId}.${order.attempt}.${order.taskIndex}`
+}
+
+/** Follows all tasks on one worker with one sync call at a time, which also renews their leases. */
+export class WorkerSession {
+  readonly #target: TargetAddress
+  readonly #clock: Clock
+  readonly #onUsage: UsageListener
+  readonly #tasks = new Map<string, FollowedTask>()
+  readonly #unacknowledged = new Set<string>()
+  #progress: TargetProgress | undefined
+  #isSyncing = false
+  #isClosed = false
+  #lastAnsweredAtMs: number
+
+  constructor (target: TargetAddress, clock: Clock, onUsage: UsageListener) {
+    this.#target = target
+    this.#clock = clock
+    this.#onUsage = onUsage
+    this.#lastAnsweredAtMs = clock.readMonotonicMs()
+  }
+
+  follow (order: RunOrder): Promise<RunReport> {
+    if (this.#isClosed) return Promise.resolve({ type: 'detached' })
+    const nowMs = this.#clock.readMonotonicMs()
+    return new Promise((resolve) => {
+      this.#tasks.set(formatTaskId(order), { order, followedSinceMs: nowMs, lastRenewedAtMs: nowMs, isSeen: false, resolve })
+      this.#startSync()
+    })
+  }
+
+  drop (order: RunOrder): void {
+    this.#tasks.delete(formatTaskId(order))
+  }
+
+  acknowledge (order: RunOrder): void {
+    this.#unacknowledged.add(formatTaskId(order))
+    this.#startSync()
+  }
+
+  async readProgress (): Promise<TargetProgress | undefined> {
+    if (this.#tasks.size === 0) await this.#syncOnce(0)
+    return this.#progress
+  }
+
+  close (): void {
+    this.#isClosed = true
+    for (const task of this.#tasks.values()) task.resolve({ type: 'detached' })
+    this.#tasks.clear()
+  }
+
+  #startSync (): void {
+    if (this.#isSyncing || this.#isClosed) return
+    this.#isSyncing = true
+    this.#lastAnsweredAtMs = this.#clock.readMonotonicMs()
+    void this.#runSyncLoop().finally(() => { this.#isSyncing = false })
+  }
+
+  async #runSyncLoop (): Promise<void> {
+    while (!this.#isClosed && (this.#tasks.size > 0 || this.#unacknowledged.size > 0)) {
+      const isAnswered = await this.#syncOnce(SYNC_WAIT_MS)
+      if (!isAnswered) {
+        this.#expireLeases()
+        await new Promise<void>((resolve) => { this.#clock.startTimer(RETRY_DELAY_MS, resolve) })
+      }
+    }
+  }
+
+  async #syncOnce (waitMs: number): Promise<boolean> {
+    const sentAtMs = this.#clock.readMonotonicMs()
+    const acknowledge = [...this.#unacknowledged]
+    const isRenewing = sentAtMs - this.#lastAnsweredAtMs <= RENEWAL_WITHOUT_ANSWER_MS
+    const renew = isRenewing ? [...this.#tasks.keys()] : []
+    for (const taskId of renew) {
+      const task = this.#tasks.get(taskId)
+      if (task !== undefined) task.lastRenewedAtMs = sentAtMs
+    }
+    try {
+      const response = await request(`http://${this.#target.address}/sync`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify({ renew, leaseMs: WORKER_LEASE_MS, acknowledge, waitMs: renew.length === 0 ? 0 : waitMs }),
+        headersTimeout: SYNC_TIMEOUT_MS,
+        bodyTimeout: SYNC_TIMEOUT_MS
+      })
+      const parsed = syncSchema.safeParse(await readJsonBody(response.body))
+      if (!parsed.success || response.statusCode !== 200) return false
+      this.#lastAnsweredAtMs = this.#clock.readMonotonicMs()
+      for (const taskId of acknowledge) this.#unacknowledged.delete(taskId)
+      this.#applySync(parsed.data, sentAtMs)
+      return true
+    } catch {
+      this.#progress = undefined
+      return false
+    }
+  }
+
+  #applySync (synced: z.output<typeof syncSchema>, sentAtMs: number): void {
+    const running = synced.tasks.filter((task) => task.state === 'running' || task.state === 'throttled')
+    this.#progress = { progress: synced.progress, running: running.length, isLeaving: synced.leaving }
+    const listed = new Map(synced.tasks.map((task) => [task.taskId, task]))
+    for (const [taskId, followed] of this.#tasks) {
+      const task = listed.get(taskId)
+      if (task === undefined) this.#checkAbsence(taskId, followed, sentAtMs)
+      else this.#applyTask(taskId, followed, task)
+    }
+  }
+
+  #applyTask (taskId: string, followed: FollowedTask, task: SyncedTask): void {
+    followed.isSeen = true
+    if (task.usage !== undefined) this.#onUsage(followed.order.requestId, followed.order.taskIndex, task.usage)
+    const report = buildReport(task)
+    if (report === undefined) return
+    this.#tasks.delete(taskId)
+    followed.resolve(report)
+  }
+
+  /**
+   * A task that the worker listed before and doesn't list now has ended. One that was never listed may still be on its
+   * way; it counts as ended only after a whole lease, because a start that arrives later than that would not be renewed.
+   */
+  #checkAbsence (taskId: string, followed: FollowedTask, sentAtMs: number): void {
+    const isSettled = sentAtMs - followed.followedSinceMs > WORKER_LEASE_MS + LEASE_MARGIN_MS
+    if (!followed.isSeen && !isSettled) return
+    this.#tasks.delete(taskId)
+    followed.resolve({ type: 'lost', message: 'the worker no longer lists the task' })
+  }
+
+  /** A worker that can't be reached ends its tasks when their leases lapse. */
+  #expireLeases (): void {
+    const nowMs = this.#clock.readMonotonicMs()
+    for (const [taskId, followed] of this.#tasks) {
+      const reachedAtMs = Math.max(followed.lastRenewedAtMs, followed.followedSinceMs)
+      if (nowMs - reachedAtMs <= WORKER_LEASE_MS + LEASE_MARGIN_MS) continue
+      this.#tasks.delete(taskId)
+      followed.resolve({ type: 'lost', message: 'the worker was not reached for longer than the lease' })
+    }
+  }
+}
+
+function buildReport (task: SyncedTask): RunReport | undefined {
+  switch (task.state) {
+    case 'running':
+    case 'throttled':
+      return undefined
+    case 'completed':
+      return { type: 'succeeded', result: task.result }
+    case 'failed':
+      return { type: 'failed', message: task.error ?? 'the task failed' }
+    case 'stopped':
+      return { type: 'failed', message: task.error ?? 'stopped on request' }
+    case 'checkpointed':
+      return { type: 'checkpointed' }
+    case 'lost':
+      return { type: 'lost', message: task.error ?? 'the lease lapsed' }
+  }
+}
--- a/packages/scheduling/src/decision.ts
+++ b/packages/scheduling/src/decision.ts
@@ -42,5 +42,6 @@
 
 export type Decision = StartDecision | ExpireDecision | PreemptDecision
 
-export const RUN_RESULTS = { succeeded: 'succeeded', failed: 'failed', refused: 'refused', lost: 'lost' } as const
+/** `withdrawn`: the start was taken back before it was sent and says nothing about the target. */
+export const RUN_RESULTS = { succeeded: 'succeeded', failed: 'failed', refused: 'refused', lost: 'lost', withdrawn: 'withdrawn' } as const
 export type RunResult = typeof RUN_RESULTS[keyof typeof RUN_RESULTS]
