--- a/packages/dispatch/src/attempt-tracker.ts
+++ b/packages/dispatch/src/attempt-tracker.ts
@@ -47,7 +47,7 @@
     }
     // A stalled entry may still be committed; the withdrawal that follows it in the ledger cancels it.
     if (result !== COMMIT_RESULTS.fenced) void this.#ledger.append(buildWithdrawal(request, message.attempt))
-    if (isStillWanted) this.#reassign(request, 0)
+    if (isStillWanted) this.#startNextAttempt(request, 0)
     return { isGranted: false, reason: result === COMMIT_RESULTS.committed ? 'the attempt is no longer wanted' : result }
   }
 
@@ -66,7 +66,7 @@
     if (owner?.epoch === assignment.epoch && owner.instance === assignment.owner) return
     // No intent can be recorded for the former owner any more, so it can't send the attempt.
     if (request.plan?.isIntentNeeded === true) {
-      this.#reassign(request, 0)
+      this.#startNextAttempt(request, 0)
       return
     }
     const state = await this.withdraw(request, assignment.owner, false)
@@ -74,7 +74,7 @@
     // After a planned hand-over the former owner still follows what it has sent.
     if (state === 'sent') return
     if (state !== 'queued') request.mayHaveRun = true
-    this.#reassign(request, 0)
+    this.#startNextAttempt(request, 0)
   }
 
   /** Takes the current attempt back from its shard owner. Undefined when the owner doesn't answer. */
@@ -97,9 +97,9 @@
         this.#retryOrEnd(request, { requestId, outcome: 'completed', result: { error: report.message } }, undefined)
         break
       case 'notRun':
-        this.#excludeTarget(request, report.target)
+        this.#addExcludedTarget(request, report.target)
         this.#withdrawIntent(request)
-        this.#reassign(request, RETRY_DELAY_MS)
+        this.#startNextAttempt(request, RETRY_DELAY_MS)
         break
       case 'expired':
         this.#withdrawIntent(request)
@@ -107,7 +107,7 @@
         break
       case 'checkpointed':
         this.#withdrawIntent(request)
-        this.#reassign(request, 0)
+        this.#startNextAttempt(request, 0)
         break
       case 'lost':
         this.#retryOrEnd(request, { requestId, outcome: 'unknown', reason: report.message }, report.target)
@@ -132,13 +132,13 @@
     }
     request.retries++
     request.fallback = fallback
-    this.#excludeTarget(request, failedTarget)
+    this.#addExcludedTarget(request, failedTarget)
     this.#withdrawIntent(request)
     this.#context.metrics.incrementCounter('requests.retried', 1, { kind: request.facts.kind })
-    this.#reassign(request, RETRY_DELAY_MS)
+    this.#startNextAttempt(request, RETRY_DELAY_MS)
   }
 
-  #reassign (request: HomeRequest, delayMs: number): void {
+  #startNextAttempt (request: HomeRequest, delayMs: number): void {
     if (!request.applyEvent('unassign')) return
     request.assignment = undefined
     this.#assigner.startAssigning(request, delayMs)
@@ -150,7 +150,7 @@
     void this.#ledger.append(buildWithdrawal(request, request.attempt))
   }
 
-  #excludeTarget (request: HomeRequest, target: string | undefined): void {
+  #addExcludedTarget (request: HomeRequest, target: string | undefined): void {
     if (target === undefined) return
     request.excludedTargets.push(target as typeof request.excludedTargets[number])
     if (request.excludedTargets.length > EXCLUDED_TARGETS_MAX) request.excludedTargets.shift()
--- a/packages/dispatch/src/cluster-gateway.ts
+++ b/packages/dispatch/src/cluster-gateway.ts
@@ -30,7 +30,7 @@
     registerCheckedHandler(context.network, context.logger, PEER_MESSAGE_KINDS.outcome, outcomeSchema, async ({ outcome }) => {
       this.#settle(outcome)
     })
-    context.ownership.subscribe((unit) => { this.#resubmit(unit) })
+    context.ownership.subscribe((unit) => { this.#startResubmitting(unit) })
   }
 
   async submit (submission: Submission, signal: AbortSignal): Promise<SubmissionAnswer> {
@@ -46,11 +46,11 @@
   }
 
   lookup (requestId: RequestId): Promise<RequestStatus> {
-    return this.#queryHome(requestId, PEER_MESSAGE_KINDS.lookup)
+    return this.#fetchStatus(requestId, PEER_MESSAGE_KINDS.lookup)
   }
 
   async cancel (requestId: RequestId): Promise<RequestStatus> {
-    const status = await this.#queryHome(requestId, PEER_MESSAGE_KINDS.cancel)
+    const status = await this.#fetchStatus(requestId, PEER_MESSAGE_KINDS.cancel)
     if (status.type === 'outcome') this.#settle(status.outcome)
     return status
   }
@@ -92,7 +92,7 @@
     })
     const siblings = this.#pending.get(requestId) ?? new Set()
     this.#pending.set(requestId, siblings.add(pending))
-    const cancelOnAbort = (): void => { void this.#abandon(pending) }
+    const cancelOnAbort = (): void => { void this.#cancelAbandoned(pending) }
     signal.addEventListener('abort', cancelOnAbort)
     const answer = await pending.waitForAnswer()
     signal.removeEventListener('abort', cancelOnAbort)
@@ -104,7 +104,7 @@
   }
 
   /** The caller of a keyless request has gone and can't ask again, so nobody would read the outcome. */
-  async #abandon (pending: PendingRequest): Promise<void> {
+  async #cancelAbandoned (pending: PendingRequest): Promise<void> {
     if (pending.isKeyed) return
     this.#context.metrics.incrementCounter('entry.abandoned')
     await this.cancel(pending.requestId)
@@ -123,13 +123,13 @@
     for (const pending of this.#pending.get(outcome.requestId) ?? []) pending.settle({ type: 'outcome', outcome })
   }
 
-  #resubmit (unit: UnitId): void {
+  #startResubmitting (unit: UnitId): void {
     for (const [requestId, siblings] of this.#pending) {
       if (findPartition(requestId) === unit) for (const pending of siblings) pending.startSubmitting()
     }
   }
 
-  async #queryHome (requestId: RequestId, kind: string): Promise<RequestStatus> {
+  async #fetchStatus (requestId: RequestId, kind: string): Promise<RequestStatus> {
     const { clock, network } = this.#context
     if (findPartition(requestId) === undefined) return { type: 'absent' }
     const untilMs = clock.readMonotonicMs() + QUERY_PATIENCE_MS
--- a/packages/dispatch/src/home-partition.ts
+++ b/packages/dispatch/src/home-partition.ts
@@ -55,7 +55,7 @@
     this.#outcomes = new OutcomeRecorder(context, this.#ledger)
     this.#assigner = new RequestAssigner(context, this.#ledger, this.#outcomes, owner.epoch)
     this.#attempts = new AttemptTracker(context, this.#ledger, this.#outcomes, this.#assigner)
-    this.#sweepTimer = context.clock.startInterval(SWEEP_PERIOD_MS, () => { this.#sweep() })
+    this.#sweepTimer = context.clock.startInterval(SWEEP_PERIOD_MS, () => { this.#expireRequests() })
   }
 
   /** Loads the ledger and takes up what an earlier owner left. */
@@ -216,15 +216,15 @@
   }
 
   /** Decides on requests past their deadline, and forgets outcomes after their retention. */
-  #sweep (): void {
+  #expireRequests (): void {
     if (!this.#isServing) return
     const nowMs = this.#context.clock.readMonotonicMs()
     for (const request of this.#active) {
       if (request.outcome !== undefined) this.#noteEnded(request)
       else if (nowMs > request.deadlineAtMs + DEADLINE_GRACE_MS) this.#endOverdue(request)
     }
-    this.#forgetEnded(this.#endedRecorded, nowMs - this.#context.outcomeRetentionMs)
-    this.#forgetEnded(this.#endedUnrecorded, nowMs - UNRECORDED_RETENTION_MS)
+    this.#pruneEnded(this.#endedRecorded, nowMs - this.#context.outcomeRetentionMs)
+    this.#pruneEnded(this.#endedUnrecorded, nowMs - UNRECORDED_RETENTION_MS)
   }
 
   #noteEnded (request: HomeRequest): void {
@@ -233,7 +233,7 @@
     ended.add(request)
   }
 
-  #forgetEnded (ended: Set<HomeRequest>, endedBeforeMs: number): void {
+  #pruneEnded (ended: Set<HomeRequest>, endedBeforeMs: number): void {
     for (const request of ended) {
       if (request.outcome !== undefined && request.endedAtMs > endedBeforeMs) return
       ended.delete(request)
--- a/packages/dispatch/src/partition-ledger.ts
+++ b/packages/dispatch/src/partition-ledger.ts
@@ -147,7 +147,7 @@
     for (const pending of committed) this.#state.applyEntry(pending.entry)
     this.#settle(committed, COMMIT_RESULTS.committed)
     this.#inFlight = []
-    if (this.#segments.length > SEGMENTS_BEFORE_COMPACTION && !this.#isClosed) await this.#compact()
+    if (this.#segments.length > SEGMENTS_BEFORE_COMPACTION && !this.#isClosed) await this.#mergeSegments()
   }
 
   #takeBatch (): PendingEntry[] {
@@ -209,7 +209,8 @@
   }
 
   async #isOwnSegment (segment: { key: string, value: string } | undefined): Promise<boolean> {
-    while (segment !== undefined && !this.#isClosed) {
+    if (segment === undefined) return false
+    while (!this.#isClosed) {
       const stored = await this.#options.store.readKey(segment.key, 'critical')
       if (stored.ok) return stored.val?.value === segment.value
       await this.#wait(RETRY_DELAY_MS)
@@ -256,7 +257,7 @@
   }
 
   /** Replaces all segments by the shortest ones with the same content. */
-  async #compact (): Promise<void> {
+  async #mergeSegments (): Promise<void> {
     this.#state.pruneOutcomes(this.#options.clock.readWallMs() - this.#options.retentionMs)
     const segments: Array<{ key: string, value: string }> = []
     let group: LedgerEntry[] = []
--- a/packages/dispatch/src/request-assigner.ts
+++ b/packages/dispatch/src/request-assigner.ts
@@ -24,7 +24,7 @@
   readonly retryAfterMs: number | undefined
 }
 
-type TryResult = { readonly type: 'settled' | 'skipped' } | { readonly type: 'rejected', readonly rejection: Rejection }
+type EnqueueResult = { readonly type: 'settled' | 'skipped' } | { readonly type: 'rejected', readonly rejection: Rejection }
 
 /** Finds a shard that takes a request. */
 export class RequestAssigner {
@@ -61,15 +61,15 @@
     // Work that needs the ledger waits here, where it holds no capacity, until commits pass again.
     const isWaiting = plan === undefined || payload === undefined || (plan.isIntentNeeded && this.#ledger.isStalled())
     if (isWaiting) this.startAssigning(request, REASSIGN_DELAY_MS)
-    else await this.#tryShards(request, plan, payload.value)
+    else await this.#enqueueAtBest(request, plan, payload.value)
   }
 
-  async #tryShards (request: HomeRequest, plan: RequestPlan, payload: unknown): Promise<void> {
+  async #enqueueAtBest (request: HomeRequest, plan: RequestPlan, payload: unknown): Promise<void> {
     request.isAssigning = true
     const rejections: Rejection[] = []
     const { work, targetKind } = plan
     for (const unit of this.#chooser.rankShards(work.pool, targetKind, work.urgency)) {
-      const result = await this.#tryShard(request, plan, payload, unit)
+      const result = await this.#enqueueAt(request, plan, payload, unit)
       if (result.type === 'settled') {
         request.isAssigning = false
         return
@@ -81,7 +81,7 @@
     else this.#endRejected(request, rejections)
   }
 
-  async #tryShard (request: HomeRequest, plan: RequestPlan, payload: unknown, unit: UnitId): Promise<TryResult> {
+  async #enqueueAt (request: HomeRequest, plan: RequestPlan, payload: unknown, unit: UnitId): Promise<EnqueueResult> {
     const owner = this.#context.ownership.findOwner(unit)
     if (owner === undefined || !request.applyEvent('assign')) return { type: request.state === 'unassigned' ? 'skipped' : 'settled' }
     const attempt = ++this.#nextAttempt
