Add a first scheduling core

PoolShardScheduler covers class choice, team shares, admission, packing, gangs with reservations, preemption, quarantine, retry budgets and the progress judgement.

--- /dev/null
+++ b/packages/scheduling/src/admission-control.ts
@@ -0,0 +1,71 @@
+import { computeItemShare, findImpossibility } from './admission-checker.js'
+import { type Amounts, convertNeed } from './amounts.js'
+import { type Admission, REJECTION_REASONS, type RejectionReason } from './decision.js'
+import { computeNeed, ONE_SLOT } from './item-need.js'
+import type { PoolState } from './pool-state.js'
+import type { SchedulerContext } from './scheduler-context.js'
+import { URGENCIES, type Urgency } from './urgency.js'
+import { estimateWaitMs, type WaitQuery } from './wait-estimator.js'
+import { ADMISSION_MESSAGES } from './wait-messages.js'
+import type { WorkItem } from './work-item.js'
+
+// Less urgent classes fill less of the memory bound, so that a flood of them leaves queue room for the others.
+const QUEUE_SHARES: Readonly<Record<Urgency, number>> = { urgent: 1, high: 0.8, normal: 0.6, low: 0.4 }
+const MIN_RETRY_AFTER_MS = 100
+
+function reject (reason: RejectionReason, detail: string, retryAfterMs?: number): Admission {
+  return { isAdmitted: false, reason, detail, retryAfterMs }
+}
+
+/** Admits or rejects items at the door of the queue. */
+export class AdmissionControl {
+  readonly #context: SchedulerContext
+
+  constructor (context: SchedulerContext) {
+    this.#context = context
+  }
+
+  admit (item: WorkItem, nowMs: number): Admission {
+    const { ledger, pools, queue, settings } = this.#context
+    const pool = pools.get(item.pool)
+    if (pool?.policy === undefined) return reject(REJECTION_REASONS.unknownPool, ADMISSION_MESSAGES.unknownPool(item.pool))
+    if (ledger.has(item.requestId)) return reject(REJECTION_REASONS.duplicate, ADMISSION_MESSAGES.duplicate)
+    if (item.deadlineAtMs <= nowMs) return reject(REJECTION_REASONS.deadlineExpired, ADMISSION_MESSAGES.deadlineExpired)
+    const queued = queue.find(item.requestId)
+    if (queued !== undefined && queued.item.attempt >= item.attempt) return { isAdmitted: true, estimatedWaitMs: estimateWaitMs(pool, this.buildWaitQuery(pool, item)) }
+    if (pool.targets.length === 0) return reject(REJECTION_REASONS.noTargets, ADMISSION_MESSAGES.noTargets(item.pool))
+    const impossibility = findImpossibility(pool, item, pool.isExecutorPool ? ONE_SLOT : convertNeed(item.resources))
+    if (impossibility !== undefined) return reject(REJECTION_REASONS.impossible, impossibility)
+
+    const query = this.buildWaitQuery(pool, item)
+    const estimatedWaitMs = estimateWaitMs(pool, query)
+    const limitMs = Math.min(pool.readClassPolicy(item.urgency).maxQueueMs, item.deadlineAtMs - nowMs)
+    if (estimatedWaitMs > limitMs) {
+      return reject(REJECTION_REASONS.estimatedWaitTooLong, ADMISSION_MESSAGES.waitTooLong(estimatedWaitMs, limitMs),
+        Math.max(MIN_RETRY_AFTER_MS, Math.round(estimatedWaitMs - limitMs)))
+    }
+    const maxQueued = Math.floor(settings.maxQueuedPerPool * QUEUE_SHARES[item.urgency])
+    if (pool.queuedCount >= maxQueued) {
+      return reject(REJECTION_REASONS.queueFull, ADMISSION_MESSAGES.queueFull(maxQueued), Math.max(MIN_RETRY_AFTER_MS, Math.round(estimatedWaitMs)))
+    }
+    if (queued !== undefined) queue.remove(pool, queued)
+    this.#advanceRates(pool, nowMs)
+    queue.insert(pool, item, query.share)
+    return { isAdmitted: true, estimatedWaitMs }
+  }
+
+  computeNeed (pool: PoolState, item: WorkItem): Amounts {
+    return computeNeed(pool, this.#context.profiles, item)
+  }
+
+  buildWaitQuery (pool: PoolState, item: WorkItem): WaitQuery {
+    const { profiles, settings } = this.#context
+    const share = computeItemShare(pool, this.computeNeed(pool, item), item.taskCount)
+    const runtimeMs = profiles.estimateRuntimeMs(item.kind, item.runtimeMs) ?? settings.defaultRuntimeMs
+    return { urgency: item.urgency, team: item.team, share, assumedWork: share * runtimeMs / 1_000 }
+  }
+
+  #advanceRates (pool: PoolState, nowMs: number): void {
+    for (const urgency of URGENCIES) pool.rates[urgency].advance(nowMs, pool.queues[urgency].size > 0)
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/capacity-ledger.ts
@@ -0,0 +1,91 @@
+import type { RequestId } from '@hibiscusledge/runtime/identifiers.js'
+import type { Amounts } from './amounts.js'
+import type { PoolState } from './pool-state.js'
+import type { RunningRequest, RunningTask } from './running-task.js'
+import type { TargetState } from './target-state.js'
+import type { TargetTable } from './target-table.js'
+import type { WorkItem } from './work-item.js'
+
+/** Everything that holds capacity, and the accounts of targets, pools, classes and teams that follow from it. */
+export class CapacityLedger {
+  readonly #targets: TargetTable
+  readonly #requests = new Map<RequestId, RunningRequest>()
+  readonly #servicesByRack = new Map<string, Map<string, number>>()
+
+  constructor (targets: TargetTable) {
+    this.#targets = targets
+  }
+
+  get runningCount (): number { return this.#requests.size }
+
+  has (requestId: RequestId): boolean {
+    return this.#requests.has(requestId)
+  }
+
+  getTask (requestId: RequestId, taskIndex: number): RunningTask | undefined {
+    return this.#requests.get(requestId)?.tasks[taskIndex]
+  }
+
+  /** Running services of the item's pool, team and kind in each rack. */
+  readServicesByRack (item: WorkItem): ReadonlyMap<string, number> | undefined {
+    return this.#servicesByRack.get(this.#buildServiceKey(item))
+  }
+
+  /** Counts one task's capacity as used, or as free again with factor -1. */
+  addUse (pool: PoolState, item: WorkItem, state: TargetState, amounts: Amounts, factor: 1 | -1): void {
+    state.addUse(pool.name, amounts, factor)
+    pool.addUse(item.urgency, item.team, amounts, factor)
+    if (factor < 0) pool.freedVersion++
+    this.#targets.refresh(state, factor < 0)
+  }
+
+  /** Registers a started item whose capacity already counts as used. */
+  register (pool: PoolState, item: WorkItem, states: readonly TargetState[], given: Amounts, isProbe: boolean, startedAtMs: number): void {
+    const request: RunningRequest = { item, startedAtMs, tasks: [], remaining: states.length }
+    this.#requests.set(item.requestId, request)
+    for (const [taskIndex, state] of states.entries()) {
+      const task: RunningTask = { request, taskIndex, state, given, counted: given, isProbe, isPreempted: false }
+      request.tasks.push(task)
+      state.tasks.add(task)
+      pool.running[item.urgency].add(task)
+      if (item.isService) this.#addService(item, state.target.rack, 1)
+    }
+  }
+
+  /** Frees one task's capacity. Returns undefined when it holds none. */
+  release (pool: PoolState, requestId: RequestId, taskIndex: number): RunningTask | undefined {
+    const request = this.#requests.get(requestId)
+    const task = request?.tasks[taskIndex]
+    if (request === undefined || task === undefined) return undefined
+    request.tasks[taskIndex] = undefined
+    request.remaining--
+    if (request.remaining === 0) this.#requests.delete(requestId)
+    task.state.tasks.delete(task)
+    pool.running[request.item.urgency].delete(task)
+    if (request.item.isService) this.#addService(request.item, task.state.target.rack, -1)
+    this.addUse(pool, request.item, task.state, task.counted, -1)
+    return task
+  }
+
+  /** Changes what a running task counts as using. */
+  updateCounted (pool: PoolState, task: RunningTask, counted: Amounts): void {
+    const { item } = task.request
+    this.addUse(pool, item, task.state, task.counted, -1)
+    task.counted = counted
+    this.addUse(pool, item, task.state, counted, 1)
+  }
+
+  #addService (item: WorkItem, rack: string, change: 1 | -1): void {
+    const key = this.#buildServiceKey(item)
+    const byRack = this.#servicesByRack.get(key) ?? new Map<string, number>()
+    this.#servicesByRack.set(key, byRack)
+    const count = (byRack.get(rack) ?? 0) + change
+    if (count > 0) byRack.set(rack, count)
+    else byRack.delete(rack)
+    if (byRack.size === 0) this.#servicesByRack.delete(key)
+  }
+
+  #buildServiceKey (item: WorkItem): string {
+    return JSON.stringify([item.pool, item.team, item.kind])
+  }
+}
--- a/packages/scheduling/src/decision.ts
+++ b/packages/scheduling/src/decision.ts
@@ -8,7 +8,9 @@
   unknownPool: 'unknownPool',
   noTargets: 'noTargets',
   deadlineExpired: 'deadlineExpired',
-  retryBudgetExhausted: 'retryBudgetExhausted'
+  retryBudgetExhausted: 'retryBudgetExhausted',
+  /** An earlier attempt of the request still holds capacity in this shard. */
+  duplicate: 'duplicate'
 } as const
 export type RejectionReason = typeof REJECTION_REASONS[keyof typeof REJECTION_REASONS]
 
--- /dev/null
+++ b/packages/scheduling/src/failure-monitor.ts
@@ -0,0 +1,132 @@
+import type { RunResult } from './decision.js'
+import type { SchedulerSettings } from './scheduler-settings.js'
+import type { TargetState } from './target-state.js'
+
+interface Health {
+  outcomes: number
+  failures: number
+  probeDueAtMs: number
+  probeIntervalMs: number
+  probeSuccesses: number
+  isProbing: boolean
+}
+
+// Weight kept by earlier outcomes at each new one: about the last 20 count.
+const MEMORY = 0.95
+
+/** Quarantines targets that fail their tasks far more often than their peers, and lets probes end it. */
+export class FailureMonitor {
+  readonly #settings: SchedulerSettings
+  readonly #health = new Map<TargetState, Health>()
+  readonly #quarantined = new Set<TargetState>()
+
+  constructor (settings: SchedulerSettings) {
+    this.#settings = settings
+  }
+
+  /** Quarantined targets that are due for a probe. */
+  listProbeable (nowMs: number): TargetState[] {
+    const due: TargetState[] = []
+    for (const state of this.#quarantined) {
+      const health = this.#health.get(state)
+      if (health !== undefined && !health.isProbing && nowMs >= health.probeDueAtMs && state.isOpen()) due.push(state)
+    }
+    return due
+  }
+
+  recordProbeStart (state: TargetState): void {
+    const health = this.#health.get(state)
+    if (health !== undefined) health.isProbing = true
+  }
+
+  /** Records an outcome and returns whether the target entered or left quarantine. */
+  recordOutcome (state: TargetState, result: RunResult, isProbe: boolean, nowMs: number): boolean {
+    const health = this.#ensure(state)
+    if (isProbe) health.isProbing = false
+    // A refusal says that the target is leaving or full, not that it fails its work.
+    if (result === 'refused') return false
+    const hasFailed = result !== 'succeeded'
+    health.outcomes = health.outcomes * MEMORY + 1
+    health.failures = health.failures * MEMORY + (hasFailed ? 1 : 0)
+    if (state.isQuarantined) return isProbe && this.#recordProbe(state, health, hasFailed, nowMs)
+    if (!hasFailed || !this.#isFailing(state, health) || !this.#isQuarantineAllowed(state)) return false
+    state.isQuarantined = true
+    this.#quarantined.add(state)
+    health.probeIntervalMs = this.#settings.probeIntervalMs
+    health.probeDueAtMs = nowMs + health.probeIntervalMs
+    health.probeSuccesses = 0
+    return true
+  }
+
+  /** Forgets targets that are gone, and ends quarantines that exceed the cap after targets were removed. Returns released targets. */
+  prune (): TargetState[] {
+    for (const state of this.#health.keys()) {
+      if (state.isListed) continue
+      this.#health.delete(state)
+      this.#quarantined.delete(state)
+      state.isQuarantined = false
+    }
+    const released: TargetState[] = []
+    for (const state of this.#quarantined) {
+      if (state.pools.every((pool) => this.#countQuarantined(pool.targets) <= pool.targets.length * this.#settings.quarantineMaxShare)) continue
+      this.#release(state, this.#ensure(state))
+      released.push(state)
+    }
+    return released
+  }
+
+  #recordProbe (state: TargetState, health: Health, hasFailed: boolean, nowMs: number): boolean {
+    if (hasFailed) {
+      health.probeSuccesses = 0
+      health.probeIntervalMs = Math.min(this.#settings.probeIntervalMaxMs, health.probeIntervalMs * 2)
+      health.probeDueAtMs = nowMs + health.probeIntervalMs
+      return false
+    }
+    health.probeSuccesses++
+    health.probeDueAtMs = nowMs
+    if (health.probeSuccesses < this.#settings.probeSuccesses) return false
+    this.#release(state, health)
+    return true
+  }
+
+  #release (state: TargetState, health: Health): void {
+    state.isQuarantined = false
+    this.#quarantined.delete(state)
+    health.outcomes = 0
+    health.failures = 0
+  }
+
+  #isFailing (state: TargetState, health: Health): boolean {
+    if (health.outcomes < this.#settings.quarantineMinOutcomes * MEMORY) return false
+    const rate = health.failures / health.outcomes
+    if (rate < this.#settings.quarantineMinFailureRate) return false
+    let outcomes = 0
+    let failures = 0
+    for (const pool of state.pools) {
+      for (const peer of pool.targets) {
+        const peerHealth = peer === state || peer.isQuarantined ? undefined : this.#health.get(peer)
+        outcomes += peerHealth?.outcomes ?? 0
+        failures += peerHealth?.failures ?? 0
+      }
+    }
+    // Without a peer to compare with, the fault may be the work's.
+    return outcomes >= 1 && rate >= this.#settings.quarantinePeerFactor * failures / outcomes
+  }
+
+  #isQuarantineAllowed (state: TargetState): boolean {
+    return state.pools.every((pool) => this.#countQuarantined(pool.targets) + 1 <= pool.targets.length * this.#settings.quarantineMaxShare)
+  }
+
+  #countQuarantined (targets: readonly TargetState[]): number {
+    return targets.reduce((count, target) => count + (target.isQuarantined ? 1 : 0), 0)
+  }
+
+  #ensure (state: TargetState): Health {
+    let health = this.#health.get(state)
+    if (health === undefined) {
+      health = { outcomes: 0, failures: 0, probeDueAtMs: 0, probeIntervalMs: this.#settings.probeIntervalMs, probeSuccesses: 0, isProbing: false }
+      this.#health.set(state, health)
+    }
+    return health
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/kind-profiles.ts
@@ -0,0 +1,85 @@
+import { mergeLargest, mergeSmallest } from './amounts.js'
+import type { Resources } from './resources.js'
+import type { SchedulerSettings } from './scheduler-settings.js'
+
+interface KindProfile {
+  size: { cores: number, memoryMb: number, accelerators: number }
+  sizeSamples: number
+  runtimeMs: number
+  runtimeSamples: number
+}
+
+// The ratio of the two gains makes the estimate settle well above the mean without following a single outlier.
+const GAIN_UP = 0.3
+const GAIN_DOWN = 0.02
+const RUNTIME_GAIN = 0.1
+// Kinds come from the routes table, so the bound only matters for a faulty caller of the core.
+const MAX_KINDS = 10_000
+
+function estimate (current: number, observed: number): number {
+  return current + (observed - current) * (observed > current ? GAIN_UP : GAIN_DOWN)
+}
+
+/** Sizes and run times learned by kind of work. */
+export class KindProfiles {
+  readonly #settings: SchedulerSettings
+  readonly #profiles = new Map<string, KindProfile>()
+
+  constructor (settings: SchedulerSettings) {
+    this.#settings = settings
+  }
+
+  recordUsage (kind: string, usage: Resources): void {
+    const profile = this.#ensure(kind)
+    if (profile === undefined) return
+    if (profile.sizeSamples === 0) profile.size = { ...usage }
+    else {
+      profile.size = {
+        cores: estimate(profile.size.cores, usage.cores),
+        memoryMb: estimate(profile.size.memoryMb, usage.memoryMb),
+        accelerators: estimate(profile.size.accelerators, usage.accelerators)
+      }
+    }
+    profile.sizeSamples++
+  }
+
+  recordRuntime (kind: string, runtimeMs: number): void {
+    const profile = this.#ensure(kind)
+    if (profile === undefined) return
+    profile.runtimeMs = profile.runtimeSamples === 0 ? runtimeMs : profile.runtimeMs + (runtimeMs - profile.runtimeMs) * RUNTIME_GAIN
+    profile.runtimeSamples++
+  }
+
+  /** Size to place a task by: the larger of declared and learned, within the largest of `shapes` that holds the declared size. */
+  estimateSize (kind: string, declared: Resources, shapes: readonly Resources[]): Resources {
+    const profile = this.#profiles.get(kind)
+    if (profile === undefined || profile.sizeSamples < this.#settings.sizeMinSamples) return declared
+    const headroom = this.#settings.sizeHeadroom
+    // Accelerators are whole devices, so they take no headroom.
+    const learned = { cores: profile.size.cores * headroom, memoryMb: profile.size.memoryMb * headroom, accelerators: Math.ceil(profile.size.accelerators - 0.5) }
+    const wanted = mergeLargest(declared, learned)
+    let best: Resources | undefined
+    for (const shape of shapes) {
+      if (declared.cores > shape.cores || declared.memoryMb > shape.memoryMb || declared.accelerators > shape.accelerators) continue
+      const clipped = mergeSmallest(wanted, shape)
+      if (best === undefined || clipped.cores > best.cores || (clipped.cores === best.cores && clipped.memoryMb > best.memoryMb)) best = clipped
+    }
+    return best ?? declared
+  }
+
+  /** Learned run time, else the declared one; undefined when neither is known. */
+  estimateRuntimeMs (kind: string, declaredMs: number | undefined): number | undefined {
+    const profile = this.#profiles.get(kind)
+    if (profile !== undefined && profile.runtimeSamples >= this.#settings.sizeMinSamples) return profile.runtimeMs
+    return declaredMs
+  }
+
+  #ensure (kind: string): KindProfile | undefined {
+    let profile = this.#profiles.get(kind)
+    if (profile === undefined && this.#profiles.size < MAX_KINDS) {
+      profile = { size: { cores: 0, memoryMb: 0, accelerators: 0 }, sizeSamples: 0, runtimeMs: 0, runtimeSamples: 0 }
+      this.#profiles.set(kind, profile)
+    }
+    return profile
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/pool-shard-scheduler.ts
@@ -0,0 +1,230 @@
+import type { RequestId, TargetId } from '@hibiscusledge/runtime/identifiers.js'
+import { convertNeed, mergeLargest, mergeSmallest, NO_AMOUNTS, type Amounts } from './amounts.js'
+import { CapacityLedger } from './capacity-ledger.js'
+import type { Admission, Decision, RunResult } from './decision.js'
+import { FailureMonitor } from './failure-monitor.js'
+import { KindProfiles } from './kind-profiles.js'
+import { reportLoad } from './load-reporter.js'
+import type { PoolPolicy } from './pool-policy.js'
+import { PoolState } from './pool-state.js'
+import { ProgressMonitor } from './progress-monitor.js'
+import type { QueuedItem } from './queued-item.js'
+import { RequestQueue } from './request-queue.js'
+import { ReservationBook } from './reservation-book.js'
+import type { Resources } from './resources.js'
+import { RetryBudgets } from './retry-budgets.js'
+import { DEFAULT_SCHEDULER_SETTINGS, type SchedulerSettings } from './scheduler-settings.js'
+import { SchedulingRound } from './scheduling-round.js'
+import type { PoolLoad, RecoveredStart, ShardScheduler, WaitExplanation } from './shard-scheduler.js'
+import { type Target, TARGET_KINDS, TARGET_STATES } from './target.js'
+import type { TargetState } from './target-state.js'
+import { TargetTable } from './target-table.js'
+import { URGENCIES } from './urgency.js'
+import { explainReason } from './wait-explainer.js'
+import { estimateWaitMs } from './wait-estimator.js'
+import type { WorkItem } from './work-item.js'
+import { computeItemShare } from './admission-checker.js'
+import { AdmissionControl } from './admission-control.js'
+import type { SchedulerContext } from './scheduler-context.js'
+
+/** The scheduling core of one shard over the pools that match its targets. */
+export class PoolShardScheduler implements ShardScheduler {
+  readonly #context: SchedulerContext
+  readonly #admission: AdmissionControl
+  readonly #failures: FailureMonitor
+  readonly #progress: ProgressMonitor
+  readonly #retries: RetryBudgets
+
+  constructor (settings: Partial<SchedulerSettings> = {}) {
+    const allSettings = { ...DEFAULT_SCHEDULER_SETTINGS, ...settings }
+    const targets = new TargetTable()
+    this.#failures = new FailureMonitor(allSettings)
+    this.#context = {
+      settings: allSettings,
+      targets,
+      pools: new Map(),
+      queue: new RequestQueue(),
+      ledger: new CapacityLedger(targets),
+      reservations: new ReservationBook(targets),
+      profiles: new KindProfiles(allSettings),
+      failures: this.#failures
+    }
+    this.#admission = new AdmissionControl(this.#context)
+    this.#progress = new ProgressMonitor(allSettings)
+    this.#retries = new RetryBudgets(allSettings)
+  }
+
+  applyPools (pools: readonly PoolPolicy[], _nowMs: number): void {
+    for (const pool of this.#context.pools.values()) pool.policy = undefined
+    for (const policy of pools) this.#ensurePool(policy.name).policy = policy
+    this.#derivePools()
+  }
+
+  applyTargets (targets: readonly Target[], nowMs: number): void {
+    this.#context.targets.apply(targets, nowMs)
+    this.#derivePools()
+  }
+
+  suspendTarget (targetId: TargetId, untilMs: number): void {
+    const state = this.#context.targets.get(targetId)
+    if (state === undefined) return
+    state.suspendedUntilMs = Math.max(untilMs, state.suspendedUntilMs ?? 0)
+    this.#dropReservationOn(state)
+    this.#context.targets.refresh(state, false)
+  }
+
+  admit (item: WorkItem, nowMs: number): Admission {
+    const admission = this.#admission.admit(item, nowMs)
+    if (admission.isAdmitted && item.attempt <= 1) this.#retries.recordFirstAttempt(item)
+    return admission
+  }
+
+  recoverStart (start: RecoveredStart): void {
+    const { ledger, queue, targets } = this.#context
+    const { item } = start
+    if (ledger.has(item.requestId)) return
+    const pool = this.#ensurePool(item.pool)
+    const queued = queue.find(item.requestId)
+    if (queued !== undefined) this.#removeQueued(pool, queued)
+    const states = start.targets.map((targetId) => targets.ensure(targetId, () => this.#describeUnknownTarget(targetId, pool)))
+    const isExecutor = pool.policy === undefined ? states[0]?.target.kind === TARGET_KINDS.executor : pool.isExecutorPool
+    const given = isExecutor ? { ...NO_AMOUNTS, slots: 1 } : convertNeed(item.resources)
+    for (const state of states) ledger.addUse(pool, item, state, given, 1)
+    ledger.register(pool, item, states, given, false, start.startedAtMs)
+  }
+
+  cancelQueued (requestIds: readonly RequestId[]): readonly RequestId[] {
+    const cancelled: RequestId[] = []
+    for (const requestId of requestIds) {
+      const entry = this.#context.queue.find(requestId)
+      if (entry === undefined) continue
+      this.#removeQueued(this.#ensurePool(entry.item.pool), entry)
+      cancelled.push(requestId)
+    }
+    return cancelled
+  }
+
+  drainQueue (): readonly WorkItem[] {
+    const entries = this.#context.queue.listByArrival()
+    for (const entry of entries) this.#removeQueued(this.#ensurePool(entry.item.pool), entry)
+    return entries.map((entry) => entry.item)
+  }
+
+  schedule (nowMs: number, maxDecisions: number): readonly Decision[] {
+    return new SchedulingRound(this.#context, nowMs, maxDecisions).run()
+  }
+
+  releaseTask (requestId: RequestId, taskIndex: number, result: RunResult, nowMs: number): void {
+    const { ledger, profiles, targets } = this.#context
+    const task = ledger.getTask(requestId, taskIndex)
+    if (task === undefined) return
+    const { item, startedAtMs } = task.request
+    const pool = this.#ensurePool(item.pool)
+    ledger.release(pool, requestId, taskIndex)
+    if (result === 'succeeded' && !item.isService) {
+      const runtimeMs = Math.max(0, nowMs - startedAtMs)
+      profiles.recordRuntime(item.kind, runtimeMs)
+      pool.rates[item.urgency].recordWork(computeItemShare(pool, task.counted, 1) * item.taskCount * runtimeMs / 1_000)
+    }
+    if (this.#failures.recordOutcome(task.state, result, task.isProbe, nowMs)) {
+      if (task.state.isQuarantined) this.#dropReservationOn(task.state)
+      targets.refresh(task.state, true)
+    }
+  }
+
+  recordUsage (requestId: RequestId, taskIndex: number, usage: Resources, _nowMs: number): void {
+    const task = this.#context.ledger.getTask(requestId, taskIndex)
+    if (task === undefined || task.given.slots > 0) return
+    this.#context.profiles.recordUsage(task.request.item.kind, usage)
+    // A task that outgrows what it was given keeps new work off the worker; a report can't exceed the worker's size.
+    const observed = mergeSmallest(convertNeed(usage), task.state.capacity)
+    const counted: Amounts = { ...mergeLargest(task.given, observed), slots: 0 }
+    const { cores, memoryMb, accelerators } = task.counted
+    if (counted.cores === cores && counted.memoryMb === memoryMb && counted.accelerators === accelerators) return
+    this.#context.ledger.updateCounted(this.#ensurePool(task.request.item.pool), task, counted)
+  }
+
+  recordProgress (targetId: TargetId, progress: number, running: number, nowMs: number): void {
+    const state = this.#context.targets.get(targetId)
+    if (state === undefined || !this.#progress.record(state, progress, running, nowMs)) return
+    if (state.isHung) this.#dropReservationOn(state)
+    this.#context.targets.refresh(state, true)
+  }
+
+  claimRetry (item: WorkItem, nowMs: number): boolean {
+    return this.#retries.claim(item, nowMs)
+  }
+
+  reportLoads (_nowMs: number): readonly PoolLoad[] {
+    return [...this.#context.pools.values()].filter((pool) => pool.policy !== undefined).map((pool) => reportLoad(pool, this.#context.settings))
+  }
+
+  explainWait (requestId: RequestId, nowMs: number): WaitExplanation | undefined {
+    const entry = this.#context.queue.find(requestId)
+    if (entry === undefined) return undefined
+    const { item } = entry
+    const pool = this.#ensurePool(item.pool)
+    const needed = this.#admission.computeNeed(pool, item)
+    const position = pool.queues[item.urgency].computePosition(entry)
+    const query = this.#admission.buildWaitQuery(pool, item)
+    return {
+      requestId,
+      pool: item.pool,
+      urgency: item.urgency,
+      position,
+      estimatedWaitMs: estimateWaitMs(pool, query),
+      reason: explainReason(pool, entry, needed, position, nowMs)
+    }
+  }
+
+  #ensurePool (name: string): PoolState {
+    const { pools, settings } = this.#context
+    let pool = pools.get(name)
+    if (pool === undefined) {
+      pool = new PoolState(name, settings)
+      pools.set(name, pool)
+    }
+    return pool
+  }
+
+  /** Derives pool membership again and drops reservations that name a target which takes no new work any more. */
+  #derivePools (): void {
+    const { pools, targets, reservations } = this.#context
+    for (const [name, pool] of pools) {
+      if (pool.policy === undefined && !pool.hasBacklog() && URGENCIES.every((urgency) => pool.running[urgency].size === 0)) pools.delete(name)
+    }
+    for (const pool of pools.values()) {
+      for (const [requestId, reservation] of pool.reservations) {
+        if (reservation.targets.some((state) => !state.isAccepting())) reservations.drop(pool, requestId)
+      }
+    }
+    targets.assignPools(pools.values())
+    for (const state of this.#failures.prune()) targets.refresh(state, true)
+  }
+
+  #removeQueued (pool: PoolState, entry: QueuedItem): void {
+    this.#context.queue.remove(pool, entry)
+    this.#context.reservations.drop(pool, entry.item.requestId)
+  }
+
+  #dropReservationOn (state: TargetState): void {
+    const { reservation } = state
+    if (reservation === undefined) return
+    this.#context.reservations.drop(this.#ensurePool(reservation.holder.item.pool), reservation.holder.item.requestId)
+  }
+
+  #describeUnknownTarget (id: TargetId, pool: PoolState): Target {
+    return {
+      id,
+      kind: pool.policy?.targetKind ?? TARGET_KINDS.worker,
+      address: '',
+      state: TARGET_STATES.leaving,
+      failureDomain: '' as Target['failureDomain'],
+      rack: '',
+      labels: {},
+      capacity: { cores: 0, memoryMb: 0, accelerators: 0 },
+      slots: 0,
+      connections: 0
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/pool-state.ts
@@ -0,0 +1,161 @@
+import { addAmounts, type Amounts, computeDominantShare, NO_AMOUNTS } from './amounts.js'
+import { ClassQueue } from './class-queue.js'
+import { ExecutorIndex } from './executor-index.js'
+import { FailedNeeds } from './failed-needs.js'
+import type { ClassPolicy, PoolPolicy } from './pool-policy.js'
+import type { Reservation } from './reservation.js'
+import type { Resources } from './resources.js'
+import { RetryBudget } from './retry-budget.js'
+import type { RunningTask } from './running-task.js'
+import type { SchedulerSettings } from './scheduler-settings.js'
+import { ServiceRate } from './service-rate.js'
+import { TARGET_KINDS } from './target.js'
+import type { TargetState } from './target-state.js'
+import { URGENCIES, type Urgency } from './urgency.js'
+import { UseAccount } from './use-account.js'
+import { WorkerIndex } from './worker-index.js'
+
+/** A size of worker and how many of the pool's workers have it. */
+export interface WorkerShape {
+  readonly capacity: Amounts
+  readonly count: number
+}
+
+function createByUrgency<T> (create: () => T): Readonly<Record<Urgency, T>> {
+  return { urgent: create(), high: create(), normal: create(), low: create() }
+}
+
+/** Queue, capacity and use of one pool on this shard. */
+export class PoolState {
+  readonly name: string
+  readonly queues: Readonly<Record<Urgency, ClassQueue>> = createByUrgency(() => new ClassQueue())
+  readonly rates: Readonly<Record<Urgency, ServiceRate>>
+  readonly running: Readonly<Record<Urgency, Set<RunningTask>>> = createByUrgency(() => new Set<RunningTask>())
+  readonly retryBudget: RetryBudget
+  readonly classUse = new UseAccount()
+  readonly teamUse = new UseAccount()
+  readonly reservations = new Map<string, Reservation>()
+  readonly reservedTargets = new Set<TargetState>()
+  readonly workers = new WorkerIndex()
+  readonly executors = new ExecutorIndex()
+  readonly failedNeeds = new FailedNeeds()
+  /** Undefined while the pool is missing from the tables. */
+  policy: PoolPolicy | undefined
+  targets: readonly TargetState[] = []
+  shapes: readonly WorkerShape[] = []
+  largest: Amounts = NO_AMOUNTS
+  capacity: Amounts = NO_AMOUNTS
+  used: Amounts = NO_AMOUNTS
+  /** Grows whenever capacity may have become free, which makes earlier failures to place invalid. */
+  freedVersion = 0
+  lastServed = 0
+
+  constructor (name: string, settings: SchedulerSettings) {
+    this.name = name
+    this.rates = createByUrgency(() => new ServiceRate(settings))
+    this.retryBudget = new RetryBudget(settings)
+  }
+
+  get isExecutorPool (): boolean {
+    return this.policy?.targetKind === TARGET_KINDS.executor
+  }
+
+  get queuedCount (): number {
+    return this.queues.urgent.size + this.queues.high.size + this.queues.normal.size + this.queues.low.size
+  }
+
+  readClassPolicy (urgency: Urgency): ClassPolicy {
+    return this.policy?.classes[urgency] ?? { floorPercent: 0, limitPercent: 100, maxQueueMs: 0 }
+  }
+
+  readQuotaShare (team: string): number {
+    return (this.policy?.teamQuotas[team] ?? 100) / 100
+  }
+
+  computeClassShare (urgency: Urgency): number {
+    return this.classUse.computeShare(urgency, this.capacity)
+  }
+
+  computeTeamShare (team: string): number {
+    return this.teamUse.computeShare(team, this.capacity)
+  }
+
+  computeUsedShare (): number {
+    return computeDominantShare(this.used, this.capacity)
+  }
+
+  addUse (urgency: Urgency, team: string, amounts: Amounts, factor: 1 | -1): void {
+    this.used = addAmounts(this.used, amounts, factor)
+    this.classUse.add(urgency, amounts, factor)
+    this.teamUse.add(team, amounts, factor)
+  }
+
+  /** Replaces the targets that the pool's selectors match. */
+  setTargets (targets: readonly TargetState[]): void {
+    const gone = new Set(this.targets)
+    for (const state of targets) gone.delete(state)
+    for (const state of gone) {
+      this.workers.remove(state)
+      this.executors.remove(state)
+      this.reservedTargets.delete(state)
+    }
+    this.targets = targets
+    this.capacity = NO_AMOUNTS
+    this.largest = NO_AMOUNTS
+    const shapes = new Map<string, { capacity: Amounts, count: number }>()
+    for (const state of targets) {
+      const capacity = this.isExecutorPool ? { ...NO_AMOUNTS, slots: this.#computeUsableSlots(state) } : { ...state.capacity, slots: 0 }
+      this.capacity = addAmounts(this.capacity, capacity, 1)
+      this.largest = {
+        cores: Math.max(this.largest.cores, capacity.cores),
+        memoryMb: Math.max(this.largest.memoryMb, capacity.memoryMb),
+        accelerators: Math.max(this.largest.accelerators, capacity.accelerators),
+        slots: Math.max(this.largest.slots, capacity.slots)
+      }
+      const key = `${capacity.cores}/${capacity.memoryMb}/${capacity.accelerators}/${capacity.slots}`
+      const shape = shapes.get(key)
+      if (shape === undefined) shapes.set(key, { capacity, count: 1 })
+      else shape.count++
+    }
+    this.shapes = [...shapes.values()]
+    for (const state of targets) this.refreshTarget(state)
+    this.freedVersion++
+  }
+
+  /** Brings the indexes up to date after a change of a target. */
+  refreshTarget (state: TargetState): void {
+    const isReserved = state.reservation !== undefined
+    if (isReserved) this.reservedTargets.add(state)
+    else this.reservedTargets.delete(state)
+    const isUsable = state.isAccepting() && !isReserved
+    if (this.isExecutorPool) {
+      this.executors.update(state, isUsable, this.computeFreeSlots(state), this.#computeUsableSlots(state))
+    } else {
+      this.workers.update(state, isUsable)
+    }
+  }
+
+  /** Slots of an executor that this pool may still use. */
+  computeFreeSlots (state: TargetState): number {
+    return Math.min(state.freeSlots, this.#computeUsableSlots(state) - state.getSlotsUsedBy(this.name))
+  }
+
+  isFittingNow (state: TargetState, needed: Amounts): boolean {
+    return state.isFittingNow(needed) && (needed.slots === 0 || this.computeFreeSlots(state) >= needed.slots)
+  }
+
+  /** Whether any class has queued work. */
+  hasBacklog (): boolean {
+    return URGENCIES.some((urgency) => this.queues[urgency].size > 0)
+  }
+
+  get shapeSizes (): readonly Resources[] {
+    return this.shapes.map((shape) => shape.capacity)
+  }
+
+  #computeUsableSlots (state: TargetState): number {
+    const limits = [state.capacity.slots, this.policy?.slotsPerTarget, this.policy?.connectionsPerTarget,
+      state.target.connections > 0 ? state.target.connections : undefined]
+    return Math.min(...limits.filter((limit) => limit !== undefined))
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/progress-monitor.ts
@@ -0,0 +1,42 @@
+import type { SchedulerSettings } from './scheduler-settings.js'
+import { TARGET_KINDS } from './target.js'
+import type { TargetState } from './target-state.js'
+
+interface ProgressRecord {
+  progress: number
+  advancedAtMs: number
+  lastExcess: number
+}
+
+/**
+ * Judges targets by their monotonic progress counter. A busy target whose counter advances is saturated at worst and
+ * is kept; one whose counter stays for a full check interval counts as hung until it advances again.
+ */
+export class ProgressMonitor {
+  readonly #settings: SchedulerSettings
+  readonly #records = new WeakMap<TargetState, ProgressRecord>()
+
+  constructor (settings: SchedulerSettings) {
+    this.#settings = settings
+  }
+
+  /** Records a report and returns whether the target's state changed. */
+  record (state: TargetState, progress: number, running: number, nowMs: number): boolean {
+    const wasHung = state.isHung
+    const foreignBefore = state.foreignSlots
+    const excess = Math.max(0, running - state.used.slots)
+    const record = this.#records.get(state)
+    if (record === undefined) {
+      this.#records.set(state, { progress, advancedAtMs: nowMs, lastExcess: excess })
+      return false
+    }
+    // A lower value means that the target restarted.
+    if (progress !== record.progress || running === 0) record.advancedAtMs = nowMs
+    record.progress = progress
+    state.isHung = nowMs - record.advancedAtMs >= this.#settings.hungCheckIntervalMs
+    // A single report may predate releases, so only an excess in two reports in a row counts as other owners' work.
+    if (state.target.kind === TARGET_KINDS.executor) state.foreignSlots = Math.min(record.lastExcess, excess)
+    record.lastExcess = excess
+    return state.isHung !== wasHung || state.foreignSlots !== foreignBefore
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/queued-item.ts
@@ -0,0 +1,15 @@
+import type { WorkItem } from './work-item.js'
+
+/** An admitted item that has not started. */
+export interface QueuedItem {
+  readonly item: WorkItem
+  /** Order of admission. */
+  readonly sequence: number
+  /** Share of the pool's capacity that the item was estimated to take at admission. */
+  readonly share: number
+}
+
+/** Earliest deadline first, then arrival. */
+export function compareByDeadline (left: QueuedItem, right: QueuedItem): number {
+  return left.item.deadlineAtMs - right.item.deadlineAtMs || left.item.enqueuedAtMs - right.item.enqueuedAtMs || left.sequence - right.sequence
+}
--- /dev/null
+++ b/packages/scheduling/src/reservation-book.ts
@@ -0,0 +1,43 @@
+import type { PoolState } from './pool-state.js'
+import type { QueuedItem } from './queued-item.js'
+import type { Reservation, ReservationCause } from './reservation.js'
+import type { ReservationPlan } from './reservation-planner.js'
+import type { TargetTable } from './target-table.js'
+
+/** Makes and drops reservations and keeps the targets' marks consistent with them. */
+export class ReservationBook {
+  readonly #targets: TargetTable
+
+  constructor (targets: TargetTable) {
+    this.#targets = targets
+  }
+
+  create (pool: PoolState, holder: QueuedItem, cause: ReservationCause, plan: ReservationPlan, nowMs: number): void {
+    const reservation: Reservation = {
+      holder, cause, targets: plan.targets, startAtMs: plan.startAtMs, firstStartAtMs: plan.startAtMs, refreshedAtMs: nowMs
+    }
+    pool.reservations.set(holder.item.requestId, reservation)
+    for (const state of plan.targets) {
+      state.reservation = reservation
+      this.#targets.refresh(state, false)
+    }
+  }
+
+  drop (pool: PoolState, requestId: string): void {
+    const reservation = pool.reservations.get(requestId)
+    if (reservation === undefined) return
+    pool.reservations.delete(requestId)
+    for (const state of reservation.targets) {
+      if (state.reservation !== reservation) continue
+      state.reservation = undefined
+      pool.reservedTargets.delete(state)
+      this.#targets.refresh(state, true)
+    }
+  }
+
+  /** The reservation made for the pool's blocked head, if there is one. */
+  findHeadReservation (pool: PoolState): Reservation | undefined {
+    for (const reservation of pool.reservations.values()) if (reservation.cause === 'blockedHead') return reservation
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/target-state.ts
@@ -0,0 +1,80 @@
+import type { TargetId } from '@hibiscusledge/runtime/identifiers.js'
+import { type Amounts, addAmounts, convertCapacity } from './amounts.js'
+import type { PoolState } from './pool-state.js'
+import type { Reservation } from './reservation.js'
+import type { RunningTask } from './running-task.js'
+import { type Target, TARGET_STATES } from './target.js'
+
+/** What the shard knows of one target. Free capacity belongs to the target, so pools that share it can't give it out twice. */
+export class TargetState {
+  readonly id: TargetId
+  /** Order of first appearance; breaks ties so that decisions are repeatable. */
+  readonly ordinal: number
+  readonly tasks = new Set<RunningTask>()
+  readonly #slotsUsedByPool = new Map<string, number>()
+  target: Target
+  capacity: Amounts
+  used: Amounts = { cores: 0, memoryMb: 0, accelerators: 0, slots: 0 }
+  isListed = true
+  isHung = false
+  isQuarantined = false
+  suspendedUntilMs: number | undefined
+  /** Slots in use by work that this shard did not start. */
+  foreignSlots = 0
+  reservation: Reservation | undefined
+  /** Pools of the current tables that the target belongs to. */
+  pools: readonly PoolState[] = []
+
+  constructor (target: Target, ordinal: number) {
+    this.id = target.id
+    this.ordinal = ordinal
+    this.target = target
+    this.capacity = convertCapacity(target.capacity, target.slots)
+  }
+
+  setTarget (target: Target): void {
+    this.target = target
+    this.capacity = convertCapacity(target.capacity, target.slots)
+    this.isListed = true
+  }
+
+  /** Whether the platform and the owner allow new work here at all; a quarantined target still takes probes. */
+  isOpen (): boolean {
+    return this.isListed && this.target.state === TARGET_STATES.live && this.suspendedUntilMs === undefined && !this.isHung
+  }
+
+  isAccepting (): boolean {
+    return this.isOpen() && !this.isQuarantined
+  }
+
+  get freeCores (): number { return this.capacity.cores - this.used.cores }
+  get freeMemoryMb (): number { return this.capacity.memoryMb - this.used.memoryMb }
+  get freeAccelerators (): number { return this.capacity.accelerators - this.used.accelerators }
+
+  get freeSlots (): number {
+    // One request occupies one connection, so a target with fewer connections than slots is bound by them.
+    const usable = this.target.connections > 0 ? Math.min(this.capacity.slots, this.target.connections) : this.capacity.slots
+    return usable - this.used.slots - this.foreignSlots
+  }
+
+  getSlotsUsedBy (pool: string): number {
+    return this.#slotsUsedByPool.get(pool) ?? 0
+  }
+
+  isFittingNow (needed: Amounts): boolean {
+    return needed.cores <= this.freeCores && needed.memoryMb <= this.freeMemoryMb &&
+      needed.accelerators <= this.freeAccelerators && needed.slots <= this.freeSlots
+  }
+
+  get free (): Amounts {
+    return { cores: this.freeCores, memoryMb: this.freeMemoryMb, accelerators: this.freeAccelerators, slots: this.freeSlots }
+  }
+
+  addUse (pool: string, amounts: Amounts, factor: 1 | -1): void {
+    this.used = addAmounts(this.used, amounts, factor)
+    if (amounts.slots === 0) return
+    const slots = this.getSlotsUsedBy(pool) + amounts.slots * factor
+    if (slots === 0) this.#slotsUsedByPool.delete(pool)
+    else this.#slotsUsedByPool.set(pool, slots)
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/target-table.ts
@@ -0,0 +1,72 @@
+import type { TargetId } from '@hibiscusledge/runtime/identifiers.js'
+import { isTargetInPool } from './pool-policy.js'
+import type { PoolState } from './pool-state.js'
+import { type Target, TARGET_STATES } from './target.js'
+import { TargetState } from './target-state.js'
+
+/** The shard's targets and the pools that each belongs to. */
+export class TargetTable {
+  readonly #states = new Map<TargetId, TargetState>()
+  #nextOrdinal = 0
+
+  get (id: TargetId): TargetState | undefined {
+    return this.#states.get(id)
+  }
+
+  /** The state of a target, made if the target was never listed: an earlier owner's start may name one that is gone. */
+  ensure (id: TargetId, build: () => Target): TargetState {
+    let state = this.#states.get(id)
+    if (state === undefined) {
+      state = new TargetState(build(), this.#nextOrdinal++)
+      state.isListed = false
+      this.#states.set(id, state)
+    }
+    return state
+  }
+
+  /** Applies the instance list. A missing target is forgotten once nothing runs on it. */
+  apply (targets: readonly Target[], nowMs: number): void {
+    const listed = new Set<TargetId>()
+    for (const target of targets) {
+      listed.add(target.id)
+      const state = this.ensure(target.id, () => target)
+      state.setTarget(target)
+      if (state.suspendedUntilMs !== undefined && nowMs >= state.suspendedUntilMs && target.state === TARGET_STATES.live) {
+        state.suspendedUntilMs = undefined
+      }
+    }
+    for (const [id, state] of this.#states) {
+      if (listed.has(id)) continue
+      state.isListed = false
+      if (state.tasks.size === 0) this.#states.delete(id)
+    }
+  }
+
+  /** Derives which targets belong to which pools. */
+  assignPools (pools: Iterable<PoolState>): void {
+    const poolsOf = new Map<TargetState, PoolState[]>()
+    for (const pool of pools) {
+      const { policy } = pool
+      const members: TargetState[] = []
+      if (policy !== undefined) {
+        for (const state of this.#states.values()) {
+          if (!state.isListed || state.target.state !== TARGET_STATES.live || !isTargetInPool(state.target, policy)) continue
+          members.push(state)
+          const known = poolsOf.get(state)
+          if (known === undefined) poolsOf.set(state, [pool])
+          else known.push(pool)
+        }
+      }
+      pool.setTargets(members)
+    }
+    for (const state of this.#states.values()) state.pools = poolsOf.get(state) ?? []
+  }
+
+  /** Brings the pools' indexes up to date after a change of a target. */
+  refresh (state: TargetState, isCapacityFreed: boolean): void {
+    for (const pool of state.pools) {
+      pool.refreshTarget(state)
+      if (isCapacityFreed) pool.freedVersion++
+    }
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/wait-estimator.ts
@@ -0,0 +1,54 @@
+import type { PoolState } from './pool-state.js'
+import { URGENCIES, type Urgency } from './urgency.js'
+
+/** What the estimate needs to know of an item. */
+export interface WaitQuery {
+  readonly urgency: Urgency
+  readonly team: string
+  /** Share of the pool's capacity that the item takes, 0 to 1. */
+  readonly share: number
+  /** Share of the pool's capacity times run time in seconds; assumed while the class has no measurement. */
+  readonly assumedWork: number
+}
+
+// Keeps estimates finite for a class that gets nothing at the moment.
+const MIN_AVAILABLE_SHARE = 0.001
+
+/** Share of the pool that a class can count on while more urgent work and the floors of less urgent work are served. */
+export function computeAvailableShare (pool: PoolState, urgency: Urgency): number {
+  const rank = URGENCIES.indexOf(urgency)
+  let available = 1
+  for (const [otherRank, other] of URGENCIES.entries()) {
+    if (other === urgency) continue
+    const policy = pool.readClassPolicy(other)
+    const demand = pool.computeClassShare(other) + pool.queues[other].share
+    available -= Math.min(demand, (otherRank < rank ? policy.limitPercent : policy.floorPercent) / 100)
+  }
+  const own = pool.readClassPolicy(urgency)
+  return Math.max(MIN_AVAILABLE_SHARE, Math.min(own.limitPercent / 100, Math.max(own.floorPercent / 100, available)))
+}
+
+/** Items of the class that go before a new one of `team`, when backlogged teams take turns. */
+function countAhead (pool: PoolState, query: WaitQuery): number {
+  const queue = pool.queues[query.urgency]
+  const own = queue.countTeam(query.team)
+  const teamCount = queue.teamCount + (own === 0 ? 1 : 0)
+  return Math.min(queue.size, (own + 1) * teamCount - 1)
+}
+
+/** Estimated wait of a new item by Little's law: the items ahead of it over the class's service rate. */
+export function estimateWaitMs (pool: PoolState, query: WaitQuery): number {
+  const { urgency, team, share } = query
+  const rank = URGENCIES.indexOf(urgency)
+  const quota = pool.readQuotaShare(team)
+  const classShare = pool.computeClassShare(urgency)
+  const isWithinQuota = pool.computeTeamShare(team) + share <= quota
+  let shareAhead = 0
+  for (const [otherRank, other] of URGENCIES.entries()) if (otherRank <= rank) shareAhead += pool.queues[other].share
+  const freeShare = Math.min(1 - pool.computeUsedShare(), pool.readClassPolicy(urgency).limitPercent / 100 - classShare)
+  if (isWithinQuota && shareAhead + share <= freeShare) return 0
+  const available = Math.min(computeAvailableShare(pool, urgency), isWithinQuota ? 1 : Math.max(quota, MIN_AVAILABLE_SHARE))
+  const rate = pool.rates[urgency].computeRate(available, query.assumedWork)
+  const ahead = Math.max(0, countAhead(pool, query) + 1 - Math.max(0, freeShare) / Math.max(share, 1e-9))
+  return 1_000 * ahead / rate
+}
--- /dev/null
+++ b/packages/scheduling/src/wait-explainer.ts
@@ -0,0 +1,22 @@
+import { addAmounts, type Amounts, computeDominantShare } from './amounts.js'
+import type { PoolState } from './pool-state.js'
+import type { QueuedItem } from './queued-item.js'
+import { WAIT_MESSAGES } from './wait-messages.js'
+
+/** The first thing that keeps an item from starting now. */
+export function explainReason (pool: PoolState, entry: QueuedItem, needed: Amounts, position: number, nowMs: number): string {
+  const { urgency, team, taskCount, requestId } = entry.item
+  if (pool.policy === undefined) return WAIT_MESSAGES.poolMissing
+  if (pool.targets.length === 0) return WAIT_MESSAGES.noTargets
+  const classShare = computeDominantShare(addAmounts(pool.classUse.read(urgency), needed, taskCount), pool.capacity)
+  const { limitPercent } = pool.readClassPolicy(urgency)
+  if (classShare > limitPercent / 100) return WAIT_MESSAGES.classLimit(urgency, limitPercent)
+  const teamShare = computeDominantShare(addAmounts(pool.teamUse.read(team), needed, taskCount), pool.capacity)
+  const quota = pool.readQuotaShare(team)
+  if (teamShare > quota) return WAIT_MESSAGES.teamQuota(team, (100 * quota).toFixed(1))
+  const reservation = pool.reservations.get(requestId)
+  if (reservation !== undefined) return WAIT_MESSAGES.reserved(Math.max(0, reservation.startAtMs - nowMs))
+  if (position > 1) return WAIT_MESSAGES.othersFirst
+  const hasFit = pool.targets.some((state) => state.isAccepting() && pool.isFittingNow(state, needed))
+  return hasFit ? WAIT_MESSAGES.next : WAIT_MESSAGES.noFit
+}
