Add the store, executor and worker stand-ins

Ruled out: a store fault interface on the store's own port, because it must work while the store is down; pausing sockets for silent connections, because Node.js' HTTP parser reads the handle itself, so requests on silent sockets are ignored instead.

--- /dev/null
+++ b/packages/stand-ins/src/call-counter.ts
@@ -0,0 +1,61 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+
+export type CallKind = 'reads' | 'writes'
+
+export interface CallCounters {
+  readonly totals: { readonly reads: number, readonly writes: number, readonly refused: number, readonly watchesOpened: number }
+  readonly waitingWatches: number
+  readonly peakPerSecond: { readonly reads: number, readonly writes: number }
+  /** Oldest first; seconds without a call are left out. */
+  readonly perSecond: ReadonlyArray<{ readonly second: number, readonly reads: number, readonly writes: number }>
+}
+
+const KEPT_SECONDS = 900
+
+/** Counts the calls of the store by kind and by second of wall-clock time. */
+export class CallCounter {
+  readonly #clock: Clock
+  readonly #totals = { reads: 0, writes: 0, refused: 0, watchesOpened: 0 }
+  readonly #peak = { reads: 0, writes: 0 }
+  #perSecond: Array<{ second: number, reads: number, writes: number }> = []
+  waitingWatches = 0
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  recordCall (kind: CallKind): void {
+    const second = Math.floor(this.#clock.readWallMs() / 1000)
+    let current = this.#perSecond.at(-1)
+    if (current?.second !== second) {
+      current = { second, reads: 0, writes: 0 }
+      this.#perSecond.push(current)
+      if (this.#perSecond.length > KEPT_SECONDS) this.#perSecond.shift()
+    }
+    current[kind]++
+    this.#totals[kind]++
+    this.#peak[kind] = Math.max(this.#peak[kind], current[kind])
+  }
+
+  recordRefusal (): void {
+    this.#totals.refused++
+  }
+
+  recordWatch (): void {
+    this.recordCall('reads')
+    this.#totals.watchesOpened++
+    this.waitingWatches++
+  }
+
+  readCounters (): CallCounters {
+    return {
+      totals: { ...this.#totals }, waitingWatches: this.waitingWatches, peakPerSecond: { ...this.#peak }, perSecond: [...this.#perSecond]
+    }
+  }
+
+  reset (): void {
+    Object.assign(this.#totals, { reads: 0, writes: 0, refused: 0, watchesOpened: 0 })
+    Object.assign(this.#peak, { reads: 0, writes: 0 })
+    this.#perSecond = []
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/executor-stand-in.ts
@@ -0,0 +1,106 @@
+import { z } from 'zod'
+import type { StandInAnswer, StandInRequest } from './stand-in-server.js'
+import { NOT_FOUND, REFUSED_AS_LEAVING, REFUSED_AS_MALFORMED, TargetStandIn, type TargetStandInOptions } from './target-stand-in.js'
+import { computePayloadDigest, createWorkResult, drawServiceMs, parseDirections, type WorkResult } from './work-profile.js'
+
+export interface ExecutorRun {
+  readonly target: string
+  readonly requestId: string
+  readonly attempt: number
+  readonly kind: string
+  readonly payloadDigest: string
+  readonly startedAtMs: number
+  /** Absent while it runs. */
+  endedAtMs?: number
+  outcome?: 'succeeded' | 'failed'
+  /** Runs under way at its start, itself included. */
+  readonly concurrency: number
+  readonly isOvercommitted: boolean
+}
+
+interface RunRecord {
+  readonly attempt: number
+  state: 'running' | 'completed'
+  result?: WorkResult
+  error?: { message: string }
+}
+
+const runHeaders = z.object({
+  'ce-id': z.string().min(1),
+  'ce-type': z.string().min(1),
+  'ce-source': z.string().min(1),
+  'ce-specversion': z.literal('1.0'),
+  'x-attempt': z.coerce.number().int().min(0)
+})
+
+const FAILURE = { message: 'the run failed' } as const
+
+/** An executor: request/reply work in slots. It has no guards: it runs whatever it is given and records what was wrong. */
+export class ExecutorStandIn extends TargetStandIn {
+  readonly runs: ExecutorRun[] = []
+  readonly #slots: number
+  readonly #recordsById = new Map<string, RunRecord[]>()
+
+  constructor (options: TargetStandInOptions, slots: number) {
+    super('executor', options)
+    this.#slots = slots
+  }
+
+  protected override isWorkRequest (request: StandInRequest): boolean {
+    return request.path === '/run'
+  }
+
+  protected override handleRequest (request: StandInRequest): StandInAnswer | Promise<StandInAnswer> {
+    if (request.method === 'POST' && request.path === '/run') return this.#run(request)
+    if (request.method !== 'GET') return NOT_FOUND
+    if (request.path === '/progress') {
+      const leaving = this.readFaults().leaving === true
+      return { status: 200, body: { running: this.meter.countRunning(), progress: this.meter.readProgress(), leaving } }
+    }
+    const [, place, requestId] = request.path.split('/')
+    if (place !== 'runs' || requestId === undefined) return NOT_FOUND
+    return { status: 200, body: this.#lookup(decodeURIComponent(requestId), request.query.get('attempt')) }
+  }
+
+  async #run (request: StandInRequest): Promise<StandInAnswer> {
+    const headers = runHeaders.safeParse(request.headers)
+    if (!headers.success || request.body === undefined) return REFUSED_AS_MALFORMED
+    if (this.readFaults().leaving === true) return REFUSED_AS_LEAVING
+    const { 'ce-id': requestId, 'ce-type': kind, 'x-attempt': attempt } = headers.data
+    const payload = request.body
+    const wanted = parseDirections(payload)
+    const concurrency = this.meter.countRunning() + 1
+    const run: ExecutorRun = {
+      target: this.id,
+      requestId,
+      attempt,
+      kind,
+      payloadDigest: computePayloadDigest(payload),
+      startedAtMs: this.clock.readWallMs(),
+      concurrency,
+      isOvercommitted: concurrency > this.#slots
+    }
+    this.runs.push(run)
+    const record: RunRecord = { attempt, state: 'running' }
+    this.#recordsById.set(requestId, [...this.#recordsById.get(requestId) ?? [], record])
+    // Runs beyond the slots share them, so each takes longer.
+    const serviceMs = drawServiceMs(kind, wanted, this.options.serviceTimes, this.options.random) * Math.max(1, concurrency / this.#slots)
+    await new Promise<void>((resolve) => { this.meter.start(serviceMs, resolve) })
+    run.endedAtMs = this.clock.readWallMs()
+    record.state = 'completed'
+    if (wanted.fail === true || this.readFaults().failAll === true) {
+      run.outcome = 'failed'
+      record.error = FAILURE
+      return { status: 500, body: { error: FAILURE }, headers: { 'x-run-failed': 'true' } }
+    }
+    run.outcome = 'succeeded'
+    record.result = createWorkResult(requestId, attempt, kind, payload)
+    return { status: 200, body: record.result }
+  }
+
+  #lookup (requestId: string, attempt: string | null): unknown {
+    const records = this.#recordsById.get(requestId) ?? []
+    const record = records.findLast((candidate) => attempt === null || candidate.attempt === Number(attempt))
+    return record ?? { state: 'absent' }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/instance-directory.ts
@@ -0,0 +1,44 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import { z } from 'zod'
+
+const listEntry = z.object({
+  targets: z.array(z.string()),
+  labels: z.object({ id: z.string() }).catchall(z.string())
+})
+export type ListEntry = z.output<typeof listEntry>
+
+/** Body of `POST /admin/instances`: entries to add or replace, states to set, and after how long the list shows it. */
+export const instancesChange = z.strictObject({
+  instances: z.array(listEntry).default([]),
+  set: z.array(z.strictObject({ id: z.string(), state: z.enum(['live', 'leaving', 'gone']) })).default([]),
+  lagMs: z.number().int().min(0).default(0)
+})
+export type InstancesChange = z.output<typeof instancesChange>
+
+/** The platform's instance list, which shows each change after a lag. */
+export class InstanceDirectory {
+  readonly #clock: Clock
+  readonly #entries = new Map<string, ListEntry>()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  applyChange (change: InstancesChange): void {
+    if (change.lagMs === 0) this.#apply(change)
+    else this.#clock.startTimer(change.lagMs, () => this.#apply(change))
+  }
+
+  listEntries (): ListEntry[] {
+    return [...this.#entries.values()]
+  }
+
+  #apply (change: InstancesChange): void {
+    for (const entry of change.instances) this.#entries.set(entry.labels.id, entry)
+    for (const { id, state } of change.set) {
+      const entry = this.#entries.get(id)
+      if (state === 'gone') this.#entries.delete(id)
+      else if (entry !== undefined) this.#entries.set(id, { ...entry, labels: { ...entry.labels, state } })
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/stand-in-server.ts
@@ -0,0 +1,142 @@
+import { createServer, type IncomingHttpHeaders, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+
+export interface StandInRequest {
+  readonly method: string
+  readonly path: string
+  readonly query: URLSearchParams
+  readonly headers: IncomingHttpHeaders
+  /** The parsed JSON body; undefined when there is none or it is not JSON. */
+  readonly body: unknown
+  readonly bodyBytes: number
+  /** Settles when the client's connection closes. */
+  readonly onClosed: (callback: () => void) => void
+}
+
+export interface JsonAnswer {
+  readonly status: number
+  readonly body: unknown
+  readonly headers?: Readonly<Record<string, string>>
+}
+
+/** A stream of JSON lines; `open` gets a function that writes one. */
+export interface StreamAnswer {
+  readonly open: (writeLine: (line: unknown) => void) => void
+}
+
+/** `hang` never answers; `drop` closes the connection without an answer. */
+export type StandInAnswer = JsonAnswer | StreamAnswer | 'hang' | 'drop'
+
+export type StandInHandler = (request: StandInRequest) => StandInAnswer | Promise<StandInAnswer>
+
+const MAX_BODY_BYTES = 16 * 1024 * 1024
+
+/** JSON over HTTP on loopback, with the faults of connections: refused, closed, silent. */
+export class StandInServer {
+  readonly #server: Server
+  readonly #handler: StandInHandler
+  readonly #host: string
+  readonly #sockets = new Set<Socket>()
+  readonly #silentSockets = new WeakSet<Socket>()
+  #port = 0
+  #isRefusing = false
+  refusedConnections = 0
+
+  constructor (handler: StandInHandler, host = '127.0.0.1', maxConnections = 0) {
+    this.#handler = handler
+    this.#host = host
+    this.#server = createServer((request, response) => {
+      this.#serve(request, response).catch(() => { response.destroy() })
+    })
+    // Only the client or a fault closes a connection, so that no run depends on a race with an idle limit.
+    this.#server.keepAliveTimeout = 0
+    this.#server.requestTimeout = 0
+    this.#server.headersTimeout = 0
+    if (maxConnections > 0) this.#server.maxConnections = maxConnections
+    this.#server.on('drop', () => { this.refusedConnections++ })
+    this.#server.on('connection', (socket: Socket) => {
+      this.#sockets.add(socket)
+      socket.on('close', () => { this.#sockets.delete(socket) })
+    })
+  }
+
+  /** Listens and returns `host:port`; port 0 takes a free one. */
+  async start (port: number): Promise<string> {
+    await this.#openListener(port)
+    this.#port = (this.#server.address() as AddressInfo).port
+    return `${this.#host}:${this.#port}`
+  }
+
+  async stop (): Promise<void> {
+    if (!this.#isRefusing) await this.#closeListener()
+  }
+
+  /** While refusing, connections are refused and the open ones are closed. */
+  async setRefusing (isRefusing: boolean): Promise<void> {
+    if (this.#isRefusing === isRefusing) return
+    this.#isRefusing = isRefusing
+    await (isRefusing ? this.#closeListener() : this.#openListener(this.#port))
+  }
+
+  /** From now on nothing is read from or written to the connections open now; new ones work. */
+  pauseConnections (): void {
+    for (const socket of this.#sockets) this.#silentSockets.add(socket)
+  }
+
+  async #openListener (port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, this.#host, () => {
+        this.#server.off('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  async #closeListener (): Promise<void> {
+    const closed = new Promise<void>((resolve) => { this.#server.close(() => resolve()) })
+    for (const socket of this.#sockets) socket.destroy()
+    await closed
+  }
+
+  async #serve (incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    const socket = incoming.socket
+    const chunks: Buffer[] = []
+    let bodyBytes = 0
+    for await (const chunk of incoming) {
+      bodyBytes += (chunk as Buffer).length
+      if (bodyBytes <= MAX_BODY_BYTES) chunks.push(chunk as Buffer)
+    }
+    if (this.#silentSockets.has(socket)) return
+    const url = new URL(incoming.url ?? '/', 'http://stand-in')
+    const answer = await this.#handler({
+      method: incoming.method ?? 'GET',
+      path: url.pathname,
+      query: url.searchParams,
+      headers: incoming.headers,
+      body: parseJson(Buffer.concat(chunks).toString('utf8')),
+      bodyBytes,
+      onClosed: (callback) => { response.on('close', callback) }
+    })
+    if (answer === 'hang' || this.#silentSockets.has(socket)) return
+    if (answer === 'drop') {
+      socket.destroy()
+      return
+    }
+    if ('open' in answer) {
+      response.writeHead(200, { 'content-type': 'application/json' })
+      answer.open((line) => { if (!this.#silentSockets.has(socket) && !response.destroyed) response.write(JSON.stringify(line) + '\n') })
+      return
+    }
+    response.writeHead(answer.status, { 'content-type': 'application/json', ...answer.headers })
+    response.end(JSON.stringify(answer.body))
+  }
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/store-stand-in.ts
@@ -0,0 +1,159 @@
+import { KeySpace } from '@hibiscusledge/platform/key-space.js'
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import { z } from 'zod'
+import { CallCounter, type CallCounters, type CallKind } from './call-counter.js'
+import { EtcdGatewayService } from './etcd-gateway-service.js'
+import { createErrorAnswer } from './etcd-gateway-protocol.js'
+import { InstanceDirectory, instancesChange } from './instance-directory.js'
+import { StandInServer, type StandInAnswer, type StandInRequest } from './stand-in-server.js'
+
+/** Body of `POST /admin/faults`: each field that is given replaces the present setting. */
+export const storeFaults = z.strictObject({
+  /** Connections are refused, open ones closed. */
+  down: z.boolean().optional(),
+  /** Calls are accepted, have no effect and are never answered; watches go silent. */
+  hang: z.boolean().optional(),
+  /** Connections open now go silent for good; new ones work. */
+  silence: z.literal(true).optional(),
+  slowMs: z.number().int().min(0).optional(),
+  /** The next N writes take effect, then their connection is closed without an answer. */
+  loseNextReplies: z.number().int().min(0).optional(),
+  loseReplyFraction: z.number().min(0).max(1).optional(),
+  seed: z.number().int().optional(),
+  rates: z.strictObject({ writesPerSecond: z.number().min(0), readsPerSecond: z.number().min(0) }).nullable().optional(),
+  /** Alternates between up and down until set to null. */
+  flap: z.strictObject({ upMs: z.number().int().min(1), downMs: z.number().int().min(1) }).nullable().optional(),
+  /** The instance list answers 503. */
+  listDown: z.boolean().optional()
+})
+export type StoreFaults = z.output<typeof storeFaults>
+
+export interface StoreStandInOptions {
+  readonly clock: Clock
+  readonly host?: string
+  readonly progressMs?: number
+}
+
+const LEASE_CHECK_MS = 20
+const DEFAULT_PROGRESS_MS = 1_000
+
+/** The platform's store and instance list with switches for their faults. The admin port is free of faults. */
+export class StoreStandIn {
+  readonly keySpace = new KeySpace()
+  readonly instances: InstanceDirectory
+  readonly #clock: Clock
+  readonly #counter: CallCounter
+  readonly #service: EtcdGatewayService
+  readonly #storeServer: StandInServer
+  readonly #adminServer: StandInServer
+  #faults: StoreFaults = {}
+  #random = new SeededRandomSource(1)
+  #callsThisSecond = { second: 0, reads: 0, writes: 0 }
+  #leaseTimer: Timer | undefined
+  #flapTimer: Timer | undefined
+
+  constructor ({ clock, host, progressMs }: StoreStandInOptions) {
+    this.#clock = clock
+    this.instances = new InstanceDirectory(clock)
+    this.#counter = new CallCounter(clock)
+    this.#service = new EtcdGatewayService(this.keySpace, clock, this.#counter, progressMs ?? DEFAULT_PROGRESS_MS)
+    this.#storeServer = new StandInServer((request) => this.#handleCall(request), host)
+    this.#adminServer = new StandInServer((request) => this.#handleAdmin(request), host)
+  }
+
+  /** Returns the addresses of the store and of the instance list with the admin interface. */
+  async start (port = 0, adminPort = 0): Promise<{ store: string, admin: string }> {
+    const store = await this.#storeServer.start(port)
+    const admin = await this.#adminServer.start(adminPort)
+    // Leases lapse during an outage too: the harsher of the behaviours a platform can have.
+    this.#leaseTimer = this.#clock.startInterval(LEASE_CHECK_MS, () => this.keySpace.expireLeases(this.#clock.readMonotonicMs()))
+    return { store, admin }
+  }
+
+  async stop (): Promise<void> {
+    this.#leaseTimer?.cancel()
+    this.#flapTimer?.cancel()
+    await Promise.all([this.#storeServer.stop(), this.#adminServer.stop()])
+  }
+
+  readCounters (): CallCounters {
+    return this.#counter.readCounters()
+  }
+
+  async setFaults (change: StoreFaults): Promise<StoreFaults> {
+    const { silence, ...lasting } = change
+    this.#faults = { ...this.#faults, ...lasting }
+    if (change.seed !== undefined) this.#random = new SeededRandomSource(change.seed)
+    if (silence === true || change.hang === true) this.#storeServer.pauseConnections()
+    if (change.down !== undefined) await this.#storeServer.setRefusing(change.down)
+    if (change.flap !== undefined) {
+      this.#flapTimer?.cancel()
+      if (change.flap === null) await this.#storeServer.setRefusing(false)
+      else this.#scheduleFlap(change.flap, true)
+    }
+    return this.#faults
+  }
+
+  #scheduleFlap (flap: { upMs: number, downMs: number }, isUp: boolean): void {
+    this.#flapTimer = this.#clock.startTimer(isUp ? flap.upMs : flap.downMs, () => {
+      this.#scheduleFlap(flap, !isUp)
+      this.#storeServer.setRefusing(isUp).catch(() => {})
+    })
+  }
+
+  async #handleCall (request: StandInRequest): Promise<StandInAnswer> {
+    const kind = this.#service.findCallKind(request.path)
+    if (kind !== undefined) this.#counter.recordCall(kind)
+    if (this.#faults.hang === true) return 'hang'
+    if (this.#isOverRate(kind ?? 'reads')) {
+      this.#counter.recordRefusal()
+      return createErrorAnswer('tooManyRequests')
+    }
+    const slowMs = this.#faults.slowMs ?? 0
+    if (slowMs > 0) await new Promise<void>((resolve) => { this.#clock.startTimer(slowMs, resolve) })
+    this.keySpace.expireLeases(this.#clock.readMonotonicMs())
+    const answer = this.#service.handleCall(request)
+    return kind === 'writes' && this.#shouldLoseReply() ? 'drop' : answer
+  }
+
+  #shouldLoseReply (): boolean {
+    const next = this.#faults.loseNextReplies ?? 0
+    if (next > 0) this.#faults = { ...this.#faults, loseNextReplies: next - 1 }
+    return next > 0 || this.#random.drawFraction() < (this.#faults.loseReplyFraction ?? 0)
+  }
+
+  #isOverRate (kind: CallKind): boolean {
+    const second = Math.floor(this.#clock.readMonotonicMs() / 1000)
+    if (this.#callsThisSecond.second !== second) this.#callsThisSecond = { second, reads: 0, writes: 0 }
+    this.#callsThisSecond[kind]++
+    const rates = this.#faults.rates ?? undefined
+    if (rates === undefined) return false
+    return this.#callsThisSecond[kind] > (kind === 'reads' ? rates.readsPerSecond : rates.writesPerSecond)
+  }
+
+  async #handleAdmin (request: StandInRequest): Promise<StandInAnswer> {
+    switch (`${request.method} ${request.path}`) {
+      case 'GET /instances':
+        if (this.#faults.listDown === true) return { status: 503, body: {} }
+        return { status: 200, body: this.instances.listEntries() }
+      case 'GET /admin/counters': return { status: 200, body: this.readCounters() }
+      case 'POST /admin/counters/reset':
+        this.#counter.reset()
+        return { status: 200, body: {} }
+      case 'GET /admin/faults': return { status: 200, body: this.#faults }
+      case 'POST /admin/faults': {
+        const change = storeFaults.safeParse(request.body)
+        if (!change.success) return { status: 400, body: { findings: change.error.issues } }
+        return { status: 200, body: await this.setFaults(change.data) }
+      }
+      case 'POST /admin/instances': {
+        const change = instancesChange.safeParse(request.body)
+        if (!change.success) return { status: 400, body: { findings: change.error.issues } }
+        this.instances.applyChange(change.data)
+        return { status: 200, body: {} }
+      }
+      default: return { status: 404, body: {} }
+    }
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/work-meter.ts
@@ -0,0 +1,101 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+
+/** A piece of work under way. */
+export interface Work {
+  /** Ends it early and returns what remained; its end callback is not called. */
+  stop (): number
+  /** 1 is full speed. */
+  setSpeed (speed: number): void
+}
+
+interface RunningWork {
+  remainingMs: number
+  speed: number
+  resumedAtMs: number
+  timer: Timer | undefined
+  readonly onEnd: () => void
+}
+
+const MAX_TIMER_MS = 2 ** 31 - 1
+const PROGRESS_STEP_MS = 10
+
+/** Runs work of given durations, can stop it all in place, and counts progress monotonically. */
+export class WorkMeter {
+  readonly #clock: Clock
+  readonly #running = new Set<RunningWork>()
+  #isFrozen = false
+  #busyMs = 0
+  #busySinceMs: number | undefined
+  #ended = 0
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  countRunning (): number {
+    return this.#running.size
+  }
+
+  /** Grows while work runs, also between two ends; stands still while frozen or idle. */
+  readProgress (): number {
+    this.#noteBusyTime()
+    return Math.floor(this.#busyMs / PROGRESS_STEP_MS) + this.#ended
+  }
+
+  start (durationMs: number, onEnd: () => void): Work {
+    this.#noteBusyTime()
+    const work: RunningWork = { remainingMs: durationMs, speed: 1, resumedAtMs: this.#clock.readMonotonicMs(), timer: undefined, onEnd }
+    this.#running.add(work)
+    this.#noteBusyTime()
+    this.#resume(work)
+    return {
+      stop: () => {
+        this.#pause(work)
+        this.#remove(work)
+        return work.remainingMs
+      },
+      setSpeed: (speed) => {
+        this.#pause(work)
+        work.speed = speed
+        this.#resume(work)
+      }
+    }
+  }
+
+  setFrozen (isFrozen: boolean): void {
+    this.#noteBusyTime()
+    for (const work of this.#running) this.#pause(work)
+    this.#isFrozen = isFrozen
+    for (const work of this.#running) this.#resume(work)
+    this.#noteBusyTime()
+  }
+
+  #resume (work: RunningWork): void {
+    if (this.#isFrozen || !this.#running.has(work)) return
+    work.resumedAtMs = this.#clock.readMonotonicMs()
+    work.timer = this.#clock.startTimer(Math.min(MAX_TIMER_MS, work.remainingMs / work.speed), () => {
+      this.#remove(work)
+      this.#ended++
+      work.onEnd()
+    })
+  }
+
+  #pause (work: RunningWork): void {
+    if (work.timer === undefined) return
+    work.timer.cancel()
+    work.timer = undefined
+    work.remainingMs = Math.max(0, work.remainingMs - (this.#clock.readMonotonicMs() - work.resumedAtMs) * work.speed)
+  }
+
+  #remove (work: RunningWork): void {
+    this.#noteBusyTime()
+    this.#running.delete(work)
+    this.#noteBusyTime()
+  }
+
+  #noteBusyTime (): void {
+    const nowMs = this.#clock.readMonotonicMs()
+    if (this.#busySinceMs !== undefined) this.#busyMs += nowMs - this.#busySinceMs
+    this.#busySinceMs = this.#running.size > 0 && !this.#isFrozen ? nowMs : undefined
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/work-profile.ts
@@ -0,0 +1,68 @@
+import { createHash } from 'node:crypto'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import { z } from 'zod'
+
+/** Directions to the stand-in within a payload, under the key `standIn`. */
+const directions = z.object({
+  standIn: z.object({
+    runMs: z.number().min(0).optional(),
+    fail: z.boolean().optional(),
+    resultBytes: z.number().int().min(0).max(4 * 1024 * 1024).optional(),
+    usage: z.object({ cores: z.number().min(0), memoryMb: z.number().min(0), accelerators: z.number().min(0) }).partial().optional()
+  })
+})
+export type WorkDirections = z.output<typeof directions>['standIn']
+
+/** Echoes whose answer it is, with digests of the payload and of its own text. */
+export interface WorkResult {
+  readonly requestId: string
+  readonly attempt: number
+  readonly kind: string
+  readonly payloadDigest: string
+  readonly text: string
+  readonly textDigest: string
+}
+
+/** Median and shape (sigma of the logarithm) of a kind's service times. */
+export interface ServiceTime {
+  readonly medianMs: number
+  readonly sigma: number
+}
+
+export const DEFAULT_SERVICE_TIME: ServiceTime = { medianMs: 20, sigma: 0.3 }
+
+export function parseDirections (payload: unknown): WorkDirections {
+  const parsed = directions.safeParse(payload)
+  return parsed.success ? parsed.data.standIn : {}
+}
+
+/** Log-normal service time of a kind, or the payload's own. */
+export function drawServiceMs (
+  kind: string, wanted: WorkDirections, times: ReadonlyMap<string, ServiceTime>, random: RandomSource
+): number {
+  if (wanted.runMs !== undefined) return wanted.runMs
+  const { medianMs, sigma } = times.get(kind) ?? times.get('default') ?? DEFAULT_SERVICE_TIME
+  const normal = Math.sqrt(-2 * Math.log(1 - random.drawFraction())) * Math.cos(2 * Math.PI * random.drawFraction())
+  return medianMs * Math.exp(sigma * normal)
+}
+
+/** SHA-256 of the payload's JSON text. A caller computes the same from what it sent. */
+export function computePayloadDigest (payload: unknown): string {
+  return computeTextDigest(JSON.stringify(payload ?? null))
+}
+
+export function createWorkResult (requestId: string, attempt: number, kind: string, payload: unknown): WorkResult {
+  const text = `${requestId}/${attempt};`.padEnd(parseDirections(payload).resultBytes ?? 0, 'x')
+  return { requestId, attempt, kind, payloadDigest: computePayloadDigest(payload), text, textDigest: computeTextDigest(text) }
+}
+
+/** Whether a result is whole and answers this request with this payload. */
+export function isWholeResult (result: unknown, requestId: string, payload: unknown): boolean {
+  if (typeof result !== 'object' || result === null) return false
+  const { requestId: answered, payloadDigest, text, textDigest } = result as Partial<WorkResult>
+  return answered === requestId && payloadDigest === computePayloadDigest(payload) && computeTextDigest(text ?? '') === textDigest
+}
+
+function computeTextDigest (text: string): string {
+  return createHash('sha256').update(text).digest('hex')
+}
--- /dev/null
+++ b/packages/stand-ins/src/worker-stand-in.ts
@@ -0,0 +1,214 @@
+import type { Timer } from '@hibiscusledge/runtime/clock.js'
+import { NO_RESOURCES, type Resources } from '@hibiscusledge/scheduling/resources.js'
+import { z } from 'zod'
+import type { StandInAnswer, StandInRequest } from './stand-in-server.js'
+import {
+  NOT_FOUND, REFUSED_AS_LEAVING, REFUSED_AS_MALFORMED, TargetStandIn, type TargetFaults, type TargetStandInOptions
+} from './target-stand-in.js'
+import type { TaskUse, UseLog } from './use-log.js'
+import type { Work } from './work-meter.js'
+import { computePayloadDigest, createWorkResult, drawServiceMs, parseDirections, type WorkDirections, type WorkResult } from './work-profile.js'
+
+export interface WorkerStandInOptions extends TargetStandInOptions {
+  readonly size: Resources
+  readonly useLog: UseLog
+  readonly usageLagMs: number
+  /** Part of the declared resources that tasks of a kind really use; `default` for the others. */
+  readonly usageFactors: ReadonlyMap<string, number>
+}
+
+export type TaskState = 'running' | 'completed' | 'failed' | 'stopped' | 'checkpointed' | 'lost'
+
+interface Task {
+  readonly taskId: string
+  readonly use: TaskUse
+  readonly wanted: WorkDirections
+  readonly startedAtMs: number
+  state: TaskState
+  work: Work
+  lease: Timer
+  speed: number
+  result?: WorkResult
+  error?: { message: string }
+  checkpoint?: string
+}
+
+const resources = z.object({ cores: z.number().min(0), memoryMb: z.number().min(0), accelerators: z.number().min(0) })
+const startRequest = z.object({
+  requestId: z.string().min(1),
+  attempt: z.number().int().min(0),
+  kind: z.string().min(1),
+  resources,
+  leaseMs: z.number().int().min(1),
+  payload: z.unknown(),
+  checkpoint: z.string().optional()
+})
+const taskIds = z.array(z.string()).default([])
+const syncRequest = z.object({
+  renew: taskIds, acknowledge: taskIds, leaseMs: z.number().int().min(1), waitMs: z.number().int().min(0).max(60_000).default(0)
+})
+const throttleRequest = z.object({ speed: z.number().positive().max(1) })
+
+const FAILURE = { message: 'the task failed' } as const
+
+/** A worker: tasks under leases. It has no guards: it starts whatever it is given and records what was wrong. */
+export class WorkerStandIn extends TargetStandIn {
+  readonly #options: WorkerStandInOptions
+  readonly #tasks = new Map<string, Task>()
+  readonly #waiting = new Set<() => void>()
+
+  constructor (options: WorkerStandInOptions) {
+    super('worker', options)
+    this.#options = options
+  }
+
+  override async setFaults (change: TargetFaults): Promise<void> {
+    await super.setFaults(change)
+    if (change.leaving !== undefined) this.#notifyWaiting()
+  }
+
+  protected override isWorkRequest (request: StandInRequest): boolean {
+    return request.path !== '/sync'
+  }
+
+  protected override handleRequest (request: StandInRequest): StandInAnswer | Promise<StandInAnswer> {
+    if (request.method === 'POST' && request.path === '/sync') return this.#handleSync(request)
+    const [, place, encodedId, action] = request.path.split('/')
+    if (place !== 'tasks' || encodedId === undefined) return NOT_FOUND
+    const taskId = decodeURIComponent(encodedId)
+    if (request.method === 'PUT' && action === undefined) return this.#startTask(taskId, request.body)
+    const task = this.#tasks.get(taskId)
+    if (request.method !== 'POST' || task === undefined) return NOT_FOUND
+    switch (action) {
+      case 'stop':
+        this.#endTask(task, 'stopped')
+        break
+      case 'checkpoint':
+        if (task.state === 'running') task.checkpoint = JSON.stringify({ remainingMs: this.#endTask(task, 'checkpointed') })
+        break
+      case 'throttle': {
+        const wanted = throttleRequest.safeParse(request.body)
+        if (!wanted.success) return REFUSED_AS_MALFORMED
+        task.speed = wanted.data.speed
+        task.work.setSpeed(task.speed)
+        break
+      }
+      default: return NOT_FOUND
+    }
+    return { status: 200, body: this.#describeTask(task) }
+  }
+
+  #startTask (taskId: string, body: unknown): StandInAnswer {
+    const parsed = startRequest.safeParse(body)
+    if (!parsed.success) return REFUSED_AS_MALFORMED
+    const known = this.#tasks.get(taskId)
+    if (known !== undefined) {
+      this.#options.useLog.recordDuplicateStart(known.use)
+      return { status: 200, body: this.#describeTask(known) }
+    }
+    if (this.readFaults().leaving === true) return REFUSED_AS_LEAVING
+    const { requestId, attempt, kind, resources, payload, leaseMs, checkpoint } = parsed.data
+    const payloadDigest = computePayloadDigest(payload)
+    const use = { worker: this.id, taskId, requestId, attempt, kind, resources, payloadDigest, startedAtMs: this.clock.readWallMs() }
+    const wanted = parseDirections(payload)
+    const durationMs = parseCheckpoint(checkpoint) ?? drawServiceMs(kind, wanted, this.#options.serviceTimes, this.#options.random)
+    const task: Task = {
+      taskId,
+      use,
+      wanted,
+      startedAtMs: this.clock.readMonotonicMs(),
+      state: 'running',
+      speed: 1,
+      work: this.meter.start(durationMs, () => this.#finishTask(task, payload)),
+      lease: this.clock.startTimer(leaseMs, () => this.#endTask(task, 'lost'))
+    }
+    this.#tasks.set(taskId, task)
+    this.#options.useLog.recordStart(use, this.#options.size)
+    return { status: 201, body: this.#describeTask(task) }
+  }
+
+  async #handleSync (request: StandInRequest): Promise<StandInAnswer> {
+    const parsed = syncRequest.safeParse(request.body)
+    if (!parsed.success) return REFUSED_AS_MALFORMED
+    const { renew, acknowledge, leaseMs, waitMs } = parsed.data
+    for (const taskId of renew) {
+      const task = this.#tasks.get(taskId)
+      if (task?.state !== 'running') continue
+      task.lease.cancel()
+      task.lease = this.clock.startTimer(leaseMs, () => this.#endTask(task, 'lost'))
+    }
+    for (const taskId of acknowledge) {
+      if (this.#tasks.get(taskId)?.state !== 'running') this.#tasks.delete(taskId)
+    }
+    const hasEnded = [...this.#tasks.values()].some(({ state }) => state !== 'running')
+    if (waitMs > 0 && !hasEnded) await this.#waitForEnd(waitMs, request)
+    const tasks = [...this.#tasks.values()].map((task) => this.#describeTask(task))
+    return { status: 200, body: { progress: this.meter.readProgress(), leaving: this.readFaults().leaving === true, tasks } }
+  }
+
+  async #waitForEnd (waitMs: number, request: StandInRequest): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = this.clock.startTimer(waitMs, resolve)
+      const end = (): void => {
+        timer.cancel()
+        this.#waiting.delete(end)
+        resolve()
+      }
+      this.#waiting.add(end)
+      request.onClosed(end)
+    })
+  }
+
+  #finishTask (task: Task, payload: unknown): void {
+    const { requestId, attempt, kind } = task.use
+    if (task.wanted.fail === true || this.readFaults().failAll === true) {
+      task.error = FAILURE
+      this.#endTask(task, 'failed')
+      return
+    }
+    task.result = createWorkResult(requestId, attempt, kind, payload)
+    this.#endTask(task, 'completed')
+  }
+
+  /** Ends a running task and returns how much of it remained. */
+  #endTask (task: Task, state: TaskState): number {
+    if (task.state !== 'running') return 0
+    task.state = state
+    task.lease.cancel()
+    const remainingMs = task.work.stop()
+    this.#options.useLog.recordEnd(task.use, state)
+    this.#notifyWaiting()
+    return remainingMs
+  }
+
+  #describeTask (task: Task): unknown {
+    const { taskId, use: { requestId, attempt }, state, result, error, checkpoint } = task
+    return { taskId, requestId, attempt, state, result, error, checkpoint, usage: this.#readUsage(task) }
+  }
+
+  #notifyWaiting (): void {
+    for (const end of [...this.#waiting]) end()
+  }
+
+  // The report shows what was in use `usageLagMs` ago: nothing of a task that had not started then.
+  #readUsage (task: Task): Resources {
+    if (task.state !== 'running' || this.clock.readMonotonicMs() - task.startedAtMs < this.#options.usageLagMs) return NO_RESOURCES
+    const { kind, resources: { cores, memoryMb, accelerators } } = task.use
+    const factor = this.#options.usageFactors.get(kind) ?? this.#options.usageFactors.get('default') ?? 1
+    const wanted = task.wanted.usage
+    return {
+      cores: (wanted?.cores ?? cores * factor) * task.speed,
+      memoryMb: wanted?.memoryMb ?? memoryMb * factor,
+      accelerators: wanted?.accelerators ?? accelerators
+    }
+  }
+}
+
+function parseCheckpoint (checkpoint: string | undefined): number | undefined {
+  if (checkpoint === undefined) return undefined
+  try {
+    return z.object({ remainingMs: z.number().min(0) }).parse(JSON.parse(checkpoint)).remainingMs
+  } catch {
+    return undefined
+  }
+}
