--- a/packages/tables/src/csv-table.ts
+++ b/packages/tables/src/csv-table.ts
@@ -81,7 +81,8 @@
 ): ReadonlyMap<Column, number> {
   const known = new Map<string, Column>(columns.map((column) => [column, column]))
   const positions = new Map<Column, number>()
-  header.cells.forEach((name, position) => {
+  header.cells.forEach((cell, position) => {
+    const name = cell.trim()
     const column = known.get(name)
     if (column === undefined) {
       findings.push(createTableFinding(file, header.line, position + 1, TABLE_PROBLEMS.unknownColumn(name)))
--- a/packages/tables/src/row-reader.ts
+++ b/packages/tables/src/row-reader.ts
@@ -147,10 +147,10 @@
     return undefined
   }
 
-  /** A missing column is reported once for the file, so its cells read as empty. */
+  /** A missing column is reported once for the file, so its cells read as empty. The CSV parser keeps blanks within quotes. */
   #readText (column: Column): string {
     const position = this.#table.positions.get(column)
-    return position === undefined ? '' : this.#row.cells[position] ?? ''
+    return position === undefined ? '' : (this.#row.cells[position] ?? '').trim()
   }
 
   #addEmptyCell (column: Column): void {
--- a/packages/tables/src/table-messages.ts
+++ b/packages/tables/src/table-messages.ts
@@ -67,5 +67,17 @@
     ({ code: 'taskOverTargets', message: `no listed target of pool ${pool} is large enough for one task (${detail})` }),
   gangOverPool: (pool: string, tasks: number, places: number) =>
     ({ code: 'gangOverPool', message: `the listed targets of pool ${pool} have places for ${places} tasks at once, the gang has ${tasks}` }),
+  unusedPool: (pool: string) => ({ code: 'unusedPool', message: `pool ${pool} is used by no route` }),
+  invalidAuthor: (greatest: number) => ({ code: 'invalidAuthor', message: `author must have 1 to ${greatest} characters` }),
+  invalidExpectedRevision: () => ({ code: 'invalidExpectedRevision', message: 'expectedRevision must be a whole number, 0 when there are no tables' }),
   storedValue: (detail: string) => ({ code: 'storedValue', message: `the stored tables cannot be decoded: ${detail}` })
 } as const satisfies Record<string, (...values: never[]) => TableProblem>
+
+/** Reasons why a change was not applied or why its fate is not known. */
+export const APPLY_REASONS = {
+  conflictUnread: (expectedRevision: number, detail: string) =>
+    `revision ${expectedRevision} is no longer current, and the current one could not be read: ${detail}`,
+  replaced: (currentRevision: number, currentAuthor: string) =>
+    `the reply of the store was lost, and revision ${currentRevision} of author ${formatCell(currentAuthor)} is now current; ` +
+    'whether this change was in force before it is not known'
+} as const
