Add settings, logs and the HTTP API of the entry

The process hibiscusledge needs its settings, telemetry and HTTP API before the gateway and the peers exist.

The API runs moleculer-web behind the package's own http.Server: with moleculer-web's server, malformed HTTP, Expect and CONNECT can't get a JSON answer, and a preflight request would run the action that its Access-Control-Request-Method header names. Moleculer's middlewares are off. ts-results is imported by its default export, because its named exports are not visible to ES modules.

--- /dev/null
+++ b/packages/entry/src/api-call.ts
@@ -0,0 +1,27 @@
+import type { RequestId } from '@hibiscusledge/runtime/identifiers.js'
+import { toRequestId } from '@hibiscusledge/runtime/identifiers.js'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { ApiError } from './api-error.js'
+import { API_FINDINGS } from './api-messages.js'
+import { createFindingsResponse } from './api-response.js'
+
+/** Parameters that an action gets from the HTTP layer. */
+export interface ApiCall {
+  readonly params: {
+    readonly body: unknown
+    readonly query: Readonly<Record<string, unknown>>
+    /** Parameters of the path. */
+    readonly params: Readonly<Record<string, string>>
+    readonly $req: IncomingMessage
+    readonly $res: ServerResponse
+  }
+}
+
+const REQUEST_ID = /^[0-9a-f]{1,8}-[0-9a-f]{1,64}$/
+
+/** Reads the request id from the path. */
+export function requireRequestId (call: ApiCall): RequestId {
+  const id = call.params.params['id'] ?? ''
+  if (!REQUEST_ID.test(id)) throw new ApiError(createFindingsResponse([{ ...API_FINDINGS.requestId, place: 'path.id' }]))
+  return toRequestId(id)
+}
--- /dev/null
+++ b/packages/entry/src/api-server.ts
@@ -0,0 +1,125 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { ServiceBroker, type Service } from 'moleculer'
+import { createApiGatewayService } from './api-gateway-service.js'
+import type { ApiParts } from './api-parts.js'
+import { createErrorResponse } from './api-response.js'
+import { ConnectionGuard } from './connection-guard.js'
+import { LOG_EVENTS } from './log-events.js'
+import { createOperationsService } from './operations-service.js'
+import { createRequestsService } from './requests-service.js'
+import { writeResponse } from './write-response.js'
+
+const HEADERS_TIMEOUT_MS = 10_000
+const REQUEST_TIMEOUT_MS = 30_000
+/** Longer than the idle limit of common balancers (60 s), so that the balancer closes first and never writes to a closing connection. */
+const KEEP_ALIVE_TIMEOUT_MS = 72_000
+const CLOSE_TIMEOUT_MS = 1_000
+
+type HttpHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
+
+/** The HTTP API: a server whose requests a Moleculer broker without transporter handles. */
+export class ApiServer {
+  readonly #parts: ApiParts
+  readonly #broker: ServiceBroker
+  readonly #server: Server
+  readonly #guard: ConnectionGuard
+  readonly #handleHttp: HttpHandler
+
+  constructor (parts: ApiParts) {
+    this.#parts = parts
+    this.#broker = createBroker(parts)
+    this.#broker.createService(createRequestsService(parts))
+    this.#broker.createService(createOperationsService(parts))
+    const gateway = this.#broker.createService(createApiGatewayService(parts)) as Service & { httpHandler: HttpHandler }
+    this.#handleHttp = gateway.httpHandler.bind(gateway)
+    this.#guard = new ConnectionGuard(parts.logger)
+    this.#server = createServer({
+      headersTimeout: HEADERS_TIMEOUT_MS,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+      requireHostHeader: false
+    }, (request, response) => this.#onRequest(request, response))
+    this.#server.on('checkExpectation', (_request, response) => writeResponse(response, createErrorResponse('expectationFailed'), true))
+    this.#guard.bindServer(this.#server)
+  }
+
+  /** Starts to listen. Resolves with the port. */
+  async start (): Promise<number> {
+    await this.#broker.start()
+    const { apiHost, apiPort } = this.#parts.settings
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(apiPort, apiHost, () => {
+        this.#server.off('error', reject)
+        resolve()
+      })
+    })
+    const { port } = this.#server.address() as AddressInfo
+    this.#parts.logger.logInfo(LOG_EVENTS.listening, { host: apiHost, port })
+    return port
+  }
+
+  /** Closes the server and its connections. Callers must have their answers already. */
+  async stop (): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = this.#parts.clock.startTimer(CLOSE_TIMEOUT_MS, () => this.#server.closeAllConnections())
+      this.#server.close(() => {
+        timer.cancel()
+        resolve()
+      })
+      this.#server.closeIdleConnections()
+    })
+    await this.#broker.stop()
+  }
+
+  #onRequest (request: IncomingMessage, response: ServerResponse): void {
+    const startedAtMs = this.#parts.clock.readMonotonicMs()
+    const endCaller = this.#parts.pendingCallers.addCaller()
+    this.#guard.trackRequest(request, response)
+    response.once('close', () => {
+      endCaller()
+      this.#recordRequest(request, response, startedAtMs)
+    })
+    removeGatewayHeaders(request)
+    this.#handleHttp(request, response).catch((error: unknown) => {
+      this.#parts.logger.logError(LOG_EVENTS.requestFailed, { operation: request.method, error })
+      writeResponse(response, createErrorResponse('internal'), true)
+    })
+  }
+
+  #recordRequest (request: IncomingMessage & { $alias?: { path: string } }, response: ServerResponse, startedAtMs: number): void {
+    const tags = {
+      path: request.$alias?.path ?? 'none',
+      method: request.$alias === undefined ? 'none' : request.method ?? 'none',
+      status: response.writableFinished ? String(response.statusCode) : 'disconnected'
+    }
+    this.#parts.metrics.incrementCounter('api.requests', 1, tags)
+    this.#parts.metrics.recordTiming('api.duration', this.#parts.clock.readMonotonicMs() - startedAtMs, tags)
+    this.#parts.metrics.setGauge('api.pending', this.#parts.pendingCallers.readCount())
+  }
+}
+
+// moleculer-web takes the method of a preflight request from this header and would run the action; the others it echoes.
+function removeGatewayHeaders (request: IncomingMessage): void {
+  delete request.headers['access-control-request-method']
+  delete request.headers['x-request-id']
+  delete request.headers['x-correlation-id']
+}
+
+/** Everything is off that the API doesn't need; each middleware would cost time on every request. */
+function createBroker (parts: ApiParts): ServiceBroker {
+  return new ServiceBroker({
+    nodeID: parts.settings.instanceId,
+    logger: false,
+    metrics: false,
+    tracing: false,
+    validator: false,
+    internalServices: false,
+    internalMiddlewares: false,
+    heartbeatInterval: 0,
+    requestTimeout: 0,
+    maxCallLevel: 0,
+    skipProcessEventRegistration: true
+  })
+}
--- /dev/null
+++ b/packages/entry/src/apply-tables-action.ts
@@ -0,0 +1,36 @@
+import type { ApiCall } from './api-call.js'
+import type { ApiParts } from './api-parts.js'
+import { createErrorResponse, createFindingsResponse, type ApiResponse } from './api-response.js'
+import { buildFindings } from './build-findings.js'
+import { LOG_EVENTS } from './log-events.js'
+import type { TableEditAnswer } from './table-editor.js'
+import { tableEditSchema } from './table-edit-schema.js'
+
+/** `PUT /v1/tables` */
+export function createApplyTablesAction (parts: ApiParts): (call: ApiCall) => Promise<ApiResponse> {
+  return async (call) => {
+    const { body } = call.params
+    const parsed = tableEditSchema.safeParse(body)
+    if (!parsed.success) return createFindingsResponse(buildFindings(parsed.error.issues, body, 'body'))
+    const { routes, pools, expectedRevision, author } = parsed.data
+    try {
+      return createEditResponse(await parts.tableEditor.applyTables({ routes, pools }, expectedRevision, author))
+    } catch (error) {
+      // The editor may have written before it failed.
+      parts.logger.logError(LOG_EVENTS.requestFailed, { operation: 'applyTables', error })
+      return createErrorResponse('editUnknown')
+    }
+  }
+}
+
+function createEditResponse (answer: TableEditAnswer): ApiResponse {
+  switch (answer.type) {
+    case 'accepted': return { status: 200, body: { revision: answer.revision, hash: answer.hash } }
+    case 'invalid': return createFindingsResponse(answer.findings)
+    case 'conflict': {
+      const { currentRevision, currentAuthor, currentAppliedAt, expectedRevision, author } = answer
+      return { status: 409, body: { currentRevision, currentAuthor, currentAppliedAt, expectedRevision, author } }
+    }
+    case 'unknown': return createErrorResponse('editUnknown', { reason: answer.reason })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/check-health-action.ts
@@ -0,0 +1,6 @@
+import type { ApiResponse } from './api-response.js'
+
+/** `GET /healthz` */
+export function createCheckHealthAction (): () => ApiResponse {
+  return () => ({ status: 200, body: { status: 'alive' } })
+}
--- /dev/null
+++ b/packages/entry/src/connection-guard.ts
@@ -0,0 +1,68 @@
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Duplex } from 'node:stream'
+import type { ApiErrorName } from './api-messages.js'
+import { LOG_EVENTS } from './log-events.js'
+import { formatRawResponse } from './write-response.js'
+
+interface ConnectionState {
+  unanswered: number
+  newest: IncomingMessage
+  newestResponse: ServerResponse
+}
+
+/**
+ * Answers bytes that aren't HTTP. On a connection with pipelined requests the parser's failure belongs to the newest
+ * one, and an answer written then would reach the caller as the answer to an earlier one; such a connection is closed.
+ */
+export class ConnectionGuard {
+  readonly #logger: EventLogger
+  readonly #states = new WeakMap<Duplex, ConnectionState>()
+
+  constructor (logger: EventLogger) {
+    this.#logger = logger
+  }
+
+  bindServer (server: Server): void {
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) => this.#onClientError(error, socket))
+    server.on('connect', (_request, socket) => endWith(socket, formatRawResponse('methodNotAllowed', 'Method Not Allowed')))
+  }
+
+  trackRequest (request: IncomingMessage, response: ServerResponse): void {
+    const state = this.#states.get(request.socket)
+    if (state === undefined) {
+      this.#states.set(request.socket, { unanswered: 1, newest: request, newestResponse: response })
+    } else {
+      state.unanswered++
+      state.newest = request
+      state.newestResponse = response
+    }
+    response.once('close', () => {
+      const current = this.#states.get(request.socket)
+      if (current !== undefined) current.unanswered--
+    })
+  }
+
+  #onClientError (error: NodeJS.ErrnoException, socket: Duplex): void {
+    this.#logger.logInfo(LOG_EVENTS.connectionRefused, { code: error.code })
+    if (!socket.writable || !this.#isAnswerable(socket)) {
+      socket.destroy()
+      return
+    }
+    switch (error.code) {
+      case 'HPE_HEADER_OVERFLOW': return endWith(socket, formatRawResponse('headersTooLarge', 'Request Header Fields Too Large'))
+      case 'ERR_HTTP_REQUEST_TIMEOUT': return endWith(socket, formatRawResponse('requestTimeout' satisfies ApiErrorName, 'Request Timeout'))
+      default: return endWith(socket, formatRawResponse('malformedHttp', 'Bad Request'))
+    }
+  }
+
+  #isAnswerable (socket: Duplex): boolean {
+    const state = this.#states.get(socket)
+    if (state === undefined || state.unanswered === 0) return true
+    return state.unanswered === 1 && !state.newest.complete && !state.newestResponse.headersSent
+  }
+}
+
+function endWith (socket: Duplex, text: string): void {
+  socket.end(text, () => socket.destroy())
+}
--- /dev/null
+++ b/packages/entry/src/create-process.ts
@@ -0,0 +1,35 @@
+import { ApiServer } from './api-server.js'
+import type { ExitCode } from './exit-codes.js'
+import { HibiscusledgeProcess } from './hibiscusledge-process.js'
+import { InstanceLifeCycle } from './instance-life-cycle.js'
+import type { InstanceParts } from './instance-parts.js'
+import { PendingCallers } from './pending-callers.js'
+import type { Settings } from './setting-table.js'
+import type { Telemetry } from './telemetry.js'
+
+/** Puts the HTTP API and the life cycle around the parts of an instance. */
+export function createProcess (
+  settings: Settings, telemetry: Telemetry, instance: InstanceParts, exit: (code: ExitCode) => void
+): HibiscusledgeProcess {
+  const { clock, logger, metrics, spans } = telemetry
+  const { gateway, tables, tableEditor, status, drainable } = instance
+  const lifeCycle = new InstanceLifeCycle(logger)
+  const pendingCallers = new PendingCallers()
+  const api = new ApiServer({
+    settings, gateway, tables, tableEditor, status, lifeCycle, pendingCallers, clock, logger, metrics, spans
+  })
+  return new HibiscusledgeProcess({
+    settings,
+    lifeCycle,
+    pendingCallers,
+    api,
+    startInstance: () => instance.start(),
+    gateway,
+    tables,
+    drainable,
+    clock,
+    logger,
+    closeTelemetry: () => telemetry.close(),
+    exit
+  })
+}
--- /dev/null
+++ b/packages/entry/src/explain-action.ts
@@ -0,0 +1,13 @@
+import { requireRequestId, type ApiCall } from './api-call.js'
+import type { ApiParts } from './api-parts.js'
+import { createErrorResponse, type ApiResponse } from './api-response.js'
+
+/** `GET /v1/requests/:id/explanation` */
+export function createExplainAction (parts: ApiParts): (call: ApiCall) => Promise<ApiResponse> {
+  return async (call) => {
+    const explanation = await parts.gateway.explainWait(requireRequestId(call))
+    if (explanation === undefined) return createErrorResponse('notWaiting')
+    const { requestId, pool, urgency, position, estimatedWaitMs, reason } = explanation
+    return { status: 200, body: { requestId, pool, urgency, position, estimatedWaitMs, reason } }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/hibiscusledge-process.ts
@@ -0,0 +1,111 @@
+import { EXIT_CODES } from './exit-codes.js'
+import { LOG_EVENTS } from './log-events.js'
+import type { ProcessParts } from './process-parts.js'
+
+const PENDING_POLL_MS = 50
+/** Bounds the closing of links and buffers, which must not hold up the end of the process. */
+const CLOSE_TIMEOUT_MS = 2_000
+
+/** One instance as a process: start, planned stop and end on a fault. */
+export class HibiscusledgeProcess {
+  readonly #parts: ProcessParts
+  #isDraining = false
+
+  constructor (parts: ProcessParts) {
+    this.#parts = parts
+  }
+
+  async start (): Promise<void> {
+    const { lifeCycle, api, startInstance, tables, logger, exit } = this.#parts
+    try {
+      await startInstance()
+      await api.start()
+    } catch (error) {
+      logger.logError(LOG_EVENTS.startFailed, { error })
+      exit(EXIT_CODES.startFailed)
+      return
+    }
+    lifeCycle.applyEvent('started')
+    if (tables.readCurrent() !== undefined) lifeCycle.applyEvent('joined')
+    tables.subscribe(() => { lifeCycle.applyEvent('joined') })
+  }
+
+  /** SIGTERM or SIGINT: the first one drains, a second one ends the process at once. */
+  async onTerminate (): Promise<void> {
+    const { lifeCycle, pendingCallers, logger, exit } = this.#parts
+    if (this.#isDraining) {
+      logger.logError(LOG_EVENTS.terminatedAtOnce, { cutOffCallers: pendingCallers.readCount() })
+      exit(EXIT_CODES.terminatedAtOnce)
+      return
+    }
+    this.#isDraining = true
+    lifeCycle.applyEvent('drain')
+    await this.#drain()
+    lifeCycle.applyEvent('stop')
+    await this.#close()
+    exit(EXIT_CODES.ok)
+  }
+
+  /** An uncaught exception or rejection. The state is unknown, and an unknown state must not send work. */
+  onFault (origin: string, error: unknown): void {
+    const { logger, pendingCallers, exit } = this.#parts
+    logger.logError(LOG_EVENTS.internalFault, { origin, cutOffCallers: pendingCallers.readCount(), error })
+    exit(EXIT_CODES.internalFault)
+  }
+
+  async #drain (): Promise<void> {
+    const { settings, lifeCycle, pendingCallers, clock, logger } = this.#parts
+    logger.logInfo(LOG_EVENTS.drainStarted, { pendingCallers: pendingCallers.readCount(), graceMs: settings.drainGraceMs })
+    await this.#wait(settings.drainGraceMs)
+    lifeCycle.refuseRequests()
+    logger.logInfo(LOG_EVENTS.drainRefusing, { pendingCallers: pendingCallers.readCount(), timeoutMs: settings.drainTimeoutMs })
+
+    const limit = new AbortController()
+    const timer = clock.startTimer(settings.drainTimeoutMs, () => limit.abort())
+    await Promise.all([this.#handOver(limit.signal), this.#waitForCallers(limit.signal)])
+    timer.cancel()
+    if (limit.signal.aborted) logger.logWarning(LOG_EVENTS.drainTimedOut, { cutOffCallers: pendingCallers.readCount() })
+    else logger.logInfo(LOG_EVENTS.drainFinished)
+  }
+
+  async #handOver (signal: AbortSignal): Promise<void> {
+    const handOver = this.#parts.drainable.handOver(signal)
+      .catch((error: unknown) => { this.#parts.logger.logError(LOG_EVENTS.handOverFailed, { error }) })
+    await Promise.race([handOver, waitForAbort(signal)])
+  }
+
+  async #waitForCallers (signal: AbortSignal): Promise<void> {
+    const { pendingCallers, gateway } = this.#parts
+    while (!signal.aborted && (pendingCallers.readCount() > 0 || gateway.countPending() > 0)) {
+      await pendingCallers.waitForIdle(signal)
+      if (gateway.countPending() > 0) await Promise.race([this.#wait(PENDING_POLL_MS), waitForAbort(signal)])
+    }
+  }
+
+  async #close (): Promise<void> {
+    const { api, drainable, closeTelemetry, logger } = this.#parts
+    for (const close of [() => api.stop(), () => drainable.close(), closeTelemetry]) {
+      const closed = close().catch((error: unknown) => { logger.logError(LOG_EVENTS.closeFailed, { error }) })
+      await this.#waitAtMost(closed, CLOSE_TIMEOUT_MS)
+    }
+  }
+
+  async #wait (durationMs: number): Promise<void> {
+    await new Promise<void>((resolve) => { this.#parts.clock.startTimer(durationMs, resolve) })
+  }
+
+  async #waitAtMost (promise: Promise<void>, durationMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = this.#parts.clock.startTimer(durationMs, resolve)
+      promise.finally(() => {
+        timer.cancel()
+        resolve()
+      })
+    })
+  }
+}
+
+async function waitForAbort (signal: AbortSignal): Promise<void> {
+  if (signal.aborted) return
+  await new Promise<void>((resolve) => { signal.addEventListener('abort', () => resolve(), { once: true }) })
+}
--- /dev/null
+++ b/packages/entry/src/host-port.ts
@@ -0,0 +1,20 @@
+/** A network address as written in settings: `10.0.0.7:4100`, `[::1]:4100`. */
+export interface HostPort {
+  readonly host: string
+  readonly port: number
+}
+
+const HOST_PORT = /^(?:\[([0-9a-fA-F:.]+)\]|([^\s:[\]/]+)):([0-9]{1,5})$/
+
+/** Parses `HOST:PORT`; undefined when it is malformed or the port is not in 1 to 65535. */
+export function parseHostPort (text: string): HostPort | undefined {
+  const match = HOST_PORT.exec(text)
+  const host = match?.[1] ?? match?.[2]
+  const port = Number(match?.[3])
+  if (host === undefined || !(port >= 1 && port <= 65_535)) return undefined
+  return { host, port }
+}
+
+export function formatHostPort (address: HostPort): string {
+  return address.host.includes(':') ? `[${address.host}]:${address.port}` : `${address.host}:${address.port}`
+}
--- /dev/null
+++ b/packages/entry/src/log-events.ts
@@ -0,0 +1,20 @@
+/** Names of the log events of the process; docs/operations.md describes them. */
+export const LOG_EVENTS = {
+  stateChanged: 'instance.stateChanged',
+  listening: 'api.listening',
+  requestFailed: 'api.requestFailed',
+  connectionRefused: 'api.connectionRefused',
+  drainStarted: 'drain.started',
+  drainRefusing: 'drain.refusing',
+  drainFinished: 'drain.finished',
+  drainTimedOut: 'drain.timedOut',
+  handOverFailed: 'drain.handOverFailed',
+  closeFailed: 'drain.closeFailed',
+  terminatedAtOnce: 'process.terminatedAtOnce',
+  startFailed: 'process.startFailed',
+  internalFault: 'process.internalFault',
+  settingsInvalid: 'process.settingsInvalid',
+  metricsFailed: 'metrics.failed',
+  spansDropped: 'spans.dropped',
+  span: 'span'
+} as const
--- /dev/null
+++ b/packages/entry/src/nesting.ts
@@ -0,0 +1,15 @@
+export const MAX_NESTING = 100
+
+/**
+ * Whether a JSON value has more than `limit` levels of arrays and objects. Encoders further down recurse on each level
+ * and would exhaust the stack on a hostile body.
+ */
+export function isNestedDeeper (value: unknown, limit: number): boolean {
+  if (typeof value !== 'object' || value === null) return false
+  if (limit === 0) return true
+  if (Array.isArray(value)) return value.some((item) => isNestedDeeper(item, limit - 1))
+  for (const key in value) {
+    if (isNestedDeeper((value as Record<string, unknown>)[key], limit - 1)) return true
+  }
+  return false
+}
--- /dev/null
+++ b/packages/entry/src/parse-submission.ts
@@ -0,0 +1,64 @@
+import type { Submission } from '@hibiscusledge/dispatch/request-gateway.js'
+import type { Finding } from '@hibiscusledge/runtime/finding.js'
+import type { IncomingHttpHeaders } from 'node:http'
+import tsResults, { type Result } from 'ts-results'
+import { API_FINDINGS } from './api-messages.js'
+import { buildFindings } from './build-findings.js'
+import { MAX_NESTING, isNestedDeeper } from './nesting.js'
+import { submissionSchema } from './submission-schema.js'
+
+/** A request of a caller as received, with the body parsed as JSON. */
+export interface ReceivedSubmission {
+  readonly body: unknown
+  readonly query: Readonly<Record<string, unknown>>
+  readonly headers: IncomingHttpHeaders
+  /** How often the header Idempotency-Key was sent. */
+  readonly keyCount: number
+}
+
+export interface ParsedSubmission {
+  readonly submission: Omit<Submission, 'trace'>
+  /** Undefined takes the configured wait. */
+  readonly waitMs: number | undefined
+}
+
+export const MAX_WAIT_MS = 86_400_000
+
+const { Err, Ok } = tsResults
+
+const KEY = /^[\x20-\x7e]{1,255}$/
+const WAIT = /^[0-9]{1,8}$/
+
+/** Checks the shape of a request. All findings are reported together. */
+export function parseSubmission (received: ReceivedSubmission): Result<ParsedSubmission, readonly Finding[]> {
+  const findings: Finding[] = []
+  const { body } = received
+  const parsed = submissionSchema.safeParse(body)
+  if (!parsed.success) findings.push(...buildFindings(parsed.error.issues, body, 'body'))
+  if (isObject(body) && isNestedDeeper(body['payload'], MAX_NESTING)) findings.push({ ...API_FINDINGS.tooDeep, place: 'body.payload' })
+
+  const idempotencyKey = received.headers['idempotency-key'] as string | undefined
+  if (idempotencyKey !== undefined && (received.keyCount !== 1 || !KEY.test(idempotencyKey))) {
+    findings.push({ ...API_FINDINGS.key, place: 'header.Idempotency-Key' })
+  }
+  const waitMs = parseWait(received.query['wait'])
+  if (Number.isNaN(waitMs)) findings.push({ ...API_FINDINGS.wait, place: 'query.wait' })
+  if (findings.length > 0 || !parsed.success) return Err(findings)
+  const { kind, customer, team, deadlineMs, payload } = parsed.data
+  return Ok({
+    submission: { kind, customer, team: team ?? '', deadlineMs, payload, idempotencyKey, isWaiting: waitMs !== 0 },
+    waitMs
+  })
+}
+
+/** NaN when the parameter is malformed. */
+function parseWait (wait: unknown): number | undefined {
+  if (wait === undefined) return undefined
+  if (typeof wait !== 'string' || !WAIT.test(wait)) return NaN
+  const waitMs = Number(wait)
+  return waitMs <= MAX_WAIT_MS ? waitMs : NaN
+}
+
+function isObject (value: unknown): value is Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
--- /dev/null
+++ b/packages/entry/src/pending-callers.ts
@@ -0,0 +1,36 @@
+/** Callers that have sent a request and have not got their whole answer yet. */
+export class PendingCallers {
+  #count = 0
+  readonly #idleListeners = new Set<() => void>()
+
+  readCount (): number {
+    return this.#count
+  }
+
+  /** Counts one more caller. The returned function ends it and has no effect when called again. */
+  addCaller (): () => void {
+    this.#count++
+    let isPending = true
+    return () => {
+      if (!isPending) return
+      isPending = false
+      this.#count--
+      if (this.#count === 0) this.#notifyIdle()
+    }
+  }
+
+  /** Resolves when no caller is pending, or when `signal` aborts. */
+  async waitForIdle (signal: AbortSignal): Promise<void> {
+    if (this.#count === 0 || signal.aborted) return
+    await new Promise<void>((resolve) => {
+      this.#idleListeners.add(resolve)
+      signal.addEventListener('abort', () => resolve(), { once: true })
+    })
+  }
+
+  #notifyIdle (): void {
+    const listeners = [...this.#idleListeners]
+    this.#idleListeners.clear()
+    for (const listener of listeners) listener()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/process-parts.ts
@@ -0,0 +1,32 @@
+import type { RequestGateway } from '@hibiscusledge/dispatch/request-gateway.js'
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { TableDirectory } from '@hibiscusledge/tables/table-directory.js'
+import type { Drainable } from './drainable.js'
+import type { ExitCode } from './exit-codes.js'
+import type { InstanceLifeCycle } from './instance-life-cycle.js'
+import type { PendingCallers } from './pending-callers.js'
+import type { Settings } from './setting-table.js'
+
+/** Something that is started once and stopped once. */
+export interface Startable {
+  start (): Promise<unknown>
+  stop (): Promise<void>
+}
+
+/** Everything that the process drives through its life cycle. */
+export interface ProcessParts {
+  readonly settings: Pick<Settings, 'drainGraceMs' | 'drainTimeoutMs'>
+  readonly lifeCycle: InstanceLifeCycle
+  readonly pendingCallers: PendingCallers
+  readonly api: Startable
+  /** Starts the part behind the HTTP API. */
+  readonly startInstance: () => Promise<void>
+  readonly gateway: Pick<RequestGateway, 'countPending'>
+  readonly tables: TableDirectory
+  readonly drainable: Drainable
+  readonly clock: Clock
+  readonly logger: EventLogger
+  readonly closeTelemetry: () => Promise<void>
+  readonly exit: (code: ExitCode) => void
+}
--- /dev/null
+++ b/packages/entry/src/statsd-metric-sink.ts
@@ -0,0 +1,45 @@
+import type { MetricSink, MetricTags } from '@hibiscusledge/runtime/metric-sink.js'
+import { StatsD } from 'hot-shots'
+import type { HostPort } from './host-port.js'
+
+const PREFIX = 'hibiscusledge.'
+/** Below the payload of an Ethernet frame, so that a datagram is not fragmented. */
+const MAX_DATAGRAM_BYTES = 1_400
+const FLUSH_INTERVAL_MS = 1_000
+
+/** Sends metrics to a StatsD server over UDP. A lost datagram or an absent server has no effect on the process. */
+export class StatsdMetricSink implements MetricSink {
+  readonly #client: StatsD
+
+  constructor (address: HostPort, tags: MetricTags, onError: (error: Error) => void) {
+    this.#client = new StatsD({
+      host: address.host,
+      port: address.port,
+      protocol: 'udp',
+      prefix: PREFIX,
+      globalTags: { ...tags },
+      maxBufferSize: MAX_DATAGRAM_BYTES,
+      bufferFlushInterval: FLUSH_INTERVAL_MS,
+      includeDatadogTelemetry: false,
+      includeDataDogTags: false,
+      errorHandler: onError
+    })
+  }
+
+  incrementCounter (name: string, by = 1, tags?: MetricTags): void {
+    this.#client.increment(name, by, tags === undefined ? undefined : { ...tags })
+  }
+
+  setGauge (name: string, value: number, tags?: MetricTags): void {
+    this.#client.gauge(name, value, tags === undefined ? undefined : { ...tags })
+  }
+
+  recordTiming (name: string, durationMs: number, tags?: MetricTags): void {
+    this.#client.timing(name, durationMs, tags === undefined ? undefined : { ...tags })
+  }
+
+  /** Sends what is buffered and closes the socket. */
+  async close (): Promise<void> {
+    await new Promise<void>((resolve) => { this.#client.close(() => resolve()) })
+  }
+}
--- /dev/null
+++ b/packages/entry/src/submission-schema.ts
@@ -0,0 +1,22 @@
+import { z } from 'zod'
+
+export const MAX_DEADLINE_MS = 604_800_000
+export const MAX_NAME_LENGTH = 128
+
+// \P{C} leaves out control characters and lone surrogates, which have no UTF-8 form and would change on the way to a target.
+const NAME = /^\P{C}{1,128}$/u
+const NAME_MESSAGE = `must be a string of 1 to ${MAX_NAME_LENGTH} characters without control characters`
+
+/** A name in a request: kind, customer, team, author. */
+export const nameSchema = z.string(NAME_MESSAGE).regex(NAME, NAME_MESSAGE)
+
+const DEADLINE_MESSAGE = `must be a whole number of milliseconds from 1 to ${MAX_DEADLINE_MS}`
+
+/** Body of `POST /v1/requests`. */
+export const submissionSchema = z.strictObject({
+  kind: nameSchema,
+  customer: nameSchema,
+  team: nameSchema.optional(),
+  deadlineMs: z.number(DEADLINE_MESSAGE).int(DEADLINE_MESSAGE).min(1, DEADLINE_MESSAGE).max(MAX_DEADLINE_MS, DEADLINE_MESSAGE).optional(),
+  payload: z.unknown()
+})
--- /dev/null
+++ b/packages/entry/src/write-response.ts
@@ -0,0 +1,29 @@
+import type { ServerResponse } from 'node:http'
+import { createErrorResponse, type ApiResponse } from './api-response.js'
+
+/** Writes a whole answer. A body that can't be serialized is answered as an internal error before a byte is written. */
+export function writeResponse (response: ServerResponse, apiResponse: ApiResponse, isClosing: boolean): void {
+  if (response.headersSent || response.destroyed) return
+  const text = JSON.stringify(apiResponse.body)
+  response.writeHead(apiResponse.status, {
+    'Content-Type': 'application/json',
+    'Content-Length': Buffer.byteLength(text),
+    ...apiResponse.headers,
+    ...(isClosing ? { Connection: 'close' } : {})
+  })
+  response.end(text)
+}
+
+/** Formats an answer for a connection on which the HTTP parser has failed. */
+export function formatRawResponse (name: Parameters<typeof createErrorResponse>[0], reasonPhrase: string): string {
+  const { status, body } = createErrorResponse(name)
+  const text = JSON.stringify(body)
+  return [
+    `HTTP/1.1 ${status} ${reasonPhrase}`,
+    'Content-Type: application/json',
+    `Content-Length: ${Buffer.byteLength(text)}`,
+    'Connection: close',
+    '',
+    text
+  ].join('\r\n')
+}
