--- a/packages/dispatch/src/attempt-tracker.ts
+++ b/packages/dispatch/src/attempt-tracker.ts
@@ -106,6 +106,7 @@
         this.#outcomes.endNotRun(request, 'deadlineExpired')
         break
       case 'checkpointed':
+        request.checkpoint = report.checkpoint
         this.#withdrawIntent(request)
         this.#startNextAttempt(request, 0)
         break
--- a/packages/dispatch/src/dispatch-messages.ts
+++ b/packages/dispatch/src/dispatch-messages.ts
@@ -52,7 +52,9 @@
   payload: z.unknown(),
   remainingMs: duration,
   isIntentNeeded: z.boolean(),
-  isRetry: z.boolean(),
+  /** Attempts before this one that may have run; 0 for the first. */
+  retries: z.number().int().min(0),
+  checkpoint: z.string().optional(),
   excludedTargets: z.array(target).max(64)
 })
 export type EnqueueMessage = z.output<typeof enqueueSchema>
@@ -86,7 +88,7 @@
   z.object({ type: z.literal('notRun'), message: z.string(), target: target.optional() }),
   z.object({ type: z.literal('expired') }),
   z.object({ type: z.literal('lost'), message: z.string(), target: target.optional() }),
-  z.object({ type: z.literal('checkpointed') }),
+  z.object({ type: z.literal('checkpointed'), checkpoint: z.string().optional() }),
   z.object({ type: z.literal('unknown'), message: z.string(), target: target.optional() })
 ])
 export type AttemptReport = z.output<typeof attemptReportSchema>
--- a/packages/dispatch/src/executor-client.ts
+++ b/packages/dispatch/src/executor-client.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod'
 import type { RunOrder, RunReport, TargetAddress, TargetClient, TargetProgress } from './target-client.js'
 import { TargetPoolMap } from './target-pool-map.js'
-import { formatError, isNeverSent, readJsonBody } from './target-response.js'
+import { formatError, isMarkedNotRun, isNeverSent, readJsonBody, targetErrorSchema } from './target-response.js'
 
 const PROGRESS_TIMEOUT_MS = 1000
 const LOOKUP_TIMEOUT_MS = 1000
@@ -20,10 +20,10 @@
   state: z.enum(['running', 'completed', 'absent']),
   attempt: z.number().optional(),
   result: z.unknown(),
-  error: z.string().optional()
+  error: targetErrorSchema.optional()
 })
 const progressSchema = z.object({ progress: z.number(), running: z.number(), leaving: z.boolean() })
-const errorSchema = z.object({ error: z.string() })
+const failureSchema = z.object({ error: targetErrorSchema })
 
 /** Requests and replies on executors. The protocol is described in docs/target-protocols.md. */
 export class ExecutorClient implements TargetClient {
@@ -93,12 +93,14 @@
         bodyTimeout: order.timeoutMs,
         signal
       })
-      if (response.statusCode === 503 && response.headers['x-not-run'] === 'true') {
+      if (isMarkedNotRun(response)) {
         await response.body.dump()
-        return { type: 'notRun', message: 'refused by the target', isLeaving: true }
+        return { type: 'notRun', message: `refused with status ${response.statusCode}`, isLeaving: response.statusCode === 503 }
       }
       const body = await readJsonBody(response.body)
       if (response.statusCode === 200) return { type: 'succeeded', result: body }
+      // Without the mark of a run that failed the error may come from something between, and the run may still go on.
+      if (response.headers['x-run-failed'] !== 'true') return { type: 'unknown', message: `status ${response.statusCode}` }
       return { type: 'failed', message: readErrorText(body) ?? `status ${response.statusCode}` }
     } catch (error) {
       if (isNeverSent(error)) return { type: 'notRun', message: formatError(error), isLeaving: false }
@@ -152,7 +154,7 @@
 
   async #lookup (target: TargetAddress, order: RunOrder): Promise<RunLookup> {
     try {
-      const response = await request(`http://${target.address}/runs/${encodeURIComponent(order.requestId)}`, {
+      const response = await request(`http://${target.address}/runs/${encodeURIComponent(order.requestId)}?attempt=${order.attempt}`, {
         headersTimeout: LOOKUP_TIMEOUT_MS, bodyTimeout: LOOKUP_TIMEOUT_MS, reset: true
       })
       const parsed = lookupSchema.safeParse(await readJsonBody(response.body))
@@ -161,7 +163,7 @@
       // A run of another attempt says nothing about this one.
       if (state === 'absent' || (attempt !== undefined && attempt !== order.attempt)) return { type: 'absent' }
       if (state === 'running') return { type: 'running' }
-      return { type: 'ended', report: error === undefined ? { type: 'succeeded', result } : { type: 'failed', message: error } }
+      return { type: 'ended', report: error === undefined ? { type: 'succeeded', result } : { type: 'failed', message: error.message } }
     } catch {
       return { type: 'unreachable' }
     }
@@ -186,6 +188,6 @@
   | { readonly type: 'ended', readonly report: RunReport }
 
 function readErrorText (body: unknown): string | undefined {
-  const parsed = errorSchema.safeParse(body)
-  return parsed.success ? parsed.data.error : undefined
+  const parsed = failureSchema.safeParse(body)
+  return parsed.success ? parsed.data.error.message : undefined
 }
--- a/packages/dispatch/src/foreign-runs.ts
+++ b/packages/dispatch/src/foreign-runs.ts
@@ -12,7 +12,7 @@
   readonly #scheduler: ShardScheduler
   readonly #clock: Clock
   readonly #onReleased: () => void
-  readonly #runs = new Map<RequestId, RecoveredStart>()
+  readonly #runs = new Map<RequestId, { readonly attempt: number, readonly start: RecoveredStart }>()
   readonly #timer: Timer
 
   constructor (scheduler: ShardScheduler, clock: Clock, onReleased: () => void) {
@@ -22,18 +22,18 @@
     this.#timer = clock.startInterval(SWEEP_PERIOD_MS, () => { this.#expireRuns() })
   }
 
-  add (start: RecoveredStart): void {
+  add (attempt: number, start: RecoveredStart): void {
     if (this.#runs.has(start.item.requestId)) return
-    this.#runs.set(start.item.requestId, start)
+    this.#runs.set(start.item.requestId, { attempt, start })
     this.#scheduler.recoverStart(start)
   }
 
   release (requestId: RequestId, attempt: number): void {
-    const start = this.#runs.get(requestId)
-    if (start?.item.attempt !== attempt) return
+    const run = this.#runs.get(requestId)
+    if (run?.attempt !== attempt) return
     this.#runs.delete(requestId)
     const nowMs = this.#clock.readMonotonicMs()
-    start.targets.forEach((_target, index) => { this.#scheduler.releaseTask(requestId, index, RUN_RESULTS.withdrawn, nowMs) })
+    run.start.targets.forEach((_target, index) => { this.#scheduler.releaseTask(requestId, index, RUN_RESULTS.withdrawn, nowMs) })
     this.#onReleased()
   }
 
@@ -43,8 +43,8 @@
 
   #expireRuns (): void {
     const nowMs = this.#clock.readMonotonicMs()
-    for (const start of this.#runs.values()) {
-      if (nowMs - start.startedAtMs > EXPIRY_MS) this.release(start.item.requestId, start.item.attempt)
+    for (const [requestId, { attempt, start }] of this.#runs) {
+      if (nowMs - start.startedAtMs > EXPIRY_MS) this.release(requestId, attempt)
     }
   }
 }
--- a/packages/dispatch/src/home-request.ts
+++ b/packages/dispatch/src/home-request.ts
@@ -41,6 +41,7 @@
   trace: TraceContext | undefined
   attempt = 0
   retries = 0
+  checkpoint: string | undefined
   assignment: Assignment | undefined
   /** The ledger holds an intent for the current attempt. */
   hasIntent = false
--- a/packages/dispatch/src/request-assigner.ts
+++ b/packages/dispatch/src/request-assigner.ts
@@ -117,7 +117,8 @@
       payload,
       remainingMs: request.deadlineAtMs - this.#context.clock.readMonotonicMs(),
       isIntentNeeded: plan.isIntentNeeded,
-      isRetry: request.retries > 0,
+      retries: request.retries,
+      checkpoint: request.checkpoint,
       excludedTargets: request.excludedTargets
     }
   }
--- a/packages/dispatch/src/shard-attempt.ts
+++ b/packages/dispatch/src/shard-attempt.ts
@@ -16,6 +16,7 @@
   readonly item: WorkItem
   readonly work: WorkFacts
   readonly payload: unknown
+  readonly checkpoint: string | undefined
   readonly isIntentNeeded: boolean
   readonly trace: TraceContext | undefined
   state: AttemptState
@@ -27,7 +28,8 @@
 /** What the shard's owner needs to build a scheduler item. */
 export interface ItemSource {
   readonly requestId: RequestId
-  readonly attempt: number
+  /** Attempts before this one that may have run. */
+  readonly retries: number
   readonly kind: string
   readonly customer: string
   readonly team: string
@@ -36,10 +38,10 @@
 }
 
 export function buildWorkItem (source: ItemSource, enqueuedAtMs: number, deadlineAtMs: number): WorkItem {
-  const { work, requestId, attempt, kind, customer, team, excludedTargets } = source
+  const { work, requestId, retries, kind, customer, team, excludedTargets } = source
   return {
     requestId,
-    attempt,
+    attempt: retries + 1,
     kind,
     customer,
     team,
@@ -66,6 +68,7 @@
     kind: attempt.item.kind,
     resources: attempt.item.resources,
     payload: attempt.payload,
+    checkpoint: attempt.checkpoint,
     timeoutMs,
     trace: attempt.trace
   }
@@ -105,7 +108,8 @@
   if (failed !== undefined) return { type: 'failed', message: failed.report.message }
   const notRun = findWith('notRun')
   if (notRun !== undefined) return mergeNotRun(reports, notRun.report.message, notRun.target)
-  if (reports.some((report) => report.type === 'checkpointed')) return { type: 'checkpointed' }
+  const checkpointed = findWith('checkpointed')
+  if (checkpointed !== undefined) return { type: 'checkpointed', checkpoint: checkpointed.report.checkpoint }
   const results = reports.map((report) => report.type === 'succeeded' ? report.result : null)
   return { type: 'succeeded', result: results.length === 1 ? results[0] : { tasks: results } }
 }
--- a/packages/dispatch/src/shard-runner.ts
+++ b/packages/dispatch/src/shard-runner.ts
@@ -164,8 +164,8 @@
   applyHandOver (message: HandOverMessage): void {
     const nowMs = this.#context.clock.readMonotonicMs()
     for (const running of message.running) {
-      const item = buildWorkItem({ ...running, excludedTargets: [] }, nowMs, nowMs)
-      this.#foreign.add({ item, targets: running.targets, startedAtMs: nowMs })
+      const item = buildWorkItem({ ...running, retries: 0, excludedTargets: [] }, nowMs, nowMs)
+      this.#foreign.add(running.attempt, { item, targets: running.targets, startedAtMs: nowMs })
     }
     for (const ended of message.ended) this.#foreign.release(ended.requestId, ended.attempt)
   }
@@ -186,7 +186,7 @@
   #admit (message: EnqueueMessage, trace: TraceContext | undefined): EnqueueReply {
     const nowMs = this.#context.clock.readMonotonicMs()
     const item = buildWorkItem(message, nowMs, nowMs + message.remainingMs)
-    if (message.isRetry && !this.#scheduler.claimRetry(item, nowMs)) {
+    if (message.retries > 0 && !this.#scheduler.claimRetry(item, nowMs)) {
       return { type: 'rejected', reason: REJECTION_REASONS.retryBudgetExhausted, detail: `retry budget of pool ${item.pool}` }
     }
     const admission = this.#scheduler.admit(item, nowMs)
@@ -197,10 +197,11 @@
     }
     this.#attempts.set(item.requestId, {
       requestId: item.requestId,
-      attempt: item.attempt,
+      attempt: message.attempt,
       item,
       work: message.work,
       payload: message.payload,
+      checkpoint: message.checkpoint,
       isIntentNeeded: message.isIntentNeeded,
       trace,
       state: ATTEMPT_STATES.queued,
@@ -376,13 +377,14 @@
     const startedAtMs = nowMs - Math.max(0, clock.readWallMs() - intent.recordedWallMs)
     const deadlineAtMs = nowMs + intent.deadlineWallMs - clock.readWallMs()
     const { facts, work, attempt: number, targets } = intent
-    const source = { ...facts, work, attempt: number, excludedTargets: [] }
+    const source = { ...facts, work, retries: 0, excludedTargets: [] }
     const attempt: ShardAttempt = {
       requestId: facts.requestId,
       attempt: number,
       item: buildWorkItem(source, startedAtMs, deadlineAtMs),
       work,
       payload: undefined,
+      checkpoint: undefined,
       isIntentNeeded: true,
       trace: undefined,
       state: ATTEMPT_STATES.sent,
--- a/packages/dispatch/src/target-client.ts
+++ b/packages/dispatch/src/target-client.ts
@@ -20,6 +20,8 @@
   readonly kind: string
   readonly resources: Resources
   readonly payload: unknown
+  /** What a checkpoint of an earlier attempt left, to resume from. */
+  readonly checkpoint: string | undefined
   /** How long to wait for the end of the work before its outcome counts as not known. */
   readonly timeoutMs: number
   readonly trace: TraceContext | undefined
@@ -35,7 +37,7 @@
   /** Proved not to be running any more; it may have run in part. */
   | { readonly type: 'lost', readonly message: string }
   /** A checkpoint was taken and the task has ended; it can be resumed. */
-  | { readonly type: 'checkpointed' }
+  | { readonly type: 'checkpointed', readonly checkpoint: string | undefined }
   /** Sent, and no whole answer came. */
   | { readonly type: 'unknown', readonly message: string }
   /** The order was handed to another owner, which reports its end. */
--- a/packages/dispatch/src/target-monitor.ts
+++ b/packages/dispatch/src/target-monitor.ts
@@ -51,7 +51,7 @@
     await Promise.all([...this.#listTargets()].map(async (target) => {
       const progress = await this.#client.readProgress(target)
       const excess = (progress?.running ?? 0) - (knownRuns.get(target.id) ?? 0)
-      for (let index = 0; index < excess; index++) foreign.add(this.#buildForeignRun(target, index))
+      for (let index = 0; index < excess; index++) foreign.add(0, this.#buildForeignRun(target, index))
     }))
   }
 
@@ -78,7 +78,7 @@
     this.#scheduler.suspendTarget(targetId, nowMs + LEAVING_SUSPENSION_MS)
   }
 
-  #buildForeignRun (target: Target, index: number): Parameters<ForeignRuns['add']>[0] {
+  #buildForeignRun (target: Target, index: number): Parameters<ForeignRuns['add']>[1] {
     const nowMs = this.#context.clock.readMonotonicMs()
     return {
       targets: [target.id],
--- a/packages/dispatch/src/target-response.ts
+++ b/packages/dispatch/src/target-response.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici'
+import { z } from 'zod'
 
 /** Largest body that is read from a target; the message limit between instances bounds it. */
 export const RESULT_MAX_BYTES = 768 * 1024
@@ -26,6 +27,14 @@
   return error instanceof Error && 'code' in error && NOT_CONNECTED_CODES.has(String(error.code))
 }
 
+/** The form in which targets report errors. */
+export const targetErrorSchema = z.object({ message: z.string() })
+
+/** A target marks an answer with this header when it proves that nothing was run. */
+export function isMarkedNotRun (response: Dispatcher.ResponseData): boolean {
+  return response.headers['x-not-run'] === 'true'
+}
+
 export function formatError (error: unknown): string {
   return error instanceof Error ? error.message : String(error)
 }
--- a/packages/dispatch/src/worker-client.ts
+++ b/packages/dispatch/src/worker-client.ts
@@ -3,11 +3,13 @@
 import { formatTraceparent } from '@hibiscusledge/runtime/trace-context.js'
 import { request } from 'undici'
 import type { RunOrder, RunReport, TargetAddress, TargetClient, TargetProgress, UsageListener } from './target-client.js'
-import { formatError, isNeverSent, readJsonBody } from './target-response.js'
+import { formatError, isMarkedNotRun, isNeverSent, readJsonBody } from './target-response.js'
 import { formatTaskId, WORKER_LEASE_MS, WorkerSession } from './worker-session.js'
 
 const START_TIMEOUT_MS = 3000
 const ACTION_TIMEOUT_MS = 2000
+/** Share of its speed that a throttled task keeps. */
+const THROTTLED_SPEED = 0.25
 
 /** Tasks under leases on workers. The protocol is described in docs/target-protocols.md. */
 export class WorkerClient implements TargetClient {
@@ -45,7 +47,12 @@
   async requestAction (target: TargetAddress, order: RunOrder, action: 'stop' | 'checkpoint' | 'throttle'): Promise<void> {
     const path = `/tasks/${encodeURIComponent(formatTaskId(order))}/${action}`
     await request(`http://${target.address}${path}`, {
-      method: 'POST', headersTimeout: ACTION_TIMEOUT_MS, bodyTimeout: ACTION_TIMEOUT_MS, reset: true
+      method: 'POST',
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify(action === 'throttle' ? { speed: THROTTLED_SPEED } : {}),
+      headersTimeout: ACTION_TIMEOUT_MS,
+      bodyTimeout: ACTION_TIMEOUT_MS,
+      reset: true
     }).then((response) => response.body.dump()).catch(() => {})
   }
 
@@ -72,14 +79,15 @@
           kind: order.kind,
           resources: order.resources,
           leaseMs: WORKER_LEASE_MS,
-          payload: order.payload ?? null
+          payload: order.payload ?? null,
+          ...(order.checkpoint === undefined ? {} : { checkpoint: order.checkpoint })
         }),
         headersTimeout: START_TIMEOUT_MS,
         bodyTimeout: START_TIMEOUT_MS
       })
       await readJsonBody(response.body).catch(() => undefined)
-      if (response.statusCode === 503 && response.headers['x-not-run'] === 'true') {
-        return { type: 'notRun', message: 'refused by the target', isLeaving: true }
+      if (isMarkedNotRun(response)) {
+        return { type: 'notRun', message: `refused with status ${response.statusCode}`, isLeaving: response.statusCode === 503 }
       }
       return undefined
     } catch (error) {
--- a/packages/dispatch/src/worker-session.ts
+++ b/packages/dispatch/src/worker-session.ts
@@ -3,7 +3,7 @@
 import { z } from 'zod'
 import { resourcesSchema } from './ledger-entry.js'
 import type { RunOrder, RunReport, TargetAddress, TargetProgress, UsageListener } from './target-client.js'
-import { readJsonBody } from './target-response.js'
+import { readJsonBody, targetErrorSchema } from './target-response.js'
 
 export const WORKER_LEASE_MS = 15_000
 /** Covers the difference between two clocks' rates and a renewal that was on its way. */
@@ -12,6 +12,7 @@
 const SYNC_WAIT_MS = 1000
 const SYNC_TIMEOUT_MS = SYNC_WAIT_MS + 2000
 const RETRY_DELAY_MS = 500
+const SYNC_PERIOD_MIN_MS = 20
 /**
  * A worker that has not answered for this long gets no more renewals: if only its answers are lost, its leases must
  * still lapse before the tasks count as ended.
@@ -25,7 +26,8 @@
     taskId: z.string(),
     state: z.enum(['running', 'throttled', 'completed', 'failed', 'stopped', 'checkpointed', 'lost']),
     result: z.unknown(),
-    error: z.string().optional(),
+    error: targetErrorSchema.optional(),
+    checkpoint: z.string().optional(),
     usage: resourcesSchema.optional()
   }))
 })
@@ -101,11 +103,13 @@
 
   async #runSyncLoop (): Promise<void> {
     while (!this.#isClosed && (this.#tasks.size > 0 || this.#unacknowledged.size > 0)) {
+      const sentAtMs = this.#clock.readMonotonicMs()
       const isAnswered = await this.#syncOnce(SYNC_WAIT_MS)
-      if (!isAnswered) {
-        this.#expireLeases()
-        await new Promise<void>((resolve) => { this.#clock.startTimer(RETRY_DELAY_MS, resolve) })
-      }
+      if (!isAnswered) this.#expireLeases()
+      // The worker answers at once as long as it lists an ended task, also one whose end the home has yet to record.
+      const elapsedMs = this.#clock.readMonotonicMs() - sentAtMs
+      const delayMs = isAnswered ? SYNC_PERIOD_MIN_MS - elapsedMs : RETRY_DELAY_MS
+      if (delayMs > 0) await new Promise<void>((resolve) => { this.#clock.startTimer(delayMs, resolve) })
     }
   }
 
@@ -189,12 +193,12 @@
     case 'completed':
       return { type: 'succeeded', result: task.result }
     case 'failed':
-      return { type: 'failed', message: task.error ?? 'the task failed' }
+      return { type: 'failed', message: task.error?.message ?? 'the task failed' }
     case 'stopped':
-      return { type: 'failed', message: task.error ?? 'stopped on request' }
+      return { type: 'failed', message: task.error?.message ?? 'stopped on request' }
     case 'checkpointed':
-      return { type: 'checkpointed' }
+      return { type: 'checkpointed', checkpoint: task.checkpoint }
     case 'lost':
-      return { type: 'lost', message: task.error ?? 'the lease lapsed' }
+      return { type: 'lost', message: task.error?.message ?? 'the lease lapsed' }
   }
 }
