Import ts-results as a CommonJS module and test the store adapter

Cause: Node.js cannot name the exports of ts-results, so every module that imported Ok or Err by name failed to load; tsc did not see it. Ruled out: importing ts-results/result.js, because the tables package already takes the default import. Effect: the store adapter, the in-memory store, the call budget and the instance list pass their tests; the adapter runs against the stand-in over loopback.

--- a/packages/platform/src/budgeted-store.ts
+++ b/packages/platform/src/budgeted-store.ts
@@ -1,11 +1,14 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
-import { Err, type Result } from 'ts-results'
+import tsResults, { type Result } from 'ts-results'
 import { CallBudget, type CallBudgetCounts, type CallRates } from './call-budget.js'
 import type {
   CallPriority, KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch, WatchHandler
 } from './key-value-store.js'
 import type { StoreError } from './store-error.js'
 
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err } = tsResults
+
 export interface StoreBudgetOptions {
   readonly readsPerSecond: number
   readonly writesPerSecond: number
--- a/packages/platform/src/in-memory-store.ts
+++ b/packages/platform/src/in-memory-store.ts
@@ -1,11 +1,14 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
-import { Err, Ok, type Result } from 'ts-results'
+import tsResults, { type Result } from 'ts-results'
 import { KeySpace } from './key-space.js'
 import type {
   CallPriority, KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch, WatchEvent, WatchHandler
 } from './key-value-store.js'
 import type { StoreError } from './store-error.js'
 
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err, Ok } = tsResults
+
 /** Faults that a test can set at any time. */
 export interface InMemoryStoreFaults {
   /** Every call fails without effect and every watch ends. */
--- a/packages/platform/src/parse-instance-list.ts
+++ b/packages/platform/src/parse-instance-list.ts
@@ -1,8 +1,11 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
-import { Err, Ok, type Result } from 'ts-results'
+import tsResults, { type Result } from 'ts-results'
 import { z } from 'zod'
 import type { ListedTarget } from './instance-list.js'
 
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err, Ok } = tsResults
+
 /** The good entries of a list and the findings of the bad ones. */
 export interface InstanceListing {
   readonly targets: readonly ListedTarget[]
--- /dev/null
+++ b/packages/platform/tests/budgeted-store.test.ts
@@ -0,0 +1,100 @@
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import test from 'ava'
+import { BudgetedStore, type StoreBudgetOptions } from '../src/budgeted-store.js'
+import { InMemoryStore } from '../src/in-memory-store.js'
+import type { CallPriority, Transaction } from '../src/key-value-store.js'
+
+function createBudgetedStore (options: Partial<StoreBudgetOptions> = {}): { clock: FakeClock, inner: InMemoryStore, store: BudgetedStore } {
+  const clock = new FakeClock()
+  const inner = new InMemoryStore(clock)
+  const store = new BudgetedStore(inner, clock, { readsPerSecond: 10, writesPerSecond: 10, maxWaitMs: 60_000, ...options })
+  return { clock, inner, store }
+}
+
+function createPut (key: string): Transaction {
+  return { comparisons: [], mutations: [{ type: 'put', key, value: '' }] }
+}
+
+test('a flood of calls reaches the store at the configured rate, because the platform counts every call', async (t) => {
+  const { clock, inner, store } = createBudgetedStore()
+  const calls = Array.from({ length: 51 }, (_, index) => store.commitTransaction(createPut(String(index)), 'background'))
+  await clock.advanceBy(2_000)
+  t.true(inner.counts.writes >= 20 && inner.counts.writes <= 21, `${inner.counts.writes} writes in 2 s`)
+  await clock.advanceBy(3_100)
+  t.is((await Promise.all(calls)).filter(({ ok }) => ok).length, 51)
+  t.deepEqual(store.readCounts().writes, { granted: 51, refused: 0, waiting: 0 })
+})
+
+test('commits overtake polls that wait, so that a poll storm delays no intent', async (t) => {
+  const { clock, store } = createBudgetedStore()
+  const order: string[] = []
+  const read = (name: string, priority: CallPriority): void => { store.readKey(name, priority).then(() => order.push(name)).catch(t.fail) }
+  for (const name of ['first', 'poll 1', 'poll 2']) read(name, 'background')
+  read('commit', 'critical')
+  await clock.advanceBy(1_000)
+  t.deepEqual(order, ['first', 'commit', 'poll 1', 'poll 2'])
+})
+
+test('reads do not use up the budget of writes', async (t) => {
+  const { clock, store } = createBudgetedStore()
+  for (let index = 0; index < 20; index++) store.readKey('key', 'critical').catch(t.fail)
+  t.true((await store.commitTransaction(createPut('key'), 'critical')).ok)
+  await clock.advanceBy(2_000)
+})
+
+test('a full queue refuses the newest poll for a commit, and otherwise the call itself, as not sent', async (t) => {
+  const { clock, inner, store } = createBudgetedStore({ maxWaitingCalls: 2 })
+  await store.readKey('uses the only token', 'critical')
+  const older = store.readKey('older', 'background')
+  const newest = store.readKey('newest', 'background')
+  const refused = await store.readKey('over the limit', 'background')
+  const commit = store.readKey('commit', 'critical')
+  const evicted = await newest
+  for (const answer of [refused, evicted]) {
+    t.true(answer.err)
+    t.like(answer.val, { code: 'rateLimited', isEffectUnknown: false })
+  }
+  await clock.advanceBy(1_000)
+  t.true((await commit).ok && (await older).ok)
+  t.is(inner.counts.reads, 3)
+  t.is(store.readCounts().reads.refused, 2)
+})
+
+test('a call that waits over its limit fails as not sent, so that its caller can decide anew', async (t) => {
+  const { clock, inner, store } = createBudgetedStore({ readsPerSecond: 0.1, maxWaitMs: 500 })
+  await store.readKey('uses the only token', 'critical')
+  const late = store.readKey('late', 'critical')
+  await clock.advanceBy(500)
+  t.like((await late).val, { code: 'rateLimited', isEffectUnknown: false })
+  t.is(inner.counts.reads, 1)
+})
+
+test('a watch counts as one read however long it waits, and closing it twice counts once', async (t) => {
+  const { clock, inner, store } = createBudgetedStore()
+  const keys: string[] = []
+  const watch = store.watchPrefix('a/', 0, {
+    onEvents: (events) => { for (const event of events) keys.push(event.type === 'put' ? event.value.key : event.key) },
+    onClosed: (reason) => t.fail(reason)
+  })
+  await clock.advanceBy(5_000)
+  t.is(store.readCounts().openWatches, 1)
+  await inner.commitTransaction(createPut('a/1'), 'critical')
+  await clock.advanceBy(1)
+  t.deepEqual(keys, ['a/1'])
+  t.is(store.readCounts().reads.granted, 1)
+  watch.close()
+  watch.close()
+  t.is(store.readCounts().openWatches, 0)
+  await inner.commitTransaction(createPut('a/2'), 'critical')
+  await clock.advanceBy(1)
+  t.is(keys.length, 1)
+})
+
+test('a raised rate serves waiting calls at once rather than at the old pace', async (t) => {
+  const { clock, store } = createBudgetedStore({ readsPerSecond: 0.01 })
+  await store.readKey('uses the only token', 'critical')
+  const waiting = store.readKey('waiting', 'critical')
+  store.setRates({ readsPerSecond: 100, writesPerSecond: 10 })
+  await clock.advanceBy(20)
+  t.true((await waiting).ok)
+})
--- /dev/null
+++ b/packages/platform/tests/instance-list-poller.test.ts
@@ -0,0 +1,59 @@
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import test from 'ava'
+import tsResults, { type Result } from 'ts-results'
+import type { Finding } from '@hibiscusledge/runtime/finding.js'
+import type { ListedTarget } from '../src/instance-list.js'
+import { InstanceListPoller } from '../src/instance-list-poller.js'
+import type { InstanceListing } from '../src/parse-instance-list.js'
+
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err, Ok } = tsResults
+
+const FAILURE: readonly Finding[] = [{ code: 'instanceListUnreachable', place: 'list', message: 'refused' }]
+
+function createListing (...ids: string[]): InstanceListing {
+  return { targets: ids.map((id) => ({ id }) as ListedTarget), findings: [] }
+}
+
+function createPoller (clock: FakeClock, fetchListing: () => Promise<Result<InstanceListing, readonly Finding[]>>): InstanceListPoller {
+  return new InstanceListPoller({ fetchListing, fetchTargets: async () => (await fetchListing()).map(({ targets }) => targets) }, clock)
+}
+
+test('a failed poll keeps the last good list, whose age grows and tells the failure', async (t) => {
+  const clock = new FakeClock()
+  let answer: Result<InstanceListing, readonly Finding[]> = Ok(createListing('w1'))
+  const seen: string[][] = []
+  const poller = createPoller(clock, async () => answer)
+  poller.subscribe((targets) => { seen.push(targets.map(({ id }) => id)) })
+  t.is(poller.readAgeMs(), undefined)
+  poller.start()
+  await clock.advanceBy(500)
+  answer = Err(FAILURE)
+  await clock.advanceBy(3_000)
+  t.deepEqual(poller.listTargets().map(({ id }) => id), ['w1'])
+  t.is(poller.readAgeMs(), 3_500)
+  t.deepEqual(poller.listFindings(), FAILURE)
+  answer = Ok(createListing('w1', 'w2'))
+  await clock.advanceBy(1_000)
+  t.deepEqual(seen, [['w1'], ['w1', 'w2']])
+  t.deepEqual(poller.listFindings(), [])
+  poller.stop()
+  answer = Ok(createListing())
+  await clock.advanceBy(5_000)
+  t.is(seen.length, 2)
+})
+
+test('a slow answer is awaited instead of being overtaken, and its age counts from the request', async (t) => {
+  const clock = new FakeClock()
+  let requests = 0
+  const poller = createPoller(clock, async () => {
+    requests++
+    await new Promise<void>((resolve) => { clock.startTimer(2_500, resolve) })
+    return Ok(createListing('w1'))
+  })
+  poller.start()
+  await clock.advanceBy(2_600)
+  t.is(requests, 1)
+  t.is(poller.readAgeMs(), 2_600)
+  poller.stop()
+})
--- /dev/null
+++ b/packages/stand-ins/tests/etcd-gateway-store.test.ts
@@ -0,0 +1,165 @@
+import { EtcdGatewayStore, type EtcdGatewayStoreOptions } from '@hibiscusledge/platform/etcd-gateway-store.js'
+import type { KeyValueStore, TransactionOutcome, WatchHandler } from '@hibiscusledge/platform/key-value-store.js'
+import type { StoreError } from '@hibiscusledge/platform/store-error.js'
+import type { Timer } from '@hibiscusledge/runtime/clock.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { SystemClock } from '@hibiscusledge/runtime/system-clock.js'
+import test, { type ExecutionContext } from 'ava'
+import type { Result } from 'ts-results'
+import { StandInServer } from '../src/stand-in-server.js'
+import { StoreStandIn, type StoreFaults } from '../src/store-stand-in.js'
+import { waitFor } from './wait-for.js'
+
+const clock = new SystemClock()
+
+async function startStandIn (t: ExecutionContext): Promise<{ standIn: StoreStandIn, endpoint: string }> {
+  const standIn = new StoreStandIn({ clock, progressMs: 50 })
+  const { store } = await standIn.start()
+  t.teardown(async () => await standIn.stop())
+  return { standIn, endpoint: `http://${store}` }
+}
+
+function createStore (t: ExecutionContext, options: Partial<EtcdGatewayStoreOptions> & { endpoints: string[] }): EtcdGatewayStore {
+  const store = new EtcdGatewayStore({ clock, requestTimeoutMs: 20_000, ...options })
+  t.teardown(async () => await store.close())
+  return store
+}
+
+async function putKey (store: KeyValueStore, key: string, value = ''): Promise<Result<TransactionOutcome, StoreError>> {
+  return await store.commitTransaction({ comparisons: [], mutations: [{ type: 'put', key, value }] }, 'critical')
+}
+
+interface FaultCase {
+  readonly name: string
+  readonly faults: StoreFaults
+  readonly write: Partial<StoreError>
+  readonly hasEffect: boolean
+  readonly read: Partial<StoreError> | undefined
+}
+
+const FAULTS: readonly FaultCase[] = [
+  { name: 'down', faults: { down: true }, write: { code: 'unavailable', isEffectUnknown: false }, hasEffect: false, read: { code: 'unavailable', isEffectUnknown: false } },
+  { name: 'hung', faults: { hang: true }, write: { code: 'timeout', isEffectUnknown: true }, hasEffect: false, read: { code: 'timeout', isEffectUnknown: false } },
+  { name: 'slower than the limit', faults: { slowMs: 1_000 }, write: { code: 'timeout', isEffectUnknown: true }, hasEffect: true, read: { code: 'timeout', isEffectUnknown: false } },
+  { name: 'losing replies', faults: { loseNextReplies: 1 }, write: { code: 'unavailable', isEffectUnknown: true }, hasEffect: true, read: undefined },
+  { name: 'losing all replies', faults: { loseReplyFraction: 1, seed: 7 }, write: { code: 'unavailable', isEffectUnknown: true }, hasEffect: true, read: undefined },
+  { name: 'over its rates', faults: { rates: { writesPerSecond: 0, readsPerSecond: 0 } }, write: { code: 'rateLimited', isEffectUnknown: false }, hasEffect: false, read: { code: 'rateLimited', isEffectUnknown: false } }
+]
+
+for (const { name, faults, write, hasEffect, read } of FAULTS) {
+  test(`a store that is ${name} never makes a write look harmless that took effect`, async (t) => {
+    const { standIn, endpoint } = await startStandIn(t)
+    // Only the cases that end in a timeout have a short limit, so that a busy machine changes no other outcome.
+    const store = createStore(t, { endpoints: [endpoint], requestTimeoutMs: write.code === 'timeout' ? 400 : 20_000 })
+    await standIn.setFaults(faults)
+    t.like((await putKey(store, 'key')).val, write)
+    const answer = await store.readKey('key', 'critical')
+    if (read === undefined) t.true(answer.ok)
+    else t.like(answer.val, read)
+    if (hasEffect) await waitFor('the effect', () => standIn.keySpace.readKey('key') !== undefined)
+    else t.is(standIn.keySpace.readKey('key'), undefined)
+    await standIn.setFaults({ down: false, hang: false, slowMs: 0, loseReplyFraction: 0, rates: null })
+    await waitFor('a later call works', async () => (await putKey(store, 'later')).ok)
+  })
+}
+
+test('a dead endpoint is passed over for the next one, also for writes, as a refused connection proves no effect', async (t) => {
+  const dead = await startStandIn(t)
+  const good = await startStandIn(t)
+  await dead.standIn.setFaults({ down: true })
+  const store = createStore(t, { endpoints: [dead.endpoint, good.endpoint] })
+  t.true((await putKey(store, 'key')).ok)
+  t.not(good.standIn.keySpace.readKey('key'), undefined)
+})
+
+test('a write whose reply was lost is not repeated at another endpoint, but the next call goes there', async (t) => {
+  const first = await startStandIn(t)
+  const second = await startStandIn(t)
+  await first.standIn.setFaults({ loseNextReplies: 1 })
+  const store = createStore(t, { endpoints: [first.endpoint, second.endpoint] })
+  t.like((await putKey(store, 'key')).val, { isEffectUnknown: true })
+  t.is(second.standIn.keySpace.readKey('key'), undefined)
+  t.true((await putKey(store, 'next')).ok)
+  t.not(second.standIn.keySpace.readKey('next'), undefined)
+})
+
+test('a value over 1 MB is refused as too large, so that the ledger can split it', async (t) => {
+  const { endpoint } = await startStandIn(t)
+  const store = createStore(t, { endpoints: [endpoint] })
+  t.true((await putKey(store, 'fits', 'x'.repeat(1024 * 1024))).ok)
+  t.like((await putKey(store, 'over', 'x'.repeat(1024 * 1024 + 1))).val, { code: 'tooLarge', isEffectUnknown: false })
+})
+
+const IDLE_LIMIT_MS = 1_000
+
+/** Counts how often a watch starts its idle timer anew, which shows that a message arrived. */
+class IdleTimerCountingClock extends FakeClock {
+  idleTimers = 0
+
+  override startTimer (delayMs: number, callback: () => void): Timer {
+    if (delayMs === IDLE_LIMIT_MS) this.idleTimers++
+    return super.startTimer(delayMs, callback)
+  }
+}
+
+test('progress messages keep an idle watch open, and a silent one is closed although its connection stays', async (t) => {
+  const { standIn, endpoint } = await startStandIn(t)
+  const watchClock = new IdleTimerCountingClock()
+  const store = createStore(t, { endpoints: [endpoint], clock: watchClock, watchIdleLimitMs: IDLE_LIMIT_MS })
+  const closures: string[] = []
+  let events = 0
+  const handler: WatchHandler = { onEvents: () => { events++ }, onClosed: (reason) => { closures.push(reason) } }
+  store.watchPrefix('', 0, handler)
+  await waitFor('the watch is open', () => standIn.readCounters().waitingWatches === 1)
+  for (let message = 0; message < 3; message++) {
+    const before = watchClock.idleTimers
+    await waitFor('a progress message', () => watchClock.idleTimers > before)
+    await watchClock.advanceBy(IDLE_LIMIT_MS - 1)
+  }
+  t.deepEqual(closures, [])
+  await standIn.setFaults({ silence: true })
+  await waitFor('the silent watch is closed', async () => {
+    await watchClock.advanceBy(IDLE_LIMIT_MS)
+    return closures.length === 1
+  })
+  t.regex(closures[0] ?? '', /no message for 1000 ms/)
+  await waitFor('the stand-in sees it closed', () => standIn.readCounters().waitingWatches === 0)
+  store.watchPrefix('', 0, handler)
+  await waitFor('a new watch works', () => standIn.readCounters().waitingWatches === 1)
+  await putKey(createStore(t, { endpoints: [endpoint] }), 'key')
+  await waitFor('its event', () => events === 1)
+  await standIn.setFaults({ down: true })
+  await waitFor('an outage closes it', () => closures.length === 2)
+})
+
+test('a flapping store serves again after each outage', async (t) => {
+  const { standIn, endpoint } = await startStandIn(t)
+  const store = createStore(t, { endpoints: [endpoint] })
+  await standIn.setFaults({ flap: { upMs: 100, downMs: 100 } })
+  for (let cycle = 0; cycle < 2; cycle++) {
+    await waitFor('an outage', async () => (await store.readKey('key', 'background')).err)
+    await waitFor('service', async () => (await store.readKey('key', 'background')).ok)
+  }
+  await standIn.setFaults({ flap: null })
+  await waitFor('lasting service', async () => (await putKey(store, 'key')).ok)
+  t.not(standIn.keySpace.readKey('key'), undefined)
+})
+
+const ANSWERS: ReadonlyArray<readonly [string, number, unknown, Partial<StoreError>]> = [
+  ['no leader', 503, { error: 'etcdserver: no leader', code: 14 }, { code: 'unavailable', isEffectUnknown: true }],
+  ['a timed-out proposal', 504, { error: 'etcdserver: request timed out', code: 4 }, { code: 'timeout', isEffectUnknown: true }],
+  ['a full queue of proposals', 429, { message: 'etcdserver: too many requests', code: 8 }, { code: 'rateLimited', isEffectUnknown: false }],
+  ['an older error body', 400, { error: 'etcdserver: request is too large' }, { code: 'tooLarge', isEffectUnknown: true }],
+  ['an error body that is no JSON object', 502, 'bad gateway', { code: 'unavailable', isEffectUnknown: true }],
+  ['a success without a header', 200, { succeeded: true }, { code: 'protocol', isEffectUnknown: true }],
+  ['a success of another type', 200, { header: { revision: 'x' } }, { code: 'protocol', isEffectUnknown: true }]
+]
+for (const [name, status, body, expected] of ANSWERS) {
+  test(`a write answered with ${name} is classified without claiming too much`, async (t) => {
+    const server = new StandInServer(() => ({ status, body }))
+    const endpoint = `http://${await server.start(0)}`
+    t.teardown(async () => await server.stop())
+    const store = createStore(t, { endpoints: [endpoint] })
+    t.like((await putKey(store, 'key')).val, expected)
+  })
+}
