--- /dev/null
+++ b/packages/peer/src/hand-over.ts
@@ -0,0 +1,116 @@
+import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { Comparison } from '@hibiscusledge/platform/key-value-store.js'
+import type { OwnerRegistry } from './owner-registry.js'
+import type { OwnerWriteOutcome, OwnerWriter } from './owner-writer.js'
+import type { OwnershipManagerOptions } from './ownership-manager.js'
+import { PEER_LOG_EVENTS } from './peer-log-events.js'
+import type { UnitHost } from './reconcile-step.js'
+import { aliveSchema, formatAliveKey, parseRecord, type AliveRecord } from './store-records.js'
+import type { UnitLifecycle } from './unit-lifecycle.js'
+
+/** A unit that can't be prepared within this time stays with its owner. */
+const PREPARE_LIMIT_MS = 10_000
+const RETRY_DELAY_MS = 250
+
+export type HandOverTarget = AliveRecord | 'release' | undefined
+
+/** Hands units over, one at a time. */
+export class HandOver {
+  readonly #options: OwnershipManagerOptions
+  readonly #registry: OwnerRegistry
+  readonly #writer: OwnerWriter
+  readonly #host: UnitHost
+  #isRunning = false
+  #isStopped = false
+
+  constructor (options: OwnershipManagerOptions, registry: OwnerRegistry, writer: OwnerWriter, host: UnitHost) {
+    this.#options = options
+    this.#registry = registry
+    this.#writer = writer
+    this.#host = host
+  }
+
+  stop (): void {
+    this.#isStopped = true
+  }
+
+  /** Hands over the owned units for which `choose` names a target, unless a hand-over is under way. */
+  run (choose: (unit: UnitId) => HandOverTarget): void {
+    if (this.#isRunning || this.#isStopped) return
+    this.#isRunning = true
+    void this.#runAll(choose).finally(() => { this.#isRunning = false })
+  }
+
+  async #runAll (choose: (unit: UnitId) => HandOverTarget): Promise<void> {
+    for (const unit of this.#registry.listUnits()) {
+      const lifecycle = this.#host.ensureLifecycle(unit)
+      const target = lifecycle.readState() === 'owned' ? choose(unit) : undefined
+      if (target === undefined) continue
+      // After a failure the next step decides anew, on what is known by then.
+      if (!await this.#handOverUnit(lifecycle, target) || this.#isStopped) return
+    }
+  }
+
+  async #handOverUnit (lifecycle: UnitLifecycle, target: AliveRecord | 'release'): Promise<boolean> {
+    const { logger } = this.#options
+    const { unit } = lifecycle
+    const owner = lifecycle.readOwner()
+    if (owner === undefined || !lifecycle.transition('HAND_OVER')) return false
+    const isPrepared = await this.#prepare(lifecycle, target)
+    if (lifecycle.readOwner() !== owner) return false
+    if (!isPrepared || !lifecycle.transition('TRANSFER')) {
+      this.#host.restartUnit(lifecycle)
+      return false
+    }
+    const outcome = await this.#transfer(lifecycle, target)
+    if (lifecycle.readState() !== 'transferring') {
+      logger.logInfo(PEER_LOG_EVENTS.unitHandedOver, { unit, epoch: owner.epoch + 1, successor: target === 'release' ? '' : target.instance })
+      return outcome === 'written'
+    }
+    logger.logWarning(PEER_LOG_EVENTS.handOverFailed, { unit, epoch: owner.epoch })
+    if (!this.#isStopped) this.#host.restartUnit(lifecycle)
+    return false
+  }
+
+  async #prepare (lifecycle: UnitLifecycle, target: AliveRecord | 'release'): Promise<boolean> {
+    const { clock, logger, self } = this.#options
+    const successor = target === 'release' ? self.instance : target.instance
+    return await new Promise<boolean>((resolve) => {
+      const timer = clock.startTimer(PREPARE_LIMIT_MS, () => resolve(false))
+      Promise.resolve(lifecycle.readRole()?.prepareHandOver(lifecycle.unit, successor)).then(() => resolve(true), (error: unknown) => {
+        logger.logWarning(PEER_LOG_EVENTS.handOverFailed, { unit: lifecycle.unit, error: String(error) })
+        resolve(false)
+      }).finally(() => timer.cancel())
+    })
+  }
+
+  /**
+   * Writes the record until the store has answered for certain. While an earlier attempt may still take effect the unit
+   * must not be served again; a refusal excludes that, as revisions of the compared keys do not come back.
+   */
+  async #transfer (lifecycle: UnitLifecycle, target: AliveRecord | 'release'): Promise<OwnerWriteOutcome> {
+    const { clock } = this.#options
+    const { unit } = lifecycle
+    const record = this.#registry.readRecord(unit)
+    const owner = target === 'release' ? { instance: '' as const, incarnation: '' as const } : target
+    const comparisons = target === 'release' ? [] : this.#compareAlive(target)
+    if (comparisons === undefined) return 'failed'
+    let isUncertain = false
+    while (lifecycle.readState() === 'transferring' && !this.#isStopped) {
+      const outcome = await this.#writer.writeOwner(unit, record, owner, comparisons)
+      if (outcome === 'written' || outcome === 'refused' || (outcome === 'failed' && !isUncertain)) return outcome
+      isUncertain = true
+      await new Promise<void>((resolve) => { clock.startTimer(RETRY_DELAY_MS, resolve) })
+    }
+    return 'refused'
+  }
+
+  /** The successor's alive key must be the one seen now; undefined when it is gone or belongs to another incarnation. */
+  #compareAlive (target: AliveRecord): Comparison[] | undefined {
+    const key = formatAliveKey(target.instance)
+    const stored = this.#options.cache.find(key)
+    const record = stored === undefined ? undefined : parseRecord(aliveSchema, stored.value)
+    if (stored === undefined || record?.incarnation !== target.incarnation) return undefined
+    return [{ key, modRevision: stored.modRevision }]
+  }
+}
--- /dev/null
+++ b/packages/peer/src/heartbeat-exchange.ts
@@ -0,0 +1,104 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import { z } from 'zod'
+import type { AuthorityKeeper } from './authority-keeper.js'
+import { shardLoadSchema, type HeartbeatLoadDirectory } from './heartbeat-load-directory.js'
+import type { HeartbeatNetwork } from './heartbeat-network.js'
+import { gossipedOwnerSchema, type GossipedOwner } from './owner-registry.js'
+import { PEER_MESSAGE_KINDS } from './peer-message-kinds.js'
+import type { PeerIdentity } from './peer-network.js'
+import type { PromiseLedger } from './promise-ledger.js'
+import { aliveSchema, formatMemberKey, type AliveRecord } from './store-records.js'
+import type { TableReplica } from './table-replica.js'
+
+const SENT_RETENTION_MS = 10_000
+
+const directorySchema = z.object({ members: z.array(aliveSchema), owners: z.array(gossipedOwnerSchema), partitions: z.number().int() })
+export const heartbeatSchema = z.object({
+  sequence: z.number().int(),
+  /** Registration for which a promise is requested; 0 requests none. */
+  registration: z.number().int(),
+  tableRevision: z.number().int(),
+  tableHash: z.string(),
+  /** Set while the sender does not hear the store. */
+  needsDirectory: z.boolean(),
+  loads: z.array(shardLoadSchema)
+})
+export const heartbeatReplySchema = z.object({
+  sequence: z.number().int(),
+  registration: z.number().int(),
+  directory: directorySchema.optional()
+})
+
+/** Members, owners and layout as one instance passes them on to another that does not hear the store. */
+export interface PeerDirectory {
+  readonly members: readonly AliveRecord[]
+  readonly owners: readonly GossipedOwner[]
+  readonly partitions: number
+}
+
+export interface HeartbeatExchangeOptions {
+  readonly clock: Clock
+  readonly network: HeartbeatNetwork
+  readonly authority: AuthorityKeeper
+  readonly promises: PromiseLedger
+  readonly loads: HeartbeatLoadDirectory
+  readonly tables: TableReplica
+  readonly isStoreSilent: () => boolean
+  readonly readDirectory: () => PeerDirectory
+  readonly applyDirectory: (directory: PeerDirectory) => void
+}
+
+/** Sends heartbeats with promise requests, answers those of peers, and passes on what they carry. */
+export class HeartbeatExchange {
+  readonly #options: HeartbeatExchangeOptions
+  readonly #sentMs = new Map<number, number>()
+  #nextSequence = 1
+
+  constructor (options: HeartbeatExchangeOptions) {
+    this.#options = options
+    const { network } = options
+    network.setHeartbeatBody(() => this.#buildHeartbeat())
+    network.registerHandler(PEER_MESSAGE_KINDS.heartbeat, async (body, from) => { this.#receiveHeartbeat(body, from) })
+    network.registerHandler(PEER_MESSAGE_KINDS.promise, async (body, from) => { this.#receiveReply(body, from, true) })
+    network.registerHandler(PEER_MESSAGE_KINDS.deny, async (body, from) => { this.#receiveReply(body, from, false) })
+  }
+
+  #buildHeartbeat (): z.input<typeof heartbeatSchema> {
+    const { clock, authority, loads, tables, isStoreSilent } = this.#options
+    const nowMs = clock.readMonotonicMs()
+    const sequence = this.#nextSequence++
+    this.#sentMs.set(sequence, nowMs)
+    for (const [sent, sentMs] of this.#sentMs) {
+      if (nowMs - sentMs <= SENT_RETENTION_MS) break
+      this.#sentMs.delete(sent)
+    }
+    const current = tables.readCurrent()
+    return {
+      sequence,
+      registration: authority.readRegistration(),
+      tableRevision: current?.revision ?? 0,
+      tableHash: current?.hash ?? '',
+      needsDirectory: isStoreSilent(),
+      loads: loads.listLocalLoads().map((load) => ({ ...load, pools: [...load.pools] }))
+    }
+  }
+
+  #receiveHeartbeat (body: unknown, from: PeerIdentity): void {
+    const { network, promises, loads, tables, readDirectory } = this.#options
+    const { sequence, registration, tableRevision, needsDirectory, loads: reported } = heartbeatSchema.parse(body)
+    loads.recordReports(reported)
+    void tables.receiveGossip(from, tableRevision)
+    if (registration === 0 && !needsDirectory) return
+    const isGranted = registration > 0 && promises.grant(formatMemberKey(from), registration)
+    const reply = { sequence, registration, ...(needsDirectory ? { directory: readDirectory() } : {}) }
+    network.sendNotice(from.instance, isGranted ? PEER_MESSAGE_KINDS.promise : PEER_MESSAGE_KINDS.deny, reply)
+  }
+
+  #receiveReply (body: unknown, from: PeerIdentity, isPromise: boolean): void {
+    const { authority, applyDirectory, isStoreSilent } = this.#options
+    const { sequence, registration, directory } = heartbeatReplySchema.parse(body)
+    const sentMs = this.#sentMs.get(sequence)
+    if (isPromise && sentMs !== undefined) authority.recordPromise(formatMemberKey(from), registration, sentMs)
+    if (directory !== undefined && isStoreSilent()) applyDirectory(directory)
+  }
+}
--- /dev/null
+++ b/packages/peer/src/link-dialer.ts
@@ -0,0 +1,89 @@
+import { computeBackoffMs } from '@hibiscusledge/runtime/backoff.js'
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { InstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+
+const DIAL_PERIOD_MS = 100
+const DIAL_BACKOFF = { initialMs: 200, maximumMs: 2_000 }
+/** The instance with the greater id waits this long before its first attempt, so that a pair seldom connects twice at once. */
+const SECOND_SIDE_DELAY_MS = 300
+
+interface DialState { retry: number, notBeforeMs: number, isDialing: boolean, instance: InstanceId | undefined }
+
+/** Decides when to connect to which address. */
+export class LinkDialer {
+  readonly #clock: Clock
+  readonly #random: RandomSource
+  readonly #self: InstanceId
+  readonly #seeds: readonly string[]
+  readonly #isConnected: (instance: InstanceId) => boolean
+  readonly #dial: (address: string) => void
+  readonly #states = new Map<string, DialState>()
+  #addresses: ReadonlyMap<InstanceId, string> = new Map()
+  #timer: Timer | undefined
+
+  constructor (
+    clock: Clock, random: RandomSource, self: InstanceId, seeds: readonly string[],
+    isConnected: (instance: InstanceId) => boolean, dial: (address: string) => void
+  ) {
+    this.#clock = clock
+    this.#random = random
+    this.#self = self
+    this.#seeds = seeds
+    this.#isConnected = isConnected
+    this.#dial = dial
+  }
+
+  start (): void {
+    this.#timer = this.#clock.startInterval(DIAL_PERIOD_MS, () => this.#dialDue())
+    this.#dialDue()
+  }
+
+  stop (): void {
+    this.#timer?.cancel()
+  }
+
+  setAddresses (addresses: ReadonlyMap<InstanceId, string>): void {
+    this.#addresses = addresses
+    const wanted = new Set([...this.#seeds, ...addresses.values()])
+    for (const address of this.#states.keys()) if (!wanted.has(address)) this.#states.delete(address)
+  }
+
+  /** Records who answers at an address; the own instance is not connected to again. */
+  recordInstance (address: string, instance: InstanceId): void {
+    const state = this.#states.get(address)
+    if (state === undefined) return
+    state.instance = instance
+    state.retry = 0
+  }
+
+  recordClosed (address: string): void {
+    const state = this.#states.get(address)
+    if (state === undefined) return
+    state.isDialing = false
+    state.notBeforeMs = this.#clock.readMonotonicMs() + computeBackoffMs(state.retry++, DIAL_BACKOFF, this.#random)
+  }
+
+  #dialDue (): void {
+    const nowMs = this.#clock.readMonotonicMs()
+    const known = new Map([...this.#addresses].map(([instance, address]) => [address, instance]))
+    for (const address of new Set([...this.#seeds, ...known.keys()])) {
+      const state = this.#ensureState(address, known.get(address), nowMs)
+      const instance = known.get(address) ?? state.instance
+      if (state.isDialing || nowMs < state.notBeforeMs || instance === this.#self) continue
+      if (instance !== undefined && this.#isConnected(instance)) continue
+      state.isDialing = true
+      this.#dial(address)
+    }
+  }
+
+  #ensureState (address: string, instance: InstanceId | undefined, nowMs: number): DialState {
+    let state = this.#states.get(address)
+    if (state === undefined) {
+      const delayMs = instance !== undefined && instance < this.#self ? SECOND_SIDE_DELAY_MS : 0
+      state = { retry: 0, notBeforeMs: nowMs + delayMs, isDialing: false, instance: undefined }
+      this.#states.set(address, state)
+    }
+    return state
+  }
+}
--- /dev/null
+++ b/packages/peer/src/member-directory.ts
@@ -0,0 +1,49 @@
+import type { HeartbeatNetwork } from './heartbeat-network.js'
+import type { MembershipKeeper } from './membership-keeper.js'
+import { formatMemberKey, type AliveRecord } from './store-records.js'
+
+/** `connected` has an open link, `known` has none, `self` is this instance. */
+export type MemberState = 'self' | 'connected' | 'known'
+
+export interface Member extends AliveRecord {
+  readonly state: MemberState
+}
+
+/** The members as the store lists them or, while it is down, as the store last listed them and as peers know them. */
+export class MemberDirectory {
+  readonly #keeper: MembershipKeeper
+  readonly #network: HeartbeatNetwork
+  readonly #self: AliveRecord
+  readonly #readStoreState: () => string
+  #gossiped = new Map<string, AliveRecord>()
+
+  constructor (keeper: MembershipKeeper, network: HeartbeatNetwork, self: AliveRecord, readStoreState: () => string) {
+    this.#keeper = keeper
+    this.#network = network
+    this.#self = self
+    this.#readStoreState = readStoreState
+  }
+
+  listMembers (): Member[] {
+    const connected = new Set(this.#network.listConnected().map(formatMemberKey))
+    return this.listRecords().map((record) => {
+      if (record.instance === this.#self.instance) return { ...record, state: 'self' }
+      return { ...record, state: connected.has(formatMemberKey(record)) ? 'connected' : 'known' }
+    })
+  }
+
+  /** One record for each instance, this one included even before it has registered. */
+  listRecords (): AliveRecord[] {
+    if (this.#readStoreState() === 'reachable') this.#gossiped.clear()
+    const records = new Map([...this.#gossiped.values(), ...this.#keeper.listAlive()].map((record) => [record.instance, record]))
+    records.set(this.#self.instance, { ...this.#self, isDraining: this.#keeper.isDraining() })
+    return [...records.values()].sort((left, right) => left.instance < right.instance ? -1 : 1)
+  }
+
+  /** Adds members that a peer knows; the newest start of an instance counts. */
+  applyGossip (members: readonly AliveRecord[]): void {
+    for (const member of members) {
+      if (member.startedAt >= (this.#gossiped.get(member.instance)?.startedAt ?? 0)) this.#gossiped.set(member.instance, member)
+    }
+  }
+}
--- /dev/null
+++ b/packages/peer/src/ownership-manager.ts
@@ -0,0 +1,168 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { toUnitId, type UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { AuthorityKeeper } from './authority-keeper.js'
+import type { MembershipKeeper } from './membership-keeper.js'
+import { OwnerRegistry } from './owner-registry.js'
+import { OwnerWriter } from './owner-writer.js'
+import type { OwnershipDirectory, UnitOwner, UnitRole } from './ownership-directory.js'
+import { PEER_LOG_EVENTS } from './peer-log-events.js'
+import type { PeerNetwork } from './peer-network.js'
+import type { PeerTimings } from './peer-timings.js'
+import type { PromiseLedger } from './promise-ledger.js'
+import { ReconcileStep } from './reconcile-step.js'
+import type { StoreCache } from './store-cache.js'
+import type { ViewMember } from './store-records.js'
+import { UnitLifecycle } from './unit-lifecycle.js'
+import type { ViewKeeper } from './view-keeper.js'
+
+const START_RETRY_MS = 1_000
+
+export interface OwnershipManagerOptions {
+  readonly store: KeyValueStore
+  readonly cache: StoreCache
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: EventLogger
+  readonly metrics: MetricSink
+  readonly timings: PeerTimings
+  readonly network: PeerNetwork
+  readonly authority: AuthorityKeeper
+  readonly membership: MembershipKeeper
+  readonly views: ViewKeeper
+  readonly promises: PromiseLedger
+  readonly self: ViewMember
+  /** Since when this process has held its address; undefined when the address does not prove the end of an earlier process. */
+  readonly readListeningSinceMs: () => number | undefined
+}
+
+/** Keeps the units that this instance owns, and knows the owners of all units. */
+export class OwnershipManager implements OwnershipDirectory {
+  readonly #options: OwnershipManagerOptions
+  readonly #registry: OwnerRegistry
+  readonly #lifecycles = new Map<UnitId, UnitLifecycle>()
+  readonly #roles: { readonly prefix: string, readonly role: UnitRole }[] = []
+  readonly #step: ReconcileStep
+  #timer: Timer | undefined
+  #isStopped = false
+
+  constructor (options: OwnershipManagerOptions) {
+    this.#options = options
+    this.#registry = new OwnerRegistry(options.cache, options.logger, options.self)
+    const writer = new OwnerWriter(options.store, options.cache, options.clock, options.random)
+    this.#step = new ReconcileStep(options, this.#registry, writer, {
+      ensureLifecycle: (unit) => this.#ensureLifecycle(unit),
+      restartUnit: (lifecycle) => this.#restartUnit(lifecycle)
+    })
+    this.#registry.subscribe((unit, owner) => this.#onOwnerChange(unit, owner))
+  }
+
+  start (): void {
+    this.#timer = this.#options.clock.startInterval(this.#options.timings.reconcilePeriodMs, () => this.#step.run())
+  }
+
+  /** Stops serving every unit. Authority must have ended before. */
+  stop (): void {
+    this.#isStopped = true
+    this.#timer?.cancel()
+    this.#step.stop()
+    for (const lifecycle of this.#lifecycles.values()) lifecycle.lose()
+  }
+
+  /** Settles once no unit is held here any more; the members must already see this instance as draining. */
+  async drain (): Promise<void> {
+    while (!this.#isStopped && this.listHeld().length > 0) {
+      this.#step.run()
+      await new Promise<void>((resolve) => { this.#options.clock.startTimer(this.#options.timings.reconcilePeriodMs / 5, resolve) })
+    }
+  }
+
+  findOwner (unit: UnitId): UnitOwner | undefined {
+    return this.#registry.findOwner(unit)
+  }
+
+  listUnits (): readonly UnitId[] {
+    return this.#registry.listUnits()
+  }
+
+  /** Units that this instance holds in any state. */
+  listHeld (): UnitId[] {
+    return [...this.#lifecycles.values()].filter((lifecycle) => lifecycle.isHeld()).map((lifecycle) => lifecycle.unit)
+  }
+
+  hasAuthority (unit: UnitId): boolean {
+    return this.readAuthorityMs(unit) > 0
+  }
+
+  readAuthorityMs (unit: UnitId): number {
+    return this.#lifecycles.get(unit)?.isAuthorized() === true ? this.#options.authority.readAuthorityMs() : 0
+  }
+
+  registerRole (prefix: string, role: UnitRole): void {
+    this.#roles.push({ prefix, role })
+    for (const lifecycle of this.#lifecycles.values()) {
+      if (!lifecycle.unit.startsWith(prefix) || lifecycle.readRole() !== undefined) continue
+      lifecycle.attachRole(role)
+      const owner = lifecycle.readOwner()
+      if (lifecycle.isHeld() && owner !== undefined) void role.startUnit(lifecycle.unit, owner)
+    }
+  }
+
+  announceShards (units: readonly UnitId[]): void {
+    this.#registry.announceShards(units.map((unit) => toUnitId(unit)))
+  }
+
+  subscribe (listener: (unit: UnitId, owner: UnitOwner | undefined) => void): void {
+    this.#registry.subscribe(listener)
+  }
+
+  readRegistry (): OwnerRegistry {
+    return this.#registry
+  }
+
+  #ensureLifecycle (unit: UnitId): UnitLifecycle {
+    let lifecycle = this.#lifecycles.get(unit)
+    if (lifecycle === undefined) {
+      lifecycle = new UnitLifecycle(unit)
+      this.#lifecycles.set(unit, lifecycle)
+    }
+    return lifecycle
+  }
+
+  // A record decides: one that names this incarnation is served, any other drops the unit at once.
+  #onOwnerChange (unit: UnitId, owner: UnitOwner | undefined): void {
+    const { self, logger, metrics } = this.#options
+    const lifecycle = this.#ensureLifecycle(unit)
+    const isOwn = owner !== undefined && owner.instance === self.instance && owner.incarnation === self.incarnation
+    if (lifecycle.isHeld() && (!isOwn || lifecycle.readOwner()?.epoch !== owner.epoch)) {
+      lifecycle.lose()
+      logger.logInfo(PEER_LOG_EVENTS.unitLost, { unit, epoch: owner?.epoch })
+    }
+    if (isOwn && !lifecycle.isHeld() && !this.#isStopped) {
+      const role = this.#roles.find(({ prefix }) => unit.startsWith(prefix))?.role
+      if (lifecycle.assign(owner, role)) void this.#startUnit(lifecycle, owner)
+    }
+    metrics.setGauge('peer.units.held', this.listHeld().length)
+  }
+
+  #restartUnit (lifecycle: UnitLifecycle): void {
+    const owner = lifecycle.readOwner()
+    if (lifecycle.abort() && owner !== undefined) void this.#startUnit(lifecycle, owner)
+  }
+
+  async #startUnit (lifecycle: UnitLifecycle, owner: UnitOwner): Promise<void> {
+    const { clock, logger } = this.#options
+    try {
+      await lifecycle.readRole()?.startUnit(lifecycle.unit, owner)
+      if (lifecycle.readOwner()?.epoch === owner.epoch) lifecycle.transition('STARTED')
+    } catch (error) {
+      logger.logError(PEER_LOG_EVENTS.unitStartFailed, { unit: lifecycle.unit, epoch: owner.epoch, error: String(error) })
+      clock.startTimer(START_RETRY_MS, () => {
+        if (lifecycle.readState() === 'starting' && lifecycle.readOwner()?.epoch === owner.epoch) void this.#startUnit(lifecycle, owner)
+      })
+    }
+  }
+}
--- /dev/null
+++ b/packages/peer/src/peer-log-events.ts
@@ -0,0 +1,25 @@
+/** Names of the log events of this package. */
+export const PEER_LOG_EVENTS = {
+  watchClosed: 'peer.store.watchClosed',
+  recordMalformed: 'peer.store.recordMalformed',
+  registered: 'peer.membership.registered',
+  registrationFailed: 'peer.membership.registrationFailed',
+  leaseLapsed: 'peer.membership.leaseLapsed',
+  viewWritten: 'peer.membership.viewWritten',
+  authorityRevoked: 'peer.authority.revoked',
+  ownerDenied: 'peer.authority.ownerDenied',
+  unitAcquired: 'peer.ownership.unitAcquired',
+  unitTakenOver: 'peer.ownership.unitTakenOver',
+  unitHandedOver: 'peer.ownership.unitHandedOver',
+  unitLost: 'peer.ownership.unitLost',
+  unitStartFailed: 'peer.ownership.unitStartFailed',
+  handOverFailed: 'peer.ownership.handOverFailed',
+  linkOpened: 'peer.link.opened',
+  linkClosed: 'peer.link.closed',
+  linkSilent: 'peer.link.silent',
+  linkRefused: 'peer.link.refused',
+  frameMalformed: 'peer.link.frameMalformed',
+  handlerFailed: 'peer.link.handlerFailed',
+  tablesApplied: 'peer.tables.applied',
+  tablesRejected: 'peer.tables.rejected'
+} as const
--- /dev/null
+++ b/packages/peer/src/pending-requests.ts
@@ -0,0 +1,53 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import tsResults, { type Result } from 'ts-results'
+import type { PeerLink } from './peer-link.js'
+import { PEER_ERROR_CODES, type PeerError } from './peer-network.js'
+
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err, Ok } = tsResults
+
+type Outcome = Result<unknown, PeerError>
+
+interface PendingRequest { readonly link: PeerLink, readonly timer: Timer, readonly resolve: (outcome: Outcome) => void }
+
+/** Requests that wait for their replies. A reply is matched by its id and by the link on which it arrives. */
+export class PendingRequests {
+  readonly #clock: Clock
+  readonly #pending = new Map<number, PendingRequest>()
+  #nextId = 1
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  /** Sends through `send` under a new id and waits for the reply. */
+  async add (link: PeerLink, timeoutMs: number, send: (id: number) => PeerError | undefined): Promise<Outcome> {
+    const id = this.#nextId++
+    return await new Promise<Outcome>((resolve) => {
+      const timer = this.#clock.startTimer(timeoutMs, () => {
+        this.#settle(id, Err({ code: PEER_ERROR_CODES.timeout, message: `no reply within ${timeoutMs} ms` }))
+      })
+      this.#pending.set(id, { link, timer, resolve })
+      const error = send(id)
+      if (error !== undefined) this.#settle(id, Err(error))
+    })
+  }
+
+  settleReply (link: PeerLink, id: number, body: unknown, error: PeerError | undefined): void {
+    if (this.#pending.get(id)?.link === link) this.#settle(id, error === undefined ? Ok(body) : Err(error))
+  }
+
+  failLink (link: PeerLink): void {
+    for (const [id, request] of this.#pending) {
+      if (request.link === link) this.#settle(id, Err({ code: PEER_ERROR_CODES.closed, message: 'the link closed before the reply' }))
+    }
+  }
+
+  #settle (id: number, outcome: Outcome): void {
+    const request = this.#pending.get(id)
+    if (request === undefined) return
+    this.#pending.delete(id)
+    request.timer.cancel()
+    request.resolve(outcome)
+  }
+}
--- /dev/null
+++ b/packages/peer/src/promise-ledger.ts
@@ -0,0 +1,64 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+
+const RETENTION_MS = 3_600_000
+
+interface GivenPromises {
+  lastPromiseMs: number
+  lastDeniedRegistration: number
+  lastDenialMs: number
+}
+
+/**
+ * What this instance has promised to other owners. A denial holds for one registration of an incarnation and is not
+ * withdrawn: an owner gets promises again only after it has registered in the store anew and has read the owner records.
+ */
+export class PromiseLedger {
+  readonly #clock: Clock
+  readonly #given = new Map<string, GivenPromises>()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  /** Gives a promise to a registration of an owner. Returns false when that registration is denied. */
+  grant (owner: string, registration: number): boolean {
+    const given = this.#ensureEntry(owner)
+    if (registration <= given.lastDeniedRegistration) return false
+    given.lastPromiseMs = this.#clock.readMonotonicMs()
+    return true
+  }
+
+  /** Refuses promises to this and every earlier registration of the owner from now on. */
+  deny (owner: string, registration: number): void {
+    const given = this.#ensureEntry(owner)
+    given.lastDeniedRegistration = Math.max(given.lastDeniedRegistration, registration)
+    given.lastDenialMs = this.#clock.readMonotonicMs()
+  }
+
+  isDenied (owner: string, registration: number): boolean {
+    return registration <= (this.#given.get(owner)?.lastDeniedRegistration ?? Number.NEGATIVE_INFINITY)
+  }
+
+  /** Monotonic time of the last promise to any registration of the owner. */
+  readLastPromiseMs (owner: string): number {
+    return this.#given.get(owner)?.lastPromiseMs ?? Number.NEGATIVE_INFINITY
+  }
+
+  #ensureEntry (owner: string): GivenPromises {
+    let given = this.#given.get(owner)
+    if (given === undefined) {
+      this.#prune()
+      given = { lastPromiseMs: Number.NEGATIVE_INFINITY, lastDeniedRegistration: Number.NEGATIVE_INFINITY, lastDenialMs: Number.NEGATIVE_INFINITY }
+      this.#given.set(owner, given)
+    }
+    return given
+  }
+
+  // Promise authority ends 600 s after the last renewal, so a denial can be forgotten long after that.
+  #prune (): void {
+    const limitMs = this.#clock.readMonotonicMs() - RETENTION_MS
+    for (const [owner, given] of this.#given) {
+      if (Math.max(given.lastDenialMs, given.lastPromiseMs) < limitMs) this.#given.delete(owner)
+    }
+  }
+}
--- /dev/null
+++ b/packages/peer/src/takeover-rule.ts
@@ -0,0 +1,47 @@
+import type { InstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import type { PeerTimings } from './peer-timings.js'
+import { formatMemberKey, type ViewMember, type ViewRecord } from './store-records.js'
+
+/**
+ * How an instance stands to an owner whose alive key is absent.
+ * - `successor`: a later incarnation of the owner on the same address, so the owner's process has ended.
+ * - `member`: the owner needs this incarnation's promise.
+ * - `substitute`: a later incarnation of a member on the same address; the member gives no more promises.
+ * - `outsider`: none of these; only the limit of promise authority ends the owner's authority.
+ */
+export type TakeoverStanding = 'successor' | 'member' | 'substitute' | 'outsider'
+
+export interface TakeoverFacts {
+  readonly nowMs: number
+  readonly standing: TakeoverStanding
+  /** Since when the owner's alive key has been seen absent under the present revision of its view. */
+  readonly absentSinceMs: number
+  /** Whether this instance gives the owner's registration no more promises. */
+  readonly isDenied: boolean
+  readonly lastPromiseMs: number
+  /** Since when this process has held its listening address. */
+  readonly listeningSinceMs: number
+}
+
+export type TakeoverDecision = 'wait' | 'deny' | 'take'
+
+/** Determines an instance's standing. The address proves the end of an earlier process only if its listener is exclusive. */
+export function computeStanding (self: ViewMember, isAddressExclusive: boolean, owner: InstanceId, view: ViewRecord | undefined): TakeoverStanding {
+  if (view === undefined) return 'outsider'
+  const selfKey = formatMemberKey(self)
+  if (isAddressExclusive && self.instance === owner && self.address === view.address && self.incarnation !== view.incarnation) return 'successor'
+  if (view.members.some((member) => formatMemberKey(member) === selfKey)) return 'member'
+  const hasPredecessor = view.members.some((member) => member.instance === self.instance && member.address === self.address)
+  return isAddressExclusive && hasPredecessor ? 'substitute' : 'outsider'
+}
+
+/** Decides whether a unit may be taken over now from an owner whose alive key is absent. */
+export function decideTakeover (facts: TakeoverFacts, timings: PeerTimings): TakeoverDecision {
+  const absentMs = facts.nowMs - facts.absentSinceMs
+  if (facts.standing === 'successor') return 'take'
+  if (facts.standing === 'outsider') return absentMs >= timings.outageLimitMs + timings.outsiderMarginMs ? 'take' : 'wait'
+  if (absentMs < timings.absenceMs) return 'wait'
+  if (!facts.isDenied) return 'deny'
+  const boundMs = facts.standing === 'substitute' ? Math.max(facts.lastPromiseMs, facts.listeningSinceMs) : facts.lastPromiseMs
+  return facts.nowMs >= boundMs + timings.promiseMs + timings.promiseMarginMs ? 'take' : 'wait'
+}
--- /dev/null
+++ b/packages/peer/src/view-keeper.ts
@@ -0,0 +1,123 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { AliveRecord, ViewMember, ViewRecord } from './store-records.js'
+import { formatAliveKey, formatMemberKey, formatViewKey } from './store-records.js'
+import { hasSameMembers, planView, type ViewCandidate } from './view-planner.js'
+import { PEER_LOG_EVENTS } from './peer-log-events.js'
+
+/** Facts about the current registration that a view write is bound to. */
+export interface RegistrationState {
+  readonly registration: number
+  readonly aliveRevision: number
+}
+
+/** Keeps the view record of this instance: who must promise, and who may take over. */
+export class ViewKeeper {
+  readonly #store: KeyValueStore
+  readonly #clock: Clock
+  readonly #random: RandomSource
+  readonly #logger: EventLogger
+  readonly #self: ViewMember
+  readonly #key: string
+  readonly #idleSinceMs = new Map<string, number>()
+  #confirmed: readonly ViewMember[]
+  #confirmedRevision = 0
+  /** Views whose writes were sent and may have taken effect, or may still do so. */
+  #pending: (readonly ViewMember[])[] = []
+  #isWriting = false
+  #isRevisionKnown = true
+
+  constructor (store: KeyValueStore, clock: Clock, random: RandomSource, logger: EventLogger, self: ViewMember) {
+    this.#store = store
+    this.#clock = clock
+    this.#random = random
+    this.#logger = logger
+    this.#self = self
+    this.#key = formatViewKey(self.instance, self.incarnation)
+    this.#confirmed = [self]
+  }
+
+  /** Members of every view that the store may hold now, without self. */
+  listRequired (): string[] {
+    const keys = new Set([this.#confirmed, ...this.#pending].flat().map(formatMemberKey))
+    keys.delete(formatMemberKey(this.#self))
+    return [...keys]
+  }
+
+  listConfirmed (): readonly ViewMember[] {
+    return this.#confirmed
+  }
+
+  /** Prepares the view of a new registration: the union of all that may be stored, so that nobody's promise is dropped. */
+  prepareRecord (registration: number): ViewRecord {
+    const members = new Map([this.#confirmed, ...this.#pending].flat().map((member) => [formatMemberKey(member), member]))
+    return this.#formatRecord(registration, [...members.values()])
+  }
+
+  /** Records that `record` is stored. A write that was sent earlier can no longer take effect, as it compared an older revision. */
+  confirmRecord (record: ViewRecord, revision: number): void {
+    this.#confirmed = record.members
+    this.#confirmedRevision = revision
+    this.#pending = []
+    this.#isRevisionKnown = true
+  }
+
+  /** Writes the planned view if it differs from the stored one. */
+  async updateView (state: RegistrationState, alive: readonly AliveRecord[], hasPromise: (member: string) => boolean): Promise<void> {
+    const candidates = this.#collectCandidates(alive, hasPromise)
+    const planned = planView(this.#self, this.#confirmed, candidates)
+    if (this.#isWriting || (this.#pending.length === 0 && hasSameMembers(planned, this.#confirmed))) return
+    this.#isWriting = true
+    await this.#writeView(state, planned)
+    this.#isWriting = false
+  }
+
+  async #writeView (state: RegistrationState, members: readonly ViewMember[]): Promise<void> {
+    const revision = await this.#resolveRevision()
+    if (revision === undefined) return
+    const record = this.#formatRecord(state.registration, members)
+    this.#pending.push(members)
+    const outcome = await this.#store.commitTransaction({
+      comparisons: [{ key: formatAliveKey(this.#self.instance), modRevision: state.aliveRevision }, { key: this.#key, modRevision: revision }],
+      mutations: [{ type: 'put', key: this.#key, value: JSON.stringify(record) }]
+    }, 'critical')
+    if (outcome.ok && outcome.val.isCommitted) {
+      this.confirmRecord(record, outcome.val.revision)
+      this.#logger.logInfo(PEER_LOG_EVENTS.viewWritten, { members: members.length, revision: outcome.val.revision })
+      return
+    }
+    this.#isRevisionKnown = false
+    if (outcome.ok || !outcome.val.isEffectUnknown) this.#pending = this.#pending.filter((view) => view !== members)
+  }
+
+  // After a lost reply the stored revision decides what the next write compares. Pending views stay required until a write is confirmed.
+  async #resolveRevision (): Promise<number | undefined> {
+    if (this.#isRevisionKnown) return this.#confirmedRevision
+    const read = await this.#store.readKey(this.#key, 'critical')
+    return read.ok ? read.val?.modRevision ?? 0 : undefined
+  }
+
+  #collectCandidates (alive: readonly AliveRecord[], hasPromise: (member: string) => boolean): ViewCandidate[] {
+    const nowMs = this.#clock.readMonotonicMs()
+    const selfKey = formatMemberKey(this.#self)
+    const aliveMembers = new Map(alive.map(({ instance, incarnation, address }) => {
+      const member = { instance, incarnation, address }
+      return [formatMemberKey(member), member]
+    }))
+    const members = new Map([...this.#confirmed.map((member) => [formatMemberKey(member), member] as const), ...aliveMembers])
+    members.delete(selfKey)
+    for (const key of this.#idleSinceMs.keys()) if (!members.has(key)) this.#idleSinceMs.delete(key)
+    return [...members].map(([key, member]) => {
+      const isAlive = aliveMembers.has(key)
+      const hasPromised = hasPromise(key)
+      if ((isAlive && hasPromised) || !this.#idleSinceMs.has(key)) this.#idleSinceMs.set(key, nowMs)
+      return { member, isAlive, hasPromised, idleMs: nowMs - (this.#idleSinceMs.get(key) ?? nowMs) }
+    })
+  }
+
+  #formatRecord (registration: number, members: readonly ViewMember[]): ViewRecord {
+    return { incarnation: this.#self.incarnation, registration, address: this.#self.address, members: [...members], nonce: this.#random.drawHex(8) }
+  }
+}
--- /dev/null
+++ b/packages/peer/tests/fake-network.ts
@@ -0,0 +1,88 @@
+import type { InstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
+import tsResults, { type Result } from 'ts-results'
+import type { HeartbeatNetwork } from '../src/heartbeat-network.js'
+import { decodeFrame, encodeFrame } from '../src/peer-frame.js'
+import type { PeerError, PeerHandler, PeerIdentity } from '../src/peer-network.js'
+import type { ProcessGate } from './process-gate.js'
+
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err, Ok } = tsResults
+
+const LATENCY_MS = 1
+const HEARTBEAT_PERIOD_MS = 500
+const SILENCE_LIMIT_MS = 2_000
+
+/** Carries messages between simulated processes. A direction `from>to` can be cut. */
+export class FakeSwitch {
+  readonly clock: Clock
+  readonly nodes = new Map<InstanceId, FakeNetwork>()
+  readonly cuts = new Set<string>()
+
+  constructor (clock: Clock) {
+    this.clock = clock
+  }
+
+  deliver (from: FakeNetwork, to: InstanceId, run: (target: FakeNetwork) => void): boolean {
+    const target = this.nodes.get(to)
+    if (target === undefined || target.gate.isKilled()) return false
+    if (this.cuts.has(`${from.self.instance}>${to}`)) return true
+    this.clock.startTimer(LATENCY_MS, () => target.gate.run(() => {
+      target.heardMs.set(from.self.instance, { peer: from.self, atMs: this.clock.readMonotonicMs() })
+      run(target)
+    }))
+    return true
+  }
+}
+
+/** Links of one simulated process to all others. */
+export class FakeNetwork implements HeartbeatNetwork {
+  readonly self: PeerIdentity
+  readonly gate: ProcessGate
+  readonly heardMs = new Map<InstanceId, { peer: PeerIdentity, atMs: number }>()
+  readonly #switch: FakeSwitch
+  readonly #handlers = new Map<string, PeerHandler>()
+
+  constructor (fabric: FakeSwitch, self: PeerIdentity, gate: ProcessGate) {
+    this.#switch = fabric
+    this.self = self
+    this.gate = gate
+    fabric.nodes.set(self.instance, this)
+  }
+
+  setHeartbeatBody (provider: (to: PeerIdentity) => unknown): void {
+    const beat = (): void => {
+      for (const [instance, target] of this.#switch.nodes) if (instance !== this.self.instance) this.sendNotice(instance, 'heartbeat', provider(target.self))
+    }
+    this.gate.startTimer(0, beat)
+    this.gate.startInterval(HEARTBEAT_PERIOD_MS, beat)
+  }
+
+  setAddresses (): void {}
+
+  registerHandler (kind: string, handler: PeerHandler): void {
+    this.#handlers.set(kind, handler)
+  }
+
+  listConnected (): readonly PeerIdentity[] {
+    const nowMs = this.#switch.clock.readMonotonicMs()
+    return [...this.heardMs.values()].filter(({ atMs }) => nowMs - atMs < SILENCE_LIMIT_MS).map(({ peer }) => peer)
+  }
+
+  sendNotice (to: InstanceId, kind: string, body: unknown): boolean {
+    const copy = encodeFrame({ kind, body }).andThen((bytes) => decodeFrame(bytes)).unwrap().body
+    return this.#switch.deliver(this, to, (target) => { void target.#handlers.get(kind)?.(copy, this.self, undefined) })
+  }
+
+  async sendRequest (to: InstanceId, kind: string, body: unknown, timeoutMs: number, _trace?: TraceContext): Promise<Result<unknown, PeerError>> {
+    return await new Promise((resolve) => {
+      this.gate.startTimer(timeoutMs, () => resolve(Err({ code: 'timeout', message: kind })))
+      this.#switch.deliver(this, to, (target) => {
+        void target.#handlers.get(kind)?.(body, this.self, undefined).then((reply) => {
+          target.#switch.deliver(target, this.self.instance, () => resolve(Ok(reply)))
+        })
+      })
+    })
+  }
+}
--- /dev/null
+++ b/packages/peer/tests/fake-store.ts
@@ -0,0 +1,172 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import type { KeyValueStore, StoredValue, Transaction, TransactionOutcome, WatchEvent, WatchHandler } from '@hibiscusledge/platform/key-value-store.js'
+import type { StoreError } from '@hibiscusledge/platform/store-error.js'
+import tsResults, { type Result } from 'ts-results'
+import { ProcessGate } from './process-gate.js'
+
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err, Ok } = tsResults
+
+interface Subscription { readonly prefix: string, readonly client: FakeStoreClient, readonly handler: WatchHandler, isSilent: boolean }
+
+const LATENCY_MS = 2
+const CALL_TIMEOUT_MS = 600
+
+/** A key-value store in memory with leases on the test's clock. Each process has its own client with its own failures. */
+export class FakeStore {
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly values = new Map<string, StoredValue>()
+  readonly subscriptions = new Set<Subscription>()
+  readonly #leases = new Map<string, { ttlMs: number, expiresMs: number }>()
+  #revision = 1
+  isDown = false
+  /** Whether leases lapse while the store is down. */
+  isLapsingWhileDown = true
+
+  constructor (clock: Clock, random: RandomSource) {
+    this.clock = clock
+    this.random = random
+    clock.startInterval(100, () => this.#expireLeases())
+  }
+
+  connect (gate: ProcessGate = new ProcessGate(this.clock)): FakeStoreClient {
+    return new FakeStoreClient(this, gate)
+  }
+
+  put (key: string, value: string): void {
+    this.commit({ comparisons: [], mutations: [{ type: 'put', key, value }] })
+  }
+
+  commit (transaction: Transaction): Result<TransactionOutcome, StoreError> {
+    const holds = transaction.comparisons.every(({ key, modRevision }) => (this.values.get(key)?.modRevision ?? 0) === modRevision)
+    const puts = transaction.mutations.filter((mutation) => mutation.type === 'put')
+    if (puts.some(({ leaseId }) => leaseId !== undefined && !this.#leases.has(leaseId))) return Err(describeError('leaseNotFound', false))
+    if (!holds) return Ok({ isCommitted: false, revision: this.#revision })
+    const revision = ++this.#revision
+    const events = puts.map(({ key, value, leaseId }): WatchEvent => {
+      const stored = { key, value, modRevision: revision, createRevision: this.values.get(key)?.createRevision ?? revision, leaseId: leaseId ?? '' }
+      this.values.set(key, stored)
+      return { type: 'put', value: stored }
+    })
+    this.#publish(events, revision)
+    return Ok({ isCommitted: true, revision })
+  }
+
+  list (prefix: string): { revision: number, values: StoredValue[] } {
+    return { revision: this.#revision, values: [...this.values.values()].filter(({ key }) => key.startsWith(prefix)) }
+  }
+
+  grant (ttlSeconds: number): string {
+    const id = `lease-${this.random.drawHex(6)}`
+    this.#leases.set(id, { ttlMs: ttlSeconds * 1_000, expiresMs: this.clock.readMonotonicMs() + ttlSeconds * 1_000 })
+    return id
+  }
+
+  renew (id: string): Result<number, StoreError> {
+    const lease = this.#leases.get(id)
+    if (lease === undefined) return Err(describeError('leaseNotFound', false))
+    lease.expiresMs = this.clock.readMonotonicMs() + lease.ttlMs
+    return Ok(lease.ttlMs / 1_000)
+  }
+
+  revoke (id: string): void {
+    this.#leases.delete(id)
+    const keys = [...this.values.values()].filter(({ leaseId }) => leaseId === id).map(({ key }) => key)
+    if (keys.length === 0) return
+    const revision = ++this.#revision
+    for (const key of keys) this.values.delete(key)
+    this.#publish(keys.map((key) => ({ type: 'delete', key, modRevision: revision })), revision)
+  }
+
+  #expireLeases (): void {
+    const nowMs = this.clock.readMonotonicMs()
+    for (const [id, lease] of this.#leases) {
+      if (this.isDown && !this.isLapsingWhileDown) lease.expiresMs = nowMs + lease.ttlMs
+      else if (lease.expiresMs <= nowMs) this.revoke(id)
+    }
+  }
+
+  #publish (events: readonly WatchEvent[], revision: number): void {
+    for (const subscription of this.subscriptions) {
+      const own = events.filter((event) => (event.type === 'put' ? event.value.key : event.key).startsWith(subscription.prefix))
+      // A watch that once missed events stays silent: a connection that was cut does not come back.
+      if (this.isDown || subscription.client.isCut) subscription.isSilent = true
+      if (own.length === 0 || subscription.isSilent) continue
+      this.clock.startTimer(LATENCY_MS, () => subscription.client.gate.run(() => subscription.handler.onEvents(own, revision)))
+    }
+  }
+}
+
+function describeError (code: StoreError['code'], isEffectUnknown: boolean): StoreError {
+  return { code, message: code, isEffectUnknown }
+}
+
+/** One process's connection to the store. */
+export class FakeStoreClient implements KeyValueStore {
+  readonly gate: ProcessGate
+  readonly #store: FakeStore
+  isCut = false
+  /** Share of the writes whose reply is lost after they took effect. */
+  lostReplyShare = 0
+  /** Share of the writes that take effect only after the caller has given up. */
+  lateWriteShare = 0
+  callCount = 0
+
+  constructor (store: FakeStore, gate: ProcessGate) {
+    this.#store = store
+    this.gate = gate
+  }
+
+  async readKey (key: string): Promise<Result<StoredValue | undefined, StoreError>> {
+    return await this.#call(false, () => Ok(this.#store.values.get(key)))
+  }
+
+  async listPrefix (prefix: string): Promise<Result<{ revision: number, values: StoredValue[] }, StoreError>> {
+    return await this.#call(false, () => Ok(this.#store.list(prefix)))
+  }
+
+  async commitTransaction (transaction: Transaction): Promise<Result<TransactionOutcome, StoreError>> {
+    return await this.#call(true, () => this.#store.commit(transaction))
+  }
+
+  async grantLease (ttlSeconds: number): Promise<Result<string, StoreError>> {
+    return await this.#call(false, () => Ok(this.#store.grant(ttlSeconds)))
+  }
+
+  async renewLease (leaseId: string): Promise<Result<number, StoreError>> {
+    return await this.#call(false, () => this.#store.renew(leaseId))
+  }
+
+  async revokeLease (leaseId: string): Promise<Result<void, StoreError>> {
+    return await this.#call(false, () => Ok(this.#store.revoke(leaseId)))
+  }
+
+  watchPrefix (prefix: string, _fromRevision: number, handler: WatchHandler): { close: () => void } {
+    const subscription = { prefix, client: this, handler, isSilent: false }
+    this.#store.subscriptions.add(subscription)
+    return { close: () => { this.#store.subscriptions.delete(subscription) } }
+  }
+
+  async #call<Value> (isWrite: boolean, execute: () => Result<Value, StoreError>): Promise<Result<Value, StoreError>> {
+    const { clock, random } = this.#store
+    this.callCount++
+    const fate = isWrite ? random.drawFraction() : 1
+    return await new Promise((resolve) => {
+      const reply = (afterMs: number, result: Result<Value, StoreError>): void => {
+        clock.startTimer(afterMs, () => this.gate.run(() => resolve(result)))
+      }
+      clock.startTimer(LATENCY_MS, () => {
+        if (this.isCut || this.#store.isDown) return reply(CALL_TIMEOUT_MS, Err(describeError('timeout', isWrite)))
+        if (fate < this.lateWriteShare) {
+          clock.startTimer(random.drawInteger(6_000), () => { if (!this.#store.isDown) execute() })
+          return reply(CALL_TIMEOUT_MS, Err(describeError('timeout', true)))
+        }
+        const result = execute()
+        const isLost = fate < this.lateWriteShare + this.lostReplyShare
+        reply(isLost ? CALL_TIMEOUT_MS : LATENCY_MS, isLost ? Err(describeError('timeout', true)) : result)
+      })
+    })
+  }
+}
