--- a/packages/scheduling/src/decision.ts
+++ b/packages/scheduling/src/decision.ts
@@ -8,7 +8,9 @@
   unknownPool: 'unknownPool',
   noTargets: 'noTargets',
   deadlineExpired: 'deadlineExpired',
-  retryBudgetExhausted: 'retryBudgetExhausted'
+  retryBudgetExhausted: 'retryBudgetExhausted',
+  /** An earlier attempt of the request still holds capacity in this shard. */
+  duplicate: 'duplicate'
 } as const
 export type RejectionReason = typeof REJECTION_REASONS[keyof typeof REJECTION_REASONS]
 
@@ -42,5 +44,6 @@
 
 export type Decision = StartDecision | ExpireDecision | PreemptDecision
 
-export const RUN_RESULTS = { succeeded: 'succeeded', failed: 'failed', refused: 'refused', lost: 'lost' } as const
+/** `withdrawn`: the start was taken back before it was sent and says nothing about the target. */
+export const RUN_RESULTS = { succeeded: 'succeeded', failed: 'failed', refused: 'refused', lost: 'lost', withdrawn: 'withdrawn' } as const
 export type RunResult = typeof RUN_RESULTS[keyof typeof RUN_RESULTS]
