Serve requests end to end as separate processes; add the demo

Cause of the two failed starts: the stand-ins print addresses without a scheme, and ts-results exports nothing that Node.js can name from an ES module. The latter now has one place, runtime/result.ts.

--- a/packages/dispatch/src/cluster-gateway.ts
+++ b/packages/dispatch/src/cluster-gateway.ts
@@ -5,7 +5,7 @@
 import type { WaitExplanation } from '@hibiscusledge/scheduling/shard-scheduler.js'
 import { findRoute } from '@hibiscusledge/tables/find-route.js'
 import type { Route } from '@hibiscusledge/tables/route.js'
-import type { Result } from 'ts-results'
+import type { Result } from '@hibiscusledge/runtime/result.js'
 import type { DispatchContext } from './dispatch-context.js'
 import { DISPATCH_MESSAGE_KINDS, explanationReplySchema, outcomeSchema, requestStatusSchema, type RequestStatusReply } from './dispatch-messages.js'
 import { listPartitions } from './home-role.js'
--- a/packages/dispatch/src/message-handler.ts
+++ b/packages/dispatch/src/message-handler.ts
@@ -3,7 +3,7 @@
 import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
 import type { PeerError, PeerIdentity, PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
 import { PEER_ERROR_CODES } from '@hibiscusledge/peer/peer-network.js'
-import { Err, Ok, type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import type { z } from 'zod'
 import { DISPATCH_EVENTS } from './dispatch-events.js'
 
--- a/packages/entry/src/compose-instance.ts
+++ b/packages/entry/src/compose-instance.ts
@@ -1,9 +1,65 @@
-import { createDetachedInstance } from './detached-instance.js'
+import { ClusterGateway } from '@hibiscusledge/dispatch/cluster-gateway.js'
+import type { DispatchContext } from '@hibiscusledge/dispatch/dispatch-context.js'
+import { HomeRole } from '@hibiscusledge/dispatch/home-role.js'
+import { ShardRole } from '@hibiscusledge/dispatch/shard-role.js'
+import { PeerNode } from '@hibiscusledge/peer/peer-node.js'
+import { BudgetedStore } from '@hibiscusledge/platform/budgeted-store.js'
+import { EtcdGatewayStore } from '@hibiscusledge/platform/etcd-gateway-store.js'
+import { InstanceListPoller } from '@hibiscusledge/platform/instance-list-poller.js'
+import { PrometheusInstanceList } from '@hibiscusledge/platform/prometheus-instance-list.js'
+import { toIncarnation, toInstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import { PoolShardScheduler } from '@hibiscusledge/scheduling/pool-shard-scheduler.js'
+import { ClusterStatusSource } from './cluster-status-source.js'
+import { formatHostPort } from './host-port.js'
+import { InstanceDrain } from './instance-drain.js'
 import type { InstanceParts } from './instance-parts.js'
 import type { Settings } from './setting-table.js'
+import { StoreBudgetSharing } from './store-budget-sharing.js'
+import { StoreTableEditor } from './store-table-editor.js'
 import type { Telemetry } from './telemetry.js'
 
+const INCARNATION_BYTES = 8
+
 /** Builds the parts of an instance behind the HTTP API: store client, peers, tables, roles and gateway. */
-export function composeInstance (_settings: Settings, _telemetry: Telemetry): InstanceParts {
-  return createDetachedInstance()
+export function composeInstance (settings: Settings, telemetry: Telemetry): InstanceParts {
+  const { clock, random, logger, metrics, spans } = telemetry
+  const gatewayStore = new EtcdGatewayStore({ endpoints: settings.storeEndpoints, clock })
+  const store = new BudgetedStore(gatewayStore, clock, {
+    readsPerSecond: settings.storeReadsPerSecond, writesPerSecond: settings.storeWritesPerSecond
+  })
+  const node = new PeerNode({
+    self: toInstanceId(settings.instanceId),
+    incarnation: toIncarnation(random.drawHex(INCARNATION_BYTES)),
+    listenHost: settings.peerHost,
+    listenPort: settings.peerPort,
+    advertisedAddress: settings.peerAdvertise === undefined ? '' : formatHostPort(settings.peerAdvertise),
+    failureDomain: settings.failureDomain,
+    seeds: settings.peers.map(formatHostPort),
+    store,
+    clock,
+    random,
+    logger,
+    metrics
+  })
+  const { network, ownership, loads, tables } = node
+  const { outcomeRetentionMs } = settings
+  const context: DispatchContext = { store, network, ownership, loads, tables, clock, random, logger, metrics, spans, outcomeRetentionMs }
+  // The role registers itself with the network and the ownership directory.
+  void new HomeRole(context)
+  const shards = new ShardRole(context, () => new PoolShardScheduler())
+  const instanceList = new InstanceListPoller(new PrometheusInstanceList({ url: settings.instanceListUrl, clock }), clock)
+  const sharing = new StoreBudgetSharing(store, node.membership, settings, clock)
+  return {
+    gateway: new ClusterGateway(context),
+    tables,
+    tableEditor: new StoreTableEditor(store, clock, random),
+    status: new ClusterStatusSource(node),
+    drainable: new InstanceDrain({ node, shards, clock, stopParts: [() => { instanceList.stop() }, () => { sharing.stop() }] }),
+    start: async () => {
+      await node.start()
+      instanceList.subscribe((targets) => { shards.applyTargets(targets) })
+      instanceList.start()
+      sharing.start()
+    }
+  }
 }
--- /dev/null
+++ b/packages/entry/src/instance-drain.ts
@@ -0,0 +1,37 @@
+import type { ShardRole } from '@hibiscusledge/dispatch/shard-role.js'
+import type { PeerNode } from '@hibiscusledge/peer/peer-node.js'
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { Drainable } from './drainable.js'
+
+const POLL_PERIOD_MS = 50
+
+export interface InstanceDrainParts {
+  readonly node: PeerNode
+  readonly shards: ShardRole
+  readonly clock: Clock
+  readonly stopParts: ReadonlyArray<() => void>
+}
+
+/** Gives the units of an instance away and waits for the requests that it has sent. */
+export class InstanceDrain implements Drainable {
+  readonly #parts: InstanceDrainParts
+
+  constructor (parts: InstanceDrainParts) {
+    this.#parts = parts
+  }
+
+  async handOver (signal: AbortSignal): Promise<void> {
+    const { node, shards, clock } = this.#parts
+    await node.drain()
+    while (!signal.aborted && shards.countUnfinished() > 0) {
+      await new Promise<void>((resolve) => { clock.startTimer(POLL_PERIOD_MS, resolve) })
+    }
+  }
+
+  async close (): Promise<void> {
+    const { node, shards, stopParts } = this.#parts
+    for (const stop of stopParts) stop()
+    await shards.close()
+    await node.stop()
+  }
+}
--- /dev/null
+++ b/packages/entry/src/store-table-editor.ts
@@ -0,0 +1,34 @@
+import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import type { TableTexts } from '@hibiscusledge/tables/table-set.js'
+import { TableStore } from '@hibiscusledge/tables/table-store.js'
+import type { TableEditAnswer, TableEditor } from './table-editor.js'
+
+/** Applies table changes in the platform's store; an accepted change is durable there. */
+export class StoreTableEditor implements TableEditor {
+  readonly #tables: TableStore
+
+  constructor (store: KeyValueStore, clock: Clock, random: RandomSource) {
+    this.#tables = new TableStore(store, clock, random)
+  }
+
+  async applyTables (texts: TableTexts, expectedRevision: number, author: string): Promise<TableEditAnswer> {
+    const outcome = await this.#tables.applyTables({ texts, expectedRevision, author })
+    switch (outcome.type) {
+      case 'conflict':
+        return { type: 'conflict', ...outcome.conflict }
+      case 'tooLarge':
+        return {
+          type: 'invalid',
+          findings: [{
+            code: 'tablesTooLarge', place: 'tables', message: `${outcome.byteCount} bytes are over the limit of ${outcome.limitBytes} bytes`
+          }]
+        }
+      case 'notApplied':
+        return { type: 'unknown', reason: `not accepted: ${outcome.reason}` }
+      default:
+        return outcome
+    }
+  }
+}
--- a/packages/peer/src/peer-node.ts
+++ b/packages/peer/src/peer-node.ts
@@ -139,6 +139,12 @@
     return silentMs < this.#timings.leaseTtlMs ? 'reachable' : 'unreachable'
   }
 
+  /** Milliseconds since the store last answered; null before its first answer. */
+  readStoreSilenceMs (): number | null {
+    const contactMs = this.#cache.readLastContactMs()
+    return Number.isFinite(contactMs) ? this.#options.clock.readMonotonicMs() - contactMs : null
+  }
+
   #updateAddresses (): void {
     const others = this.membership.listRecords().filter((record) => record.instance !== this.#options.self)
     this.network.setAddresses(new Map(others.map((record) => [record.instance, record.address])))
--- /dev/null
+++ b/packages/stand-ins/src/caller.ts
@@ -0,0 +1,134 @@
+import { Agent, request } from 'undici'
+
+/** One request as its caller saw it. */
+export interface CallerRecord {
+  readonly kind: string
+  readonly customer: string
+  readonly key: string | undefined
+  readonly payload: unknown
+  readonly sentAtMs: number
+  /** Instances that the caller asked, in order. */
+  readonly instances: string[]
+  requestId: string | undefined
+  answeredAtMs: number | undefined
+  outcome: 'completed' | 'notRun' | 'unknown' | undefined
+  reason: string | undefined
+  result: unknown
+  /** Connections that broke before an answer came. */
+  brokenConnections: Array<{ readonly instance: string, readonly atMs: number }>
+}
+
+export interface CallerInstance {
+  readonly id: string
+  readonly origin: string
+}
+
+interface OutcomeAnswer {
+  readonly requestId?: string
+  readonly outcome?: 'completed' | 'notRun' | 'unknown' | 'pending'
+  readonly reason?: string
+  readonly result?: unknown
+}
+
+const RETRY_DELAY_MS = 250
+const ATTEMPTS_MAX = 60
+
+/** Sends requests as the callers' programs do: keyed ones are repeated through other instances when a connection breaks. */
+export class Caller {
+  readonly records: CallerRecord[] = []
+  readonly #agent = new Agent({ connections: 128, headersTimeout: 120_000, bodyTimeout: 120_000 })
+  readonly #listInstances: () => readonly CallerInstance[]
+  #next = 0
+
+  constructor (listInstances: () => readonly CallerInstance[]) {
+    this.#listInstances = listInstances
+  }
+
+  async send (kind: string, customer: string, payload: unknown, key: string | undefined, deadlineMs?: number): Promise<CallerRecord> {
+    const record: CallerRecord = {
+      kind,
+      customer,
+      key,
+      payload,
+      sentAtMs: Date.now(),
+      instances: [],
+      requestId: undefined,
+      answeredAtMs: undefined,
+      outcome: undefined,
+      reason: undefined,
+      result: undefined,
+      brokenConnections: []
+    }
+    this.records.push(record)
+    for (let attempt = 0; attempt < ATTEMPTS_MAX && record.outcome === undefined; attempt++) {
+      if (attempt > 0) await new Promise<void>((resolve) => { setTimeout(resolve, RETRY_DELAY_MS) })
+      const instance = this.#chooseInstance()
+      if (instance !== undefined) await this.#sendOnce(record, instance, deadlineMs)
+      // Without a key the caller can't ask again: what it knows is that its connection broke.
+      if (record.outcome === undefined && key === undefined && record.brokenConnections.length > 0) this.#end(record, { outcome: 'unknown' })
+    }
+    if (record.outcome === undefined) this.#end(record, { outcome: 'unknown', reason: 'the caller gave up' })
+    return record
+  }
+
+  /** Asks again about outcomes that are not known yet, until none is left or the bound has passed. */
+  async resolveUnknown (boundMs: number): Promise<void> {
+    const untilMs = Date.now() + boundMs
+    const isOpen = (record: CallerRecord): boolean => record.outcome === 'unknown' && record.requestId !== undefined
+    while (Date.now() < untilMs && this.records.some(isOpen)) {
+      await Promise.all(this.records.filter(isOpen).map(async (record) => { await this.#lookup(record) }))
+      await new Promise<void>((resolve) => { setTimeout(resolve, RETRY_DELAY_MS) })
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #sendOnce (record: CallerRecord, instance: CallerInstance, deadlineMs: number | undefined): Promise<void> {
+    record.instances.push(instance.id)
+    const { kind, customer, payload, key } = record
+    try {
+      const answer = await request(`${instance.origin}/v1/requests`, {
+        dispatcher: this.#agent,
+        method: 'POST',
+        headers: { 'content-type': 'application/json', ...(key === undefined ? {} : { 'idempotency-key': key }) },
+        body: JSON.stringify({ kind, customer, payload, ...(deadlineMs === undefined ? {} : { deadlineMs }) })
+      })
+      const body = await answer.body.json() as OutcomeAnswer
+      if (body.outcome === undefined) throw new Error(`status ${answer.statusCode}: ${JSON.stringify(body)}`)
+      this.#end(record, body)
+    } catch (error) {
+      const isRefused = error instanceof Error && 'code' in error && error.code === 'ECONNREFUSED'
+      if (isRefused) return
+      record.reason = error instanceof Error ? error.message : String(error)
+      record.brokenConnections.push({ instance: instance.id, atMs: Date.now() })
+    }
+  }
+
+  async #lookup (record: CallerRecord): Promise<void> {
+    const instance = this.#chooseInstance()
+    if (instance === undefined) return
+    try {
+      const answer = await request(`${instance.origin}/v1/requests/${record.requestId ?? ''}`, { dispatcher: this.#agent })
+      const body = await answer.body.json() as OutcomeAnswer
+      if (body.outcome === 'completed' || body.outcome === 'notRun') this.#end(record, body)
+    } catch {
+      // The instance may be stopped or killed just now; the next turn asks another one.
+    }
+  }
+
+  #end (record: CallerRecord, answer: OutcomeAnswer): void {
+    if (answer.outcome === 'pending') return
+    record.answeredAtMs = Date.now()
+    record.outcome = answer.outcome
+    record.requestId = answer.requestId ?? record.requestId
+    record.reason = answer.reason ?? record.reason
+    record.result = answer.result
+  }
+
+  #chooseInstance (): CallerInstance | undefined {
+    const instances = this.#listInstances()
+    return instances.length === 0 ? undefined : instances[this.#next++ % instances.length]
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/cell-process.ts
@@ -0,0 +1,71 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { createWriteStream, type WriteStream } from 'node:fs'
+import { createInterface } from 'node:readline'
+import { waitUntil } from './wait-until.js'
+
+export interface CellProcessOptions {
+  readonly name: string
+  /** Path of the compiled main file. */
+  readonly mainFile: string
+  readonly flags: readonly string[]
+  /** Where the process's output goes. */
+  readonly logFile: string
+}
+
+const EXIT_TIMEOUT_MS = 90_000
+
+/** One child process of a cell on loopback. */
+export class CellProcess {
+  readonly name: string
+  readonly #child: ChildProcess
+  readonly #log: WriteStream
+  readonly #readyLine: Promise<string>
+  #exitCode: number | null | undefined
+
+  constructor ({ name, mainFile, flags, logFile }: CellProcessOptions) {
+    this.name = name
+    this.#log = createWriteStream(logFile, { flags: 'a' })
+    this.#child = spawn(process.execPath, [mainFile, ...flags], { stdio: ['ignore', 'pipe', 'pipe'] })
+    this.#child.stdout?.pipe(this.#log, { end: false })
+    this.#child.stderr?.pipe(this.#log, { end: false })
+    this.#child.once('exit', (code) => { this.#exitCode = code })
+    const lines = createInterface({ input: this.#child.stdout ?? process.stdin })
+    this.#readyLine = new Promise((resolve, reject) => {
+      lines.once('line', resolve)
+      lines.once('close', () => { reject(new Error(`${name} ended before it was ready; see ${logFile}`)) })
+    })
+    this.#readyLine.catch(() => {})
+  }
+
+  get pid (): number {
+    return this.#child.pid ?? 0
+  }
+
+  /** The first line that the process printed, which tells a stand-in's addresses. */
+  waitForFirstLine (): Promise<string> {
+    return this.#readyLine
+  }
+
+  sendSignal (signal: NodeJS.Signals): void {
+    this.#child.kill(signal)
+  }
+
+  isRunning (): boolean {
+    return this.#exitCode === undefined
+  }
+
+  async waitForExit (): Promise<number | null> {
+    await waitUntil(() => !this.isRunning(), EXIT_TIMEOUT_MS, `${this.name} to exit`)
+    return this.#exitCode ?? null
+  }
+
+  /** Ends the process whatever state it is in. */
+  async end (): Promise<void> {
+    if (this.isRunning()) {
+      this.#child.kill('SIGCONT')
+      this.#child.kill('SIGKILL')
+      await this.waitForExit()
+    }
+    this.#log.end()
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/cell.ts
@@ -0,0 +1,210 @@
+import { mkdtempSync } from 'node:fs'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { request } from 'undici'
+import { CellProcess } from './cell-process.js'
+import type { ExecutorRun } from './executor-stand-in.js'
+import type { TaskUse, UseViolation } from './use-log.js'
+import { waitUntil } from './wait-until.js'
+
+const START_BOUND_MS = 30_000
+
+/** A group of targets in one stand-in process. */
+export interface TargetGroup {
+  readonly kind: 'executor' | 'worker'
+  readonly idPrefix: string
+  readonly count: number
+  readonly failureDomains: readonly string[]
+  readonly rackSize: number
+  /** `kind=medianMs:sigma` */
+  readonly serviceMs: readonly string[]
+}
+
+export interface CellOptions {
+  readonly groups: readonly TargetGroup[]
+  readonly instances: number
+  readonly failureDomains: readonly string[]
+  readonly seed: number
+  readonly instanceFlags?: readonly string[]
+}
+
+export interface CellInstance {
+  readonly id: string
+  readonly process: CellProcess
+  /** Origin of the HTTP API. */
+  readonly origin: string
+}
+
+interface StandInAddresses {
+  readonly admin: string
+  readonly store?: string
+}
+
+/** A whole cell of separate processes on loopback: store, targets and instances. */
+export class Cell {
+  readonly logDirectory = mkdtempSync(join(tmpdir(), 'hibiscusledge-cell-'))
+  readonly instances: CellInstance[] = []
+  readonly #options: CellOptions
+  readonly #processes: CellProcess[] = []
+  readonly #admins = new Map<string, string>()
+  #storeEndpoint = ''
+  #startedInstances = 0
+
+  constructor (options: CellOptions) {
+    this.#options = options
+  }
+
+  async start (): Promise<void> {
+    const store = await this.#startStandIn('store', 'store-stand-in-main', ['--port', '0'])
+    this.#storeEndpoint = `http://${store.store ?? ''}`
+    await Promise.all(this.#options.groups.map((group) => this.#startGroup(group, this.readAdmin('store'))))
+    await Promise.all(Array.from({ length: this.#options.instances }, () => this.startInstance()))
+  }
+
+  /** Starts one more instance and waits until it serves its API. */
+  async startInstance (): Promise<CellInstance> {
+    const index = this.#startedInstances++
+    const { failureDomains, instanceFlags } = this.#options
+    const id = `instance-${index + 1}`
+    const [apiPort, peerPort] = await findFreePorts(2)
+    const origin = `http://127.0.0.1:${apiPort}`
+    const process = this.#spawn(id, resolveMain('@hibiscusledge/entry/hibiscusledge.js'), [
+      '--instance-id', id,
+      '--failure-domain', failureDomains[index % failureDomains.length] ?? '',
+      '--api-host', '127.0.0.1', '--api-port', String(apiPort),
+      '--peer-host', '127.0.0.1', '--peer-port', String(peerPort), '--peer-advertise', `127.0.0.1:${peerPort}`,
+      '--store-endpoints', this.#storeEndpoint,
+      '--instance-list-url', `${this.readAdmin('store')}/instances`,
+      ...(instanceFlags ?? [])
+    ])
+    const instance = { id, process, origin }
+    await waitUntil(async () => await readStatusCode(`${origin}/healthz`) === 200 || !process.isRunning(), START_BOUND_MS, `${id} to serve`)
+    this.instances.push(instance)
+    return instance
+  }
+
+  /** Applies tables through one instance, waits until every instance has them, and returns their revision. */
+  async applyTables (texts: { routes: string, pools: string }, expectedRevision = 0): Promise<number> {
+    let revision = 0
+    await waitUntil(async () => {
+      const body = JSON.stringify({ ...texts, expectedRevision, author: 'cell' })
+      const answer = await sendJson('PUT', `${this.instances[0]?.origin ?? ''}/v1/tables`, body)
+      if (answer?.status === 400) throw new Error(`the tables are refused: ${JSON.stringify(answer.body)}`)
+      revision = (answer?.body as { revision?: number } | undefined)?.revision ?? 0
+      return answer?.status === 200
+    }, START_BOUND_MS, 'the tables to be accepted')
+    await waitUntil(() => this.areAllReady(), START_BOUND_MS, 'all instances to be ready')
+    return revision
+  }
+
+  async areAllReady (): Promise<boolean> {
+    const codes = await Promise.all(this.instances.map(({ origin, process }) => process.isRunning() ? readStatusCode(`${origin}/readyz`) : 200))
+    return codes.every((code) => code === 200)
+  }
+
+  /** Waits until every unit that one instance knows has an owner and every shard reports its load. */
+  async waitForOwners (unitCount: number): Promise<void> {
+    await waitUntil(async () => {
+      const counts = await Promise.all(this.instances.filter(({ process }) => process.isRunning()).map(async ({ origin }) => {
+        const status = await readJson(`${origin}/v1/status`) as { units?: unknown[], loads?: unknown[] } | undefined
+        return (status?.units?.length ?? 0) >= unitCount && (status?.loads?.length ?? 0) >= unitCount - 16
+      }))
+      return counts.every((isComplete) => isComplete)
+    }, START_BOUND_MS, `${unitCount} units to have owners`)
+  }
+
+  readAdmin (name: string): string {
+    return this.#admins.get(name) ?? ''
+  }
+
+  async setFaults (name: string, faults: unknown): Promise<void> {
+    await sendJson('POST', `${this.readAdmin(name)}/admin/faults`, JSON.stringify(faults))
+  }
+
+  async setTargetState (id: string, state: 'live' | 'leaving' | 'gone', lagMs = 0): Promise<void> {
+    await sendJson('POST', `${this.readAdmin('store')}/admin/instances`, JSON.stringify({ set: [{ id, state }], lagMs }))
+  }
+
+  async readRuns (): Promise<ExecutorRun[]> {
+    const logs = await Promise.all(this.#listGroups('executor').map((name) => readJson(`${this.readAdmin(name)}/log`)))
+    return logs.flatMap((log) => (log as { runs: ExecutorRun[] }).runs)
+  }
+
+  async readUses (): Promise<{ uses: TaskUse[], violations: UseViolation[] }> {
+    const logs = await Promise.all(this.#listGroups('worker').map((name) => readJson(`${this.readAdmin(name)}/log`)))
+    const parts = logs as Array<{ uses: TaskUse[], violations: UseViolation[] }>
+    return { uses: parts.flatMap(({ uses }) => uses), violations: parts.flatMap(({ violations }) => violations) }
+  }
+
+  async end (): Promise<void> {
+    await Promise.all(this.#processes.map((process) => process.end()))
+  }
+
+  #listGroups (kind: TargetGroup['kind']): string[] {
+    return this.#options.groups.filter((group) => group.kind === kind).map(({ idPrefix }) => idPrefix)
+  }
+
+  async #startGroup (group: TargetGroup, register: string): Promise<void> {
+    await this.#startStandIn(group.idPrefix, `${group.kind}-stand-in-main`, [
+      '--count', String(group.count), '--id-prefix', group.idPrefix, '--failure-domains', group.failureDomains.join(','),
+      '--rack-size', String(group.rackSize), '--seed', String(this.#options.seed), '--register', register,
+      ...group.serviceMs.flatMap((text) => ['--service-ms', text])
+    ])
+  }
+
+  async #startStandIn (name: string, mainName: string, flags: readonly string[]): Promise<StandInAddresses> {
+    const standIn = this.#spawn(name, fileURLToPath(new URL(`${mainName}.js`, import.meta.url)), flags)
+    const addresses = JSON.parse(await standIn.waitForFirstLine()) as StandInAddresses
+    this.#admins.set(name, `http://${addresses.admin}`)
+    return addresses
+  }
+
+  #spawn (name: string, mainFile: string, flags: readonly string[]): CellProcess {
+    const spawned = new CellProcess({ name, mainFile, flags, logFile: join(this.logDirectory, `${name}.log`) })
+    this.#processes.push(spawned)
+    return spawned
+  }
+}
+
+/** Sends JSON and reads the answer; undefined when there is no connection. */
+export async function sendJson (method: 'POST' | 'PUT', url: string, body: string): Promise<{ status: number, body: unknown } | undefined> {
+  try {
+    const answer = await request(url, { method, body, headers: { 'content-type': 'application/json' } })
+    return { status: answer.statusCode, body: await answer.body.json() }
+  } catch {
+    return undefined
+  }
+}
+
+export async function readJson (url: string): Promise<unknown> {
+  try {
+    return await (await request(url)).body.json()
+  } catch {
+    return undefined
+  }
+}
+
+async function readStatusCode (url: string): Promise<number> {
+  try {
+    const answer = await request(url)
+    await answer.body.dump()
+    return answer.statusCode
+  } catch {
+    return 0
+  }
+}
+
+function resolveMain (specifier: string): string {
+  return fileURLToPath(import.meta.resolve(specifier))
+}
+
+async function findFreePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
+    const server = createServer().listen(0, '127.0.0.1', () => { resolve(server) })
+  })))
+  const ports = servers.map((server) => (server.address() as { port: number }).port)
+  await Promise.all(servers.map((server) => new Promise((resolve) => { server.close(resolve) })))
+  return ports
+}
--- /dev/null
+++ b/packages/stand-ins/src/demo-report.ts
@@ -0,0 +1,32 @@
+import { build } from 'hdr-histogram-js'
+import type { CallerRecord } from './caller.js'
+import type { ExecutorRun } from './executor-stand-in.js'
+import type { TaskUse } from './use-log.js'
+
+const COLUMNS = ['kind', 'requests', 'completed', 'notRun', 'unknown', 'wait p50 ms', 'wait p99 ms', 'instances'] as const
+
+/** Formats one row a kind: outcomes, waiting time from the caller's send to the first start on a target, and entries used. */
+export function formatKindTable (callers: readonly CallerRecord[], runs: readonly ExecutorRun[], uses: readonly TaskUse[]): string {
+  const starts = new Map<string, number>()
+  for (const { requestId, startedAtMs } of [...runs, ...uses]) {
+    starts.set(requestId, Math.min(startedAtMs, starts.get(requestId) ?? Number.POSITIVE_INFINITY))
+  }
+  const kinds = [...new Set(callers.map(({ kind }) => kind))].sort()
+  const rows = kinds.map((kind) => formatRow(kind, callers.filter((record) => record.kind === kind), starts))
+  const widths = COLUMNS.map((column, index) => Math.max(column.length, ...rows.map((row) => row[index]?.length ?? 0)))
+  return [COLUMNS, ...rows].map((row) => row.map((cell, index) => cell.padEnd(widths[index] ?? 0)).join('  ')).join('\n')
+}
+
+function formatRow (kind: string, records: readonly CallerRecord[], starts: ReadonlyMap<string, number>): string[] {
+  const waits = build()
+  for (const { requestId, sentAtMs } of records) {
+    const startedAtMs = requestId === undefined ? undefined : starts.get(requestId)
+    if (startedAtMs !== undefined) waits.recordValue(Math.max(0, startedAtMs - sentAtMs))
+  }
+  const count = (outcome: CallerRecord['outcome']): string => String(records.filter((record) => record.outcome === outcome).length)
+  const instances = new Set(records.flatMap((record) => record.instances.slice(-1)))
+  return [
+    kind, String(records.length), count('completed'), count('notRun'), count('unknown'),
+    String(waits.getValueAtPercentile(50)), String(waits.getValueAtPercentile(99)), String(instances.size)
+  ]
+}
--- /dev/null
+++ b/packages/stand-ins/src/demo.ts
@@ -0,0 +1,125 @@
+import { readFileSync } from 'node:fs'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import { cac } from 'cac'
+import { Caller } from './caller.js'
+import { Cell, type TargetGroup } from './cell.js'
+import { formatKindTable } from './demo-report.js'
+import { checkHistory } from './history-checker.js'
+
+const HARAMBEE_DOMAINS = ['nairobi-a', 'nairobi-b', 'nairobi-c']
+const DESCANSO_DOMAINS = ['bilbao', 'santander', 'oviedo', 'a-coruna']
+const UNIT_COUNT = 16 + 2 * (HARAMBEE_DOMAINS.length + DESCANSO_DOMAINS.length)
+const WORKER_SIZE = { cores: 16, memoryMb: 65_536, accelerators: 0 }
+const PROGRESS_PERIOD_MS = 1000
+const UNKNOWN_BOUND_MS = 20_000
+
+const GROUPS: readonly TargetGroup[] = [
+  { kind: 'executor', idPrefix: 'h-executor', count: 33, failureDomains: HARAMBEE_DOMAINS, rackSize: 8, serviceMs: ['balance-enquiry=20:0.3', 'dues-posting=50:0.3'] },
+  { kind: 'worker', idPrefix: 'h-worker', count: 33, failureDomains: HARAMBEE_DOMAINS, rackSize: 8, serviceMs: ['reconciliation=800:0.5'] },
+  { kind: 'executor', idPrefix: 'd-executor', count: 32, failureDomains: DESCANSO_DOMAINS, rackSize: 6, serviceMs: ['readiness-check=20:0.3', 'supply-reorder=100:0.5'] },
+  { kind: 'worker', idPrefix: 'd-worker', count: 32, failureDomains: DESCANSO_DOMAINS, rackSize: 6, serviceMs: ['deep-sanitation=600:0.5'] }
+]
+
+/** Kinds of the demo with their weight in the mix; a key makes a caller's retry safe. */
+const KINDS = [
+  { kind: 'balance-enquiry', customer: 'harambee', weight: 6, isKeyed: false },
+  { kind: 'dues-posting', customer: 'harambee', weight: 5, isKeyed: true },
+  { kind: 'reconciliation', customer: 'harambee', weight: 2, isKeyed: true },
+  { kind: 'readiness-check', customer: 'descanso', weight: 6, isKeyed: false },
+  { kind: 'deep-sanitation', customer: 'descanso', weight: 2, isKeyed: true },
+  { kind: 'supply-reorder', customer: 'descanso', weight: 4, isKeyed: true }
+] as const
+
+const command = cac('demo')
+command.option('--requests <n>', 'Requests in all', { default: 400 })
+command.option('--instances <n>', 'Instances of hibiscusledge', { default: 4 })
+command.option('--seed <n>', 'Seed of the mix', { default: 1 })
+command.option('--kill-one', 'Kill one instance in the middle')
+command.option('--keep', 'Leave everything running and print the addresses')
+command.help()
+const { options } = command.parse()
+if (options.help !== true) process.exitCode = await runDemo()
+
+async function runDemo (): Promise<number> {
+  const cell = new Cell({
+    groups: GROUPS,
+    instances: Number(options.instances),
+    failureDomains: [...HARAMBEE_DOMAINS, ...DESCANSO_DOMAINS],
+    seed: Number(options.seed),
+    instanceFlags: ['--log-level', 'info']
+  })
+  process.once('SIGTERM', () => { void cell.end().then(() => process.exit(1)) })
+  try {
+    return await runCell(cell)
+  } finally {
+    await cell.end()
+  }
+}
+
+async function runCell (cell: Cell): Promise<number> {
+  process.stdout.write('starting the store, targets and instances as separate processes\n')
+  await cell.start()
+  const readExample = (name: string): string => readFileSync(new URL(`../../../../examples/combined/${name}.csv`, import.meta.url), 'utf8')
+  const revision = await cell.applyTables({ routes: readExample('routes'), pools: readExample('pools') })
+  await cell.waitForOwners(UNIT_COUNT)
+  process.stdout.write(`tables in force at revision ${revision}; logs in ${cell.logDirectory}\n`)
+  for (const { id, process: { pid }, origin } of cell.instances) process.stdout.write(`  ${id}: pid ${pid}, ${origin}\n`)
+
+  const caller = new Caller(() => cell.instances.filter((instance) => instance.process.isRunning()))
+  await sendMix(cell, caller)
+  await caller.resolveUnknown(UNKNOWN_BOUND_MS)
+
+  const { uses, violations: useViolations } = await cell.readUses()
+  const runs = await cell.readRuns()
+  const violations = checkHistory({
+    callers: caller.records,
+    runs,
+    uses,
+    useViolations,
+    workerSize: WORKER_SIZE,
+    exclusiveKinds: new Set(['reconciliation', 'deep-sanitation']),
+    nonIdempotentKinds: new Set(['dues-posting', 'deep-sanitation']),
+    leavings: [],
+    plannedStops: [],
+    acceptedRevisions: [],
+    revisionReadings: []
+  })
+  process.stdout.write(`\n${formatKindTable(caller.records, runs, uses)}\n`)
+  for (const { invariant, subject, detail } of violations) process.stdout.write(`violation of ${invariant}: ${subject}: ${detail}\n`)
+  const open = caller.records.filter(({ outcome }) => outcome === 'unknown' && options.killOne !== true)
+  for (const { kind, requestId, reason } of open) process.stdout.write(`unknown without a fault: ${kind} ${requestId ?? ''}: ${reason ?? ''}\n`)
+  process.stdout.write(violations.length === 0 ? 'every request has one truthful outcome\n' : `${violations.length} violations\n`)
+  await caller.close()
+  if (options.keep === true) {
+    process.stdout.write(`left running; store admin ${cell.readAdmin('store')}; stop with Ctrl-C\n`)
+    await new Promise<void>((resolve) => { process.once('SIGINT', () => { resolve() }) })
+  }
+  return violations.length === 0 && open.length === 0 ? 0 : 1
+}
+
+async function sendMix (cell: Cell, caller: Caller): Promise<void> {
+  const random = new SeededRandomSource(Number(options.seed))
+  const total = Number(options.requests)
+  const deck = KINDS.flatMap((entry) => Array.from({ length: entry.weight }, () => entry))
+  const progress = setInterval(() => { printProgress(caller, total) }, PROGRESS_PERIOD_MS)
+  const sent: Array<Promise<unknown>> = []
+  for (let index = 0; index < total; index++) {
+    const { kind, customer, isKeyed } = deck[random.drawInteger(deck.length)] ?? KINDS[0]
+    const key = isKeyed ? `demo-${options.seed}-${index}` : undefined
+    sent.push(caller.send(kind, customer, { number: index, text: random.drawHex(8) }, key))
+    if (index === Math.floor(total / 2) && options.killOne === true) {
+      const victim = cell.instances[1]
+      process.stdout.write(`\nkilling ${victim?.id ?? ''}\n`)
+      victim?.process.sendSignal('SIGKILL')
+    }
+    await new Promise<void>((resolve) => { setTimeout(resolve, 10) })
+  }
+  await Promise.all(sent)
+  clearInterval(progress)
+  printProgress(caller, total)
+}
+
+function printProgress (caller: Caller, total: number): void {
+  const answered = caller.records.filter(({ outcome }) => outcome !== undefined).length
+  process.stdout.write(`\r${answered} of ${total} answered`)
+}
