--- /dev/null
+++ b/packages/stand-ins/tests/history-checker.test.ts
@@ -0,0 +1,202 @@
+import test from 'ava'
+import type { CallerRecord } from '../src/caller.js'
+import type { ExecutorRun } from '../src/executor-stand-in.js'
+import { checkHistory, type CellHistory, type Violation } from '../src/history-checker.js'
+import type { TaskUse } from '../src/use-log.js'
+import { createWorkResult } from '../src/work-profile.js'
+
+const PAYLOAD = { number: 1 }
+
+function createRecord (change: Partial<CallerRecord> = {}): CallerRecord {
+  return {
+    kind: 'posting',
+    customer: 'descanso',
+    key: 'key',
+    payload: PAYLOAD,
+    sentAtMs: 1000,
+    instances: ['instance-1'],
+    requestId: '00-a',
+    answeredAtMs: 1100,
+    outcome: 'completed',
+    reason: undefined,
+    result: createWorkResult('00-a', 1, 'posting', PAYLOAD),
+    brokenConnections: [],
+    ...change
+  }
+}
+
+function createRun (change: Partial<ExecutorRun> = {}): ExecutorRun {
+  return {
+    target: 'executor-1',
+    requestId: '00-a',
+    attempt: 1,
+    kind: 'posting',
+    payloadDigest: '',
+    startedAtMs: 1020,
+    endedAtMs: 1050,
+    concurrency: 1,
+    isOvercommitted: false,
+    ...change
+  }
+}
+
+function createUse (change: Partial<TaskUse> = {}): TaskUse {
+  return {
+    worker: 'worker-1',
+    taskId: '00-b.1.0',
+    requestId: '00-b',
+    attempt: 1,
+    kind: 'sanitation',
+    resources: { cores: 8, memoryMb: 1024, accelerators: 0 },
+    payloadDigest: '',
+    startedAtMs: 1000,
+    endedAtMs: 2000,
+    outcome: 'completed',
+    ...change
+  }
+}
+
+function createHistory (change: Partial<CellHistory> = {}): CellHistory {
+  return {
+    callers: [createRecord()],
+    runs: [createRun()],
+    uses: [createUse()],
+    useViolations: [],
+    workerSize: { cores: 16, memoryMb: 65_536, accelerators: 0 },
+    exclusiveKinds: new Set(['sanitation', 'reconciliation']),
+    nonIdempotentKinds: new Set(['posting', 'sanitation']),
+    leavings: [],
+    plannedStops: [],
+    acceptedRevisions: [{ revision: 5, atMs: 1000 }],
+    revisionReadings: [{ instance: 'instance-1', revision: 5, atMs: 1500 }, { instance: 'instance-1', revision: 5, atMs: 9000 }],
+    ...change
+  }
+}
+
+const PLANTED: ReadonlyArray<{ title: string, invariant: Violation['invariant'], history: CellHistory }> = [
+  { title: 'a request without an outcome', invariant: 'outcome', history: createHistory({ callers: [createRecord({ outcome: undefined })] }) },
+  {
+    title: 'a worker over its cores',
+    invariant: 'I1',
+    history: createHistory({ uses: [createUse(), createUse({ taskId: '00-c.1.0', requestId: '00-c' }), createUse({ taskId: '00-d.1.0', requestId: '00-d' })] })
+  },
+  {
+    title: 'a worker over its memory',
+    invariant: 'I1',
+    history: createHistory({ uses: [createUse({ resources: { cores: 1, memoryMb: 65_537, accelerators: 0 } })] })
+  },
+  {
+    title: 'an overcommit that the worker recorded',
+    invariant: 'I1',
+    history: createHistory({ useViolations: [{ type: 'overcommit', atMs: 1, worker: 'worker-1', requestId: '00-b', taskIds: [] }] })
+  },
+  {
+    title: 'two attempts of an exclusive task that overlap on two workers',
+    invariant: 'I2',
+    history: createHistory({
+      uses: [
+        createUse({ kind: 'reconciliation' }),
+        createUse({ kind: 'reconciliation', worker: 'worker-2', attempt: 2, taskId: '00-b.2.0', startedAtMs: 1999, endedAtMs: 2500 })
+      ]
+    })
+  },
+  {
+    title: 'an exclusive task that never ended before it started again',
+    invariant: 'I2',
+    history: createHistory({
+      uses: [
+        { ...createUse({ kind: 'reconciliation' }), endedAtMs: Number.POSITIVE_INFINITY },
+        createUse({ kind: 'reconciliation', worker: 'worker-2', attempt: 2, taskId: '00-b.2.0', startedAtMs: 3000, endedAtMs: 3500 })
+      ]
+    })
+  },
+  {
+    title: 'an answer to another request',
+    invariant: 'I3',
+    history: createHistory({ callers: [createRecord({ result: createWorkResult('00-other', 1, 'posting', PAYLOAD) })] })
+  },
+  {
+    title: 'an answer that is cut off',
+    invariant: 'I3',
+    history: createHistory({ callers: [createRecord({ result: { ...createWorkResult('00-a', 1, 'posting', PAYLOAD), text: '00' } })] })
+  },
+  {
+    title: 'an answer to another payload',
+    invariant: 'I3',
+    history: createHistory({ callers: [createRecord({ result: createWorkResult('00-a', 1, 'posting', { number: 2 }) })] })
+  },
+  { title: 'notRun for a request that ran on an executor', invariant: 'I4', history: createHistory({ callers: [createRecord({ outcome: 'notRun' })] }) },
+  {
+    title: 'notRun for a request that ran on a worker',
+    invariant: 'I4',
+    history: createHistory({ callers: [createRecord({ outcome: 'notRun', requestId: '00-b' })] })
+  },
+  { title: 'a posting that ran twice', invariant: 'I5', history: createHistory({ runs: [createRun(), createRun({ target: 'executor-2' })] }) },
+  {
+    title: 'a sanitation dispatch that ran twice, one after the other',
+    invariant: 'I5',
+    history: createHistory({ uses: [createUse(), createUse({ attempt: 2, taskId: '00-b.2.0', startedAtMs: 3000, endedAtMs: 3500 })] })
+  },
+  {
+    title: 'new work on a target 3,001 ms after the list showed it leaving',
+    invariant: 'I6',
+    history: createHistory({ leavings: [{ target: 'executor-1', atMs: 1020 - 3001 }] })
+  },
+  {
+    title: 'a planned stop that cut a caller off',
+    invariant: 'I7',
+    history: createHistory({
+      plannedStops: [{ instance: 'instance-1', startedAtMs: 1000, exitCode: 0 }],
+      callers: [createRecord({ brokenConnections: [{ instance: 'instance-1', atMs: 1010 }] })]
+    })
+  },
+  {
+    title: 'a planned stop that failed',
+    invariant: 'I7',
+    history: createHistory({ plannedStops: [{ instance: 'instance-1', startedAtMs: 1000, exitCode: 1 }] })
+  },
+  {
+    title: 'a revision that reverts',
+    invariant: 'I8',
+    history: createHistory({
+      revisionReadings: [{ instance: 'instance-1', revision: 6, atMs: 1500 }, { instance: 'instance-1', revision: 5, atMs: 1600 }]
+    })
+  },
+  {
+    title: 'a revision not in force 7,001 ms after its acceptance',
+    invariant: 'I8',
+    history: createHistory({ revisionReadings: [{ instance: 'instance-1', revision: 4, atMs: 8001 }] })
+  }
+]
+
+for (const { title, invariant, history } of PLANTED) {
+  test(`the checker catches ${title}`, (t) => {
+    t.deepEqual([...new Set(checkHistory(history).map((violation) => violation.invariant))], [invariant])
+  })
+}
+
+const ALLOWED: ReadonlyArray<{ title: string, history: CellHistory }> = [
+  { title: 'a history without faults', history: createHistory() },
+  {
+    title: 'an exclusive task that runs again after its first run has ended',
+    history: createHistory({
+      uses: [
+        createUse({ kind: 'reconciliation' }),
+        createUse({ kind: 'reconciliation', worker: 'worker-2', attempt: 2, taskId: '00-b.2.0', startedAtMs: 2000, endedAtMs: 2500 })
+      ]
+    })
+  },
+  { title: 'two tasks that fill a worker', history: createHistory({ uses: [createUse(), createUse({ taskId: '00-c.1.0', requestId: '00-c' })] }) },
+  { title: 'an idempotent request that ran twice', history: createHistory({ runs: [createRun({ kind: 'enquiry' }), createRun({ kind: 'enquiry' })] }) },
+  {
+    title: 'a broken connection to an instance that was killed',
+    history: createHistory({ callers: [createRecord({ brokenConnections: [{ instance: 'instance-2', atMs: 1010 }] })] })
+  },
+  { title: 'work on a target 2,999 ms after the list showed it leaving', history: createHistory({ leavings: [{ target: 'executor-1', atMs: 1020 - 2999 }] }) }
+]
+
+for (const { title, history } of ALLOWED) {
+  test(`the checker accepts ${title}`, (t) => {
+    t.deepEqual(checkHistory(history), [])
+  })
+}
