--- a/packages/scheduling/src/admission-control.ts
+++ b/packages/scheduling/src/admission-control.ts
@@ -4,7 +4,7 @@
 import { computeNeed, ONE_SLOT } from './item-need.js'
 import type { PoolState } from './pool-state.js'
 import type { SchedulerContext } from './scheduler-context.js'
-import { URGENCIES, type Urgency } from './urgency.js'
+import type { Urgency } from './urgency.js'
 import { estimateWaitMs, type WaitQuery } from './wait-estimator.js'
 import { ADMISSION_MESSAGES } from './wait-messages.js'
 import type { WorkItem } from './work-item.js'
@@ -32,7 +32,9 @@
     if (ledger.has(item.requestId)) return reject(REJECTION_REASONS.duplicate, ADMISSION_MESSAGES.duplicate)
     if (item.deadlineAtMs <= nowMs) return reject(REJECTION_REASONS.deadlineExpired, ADMISSION_MESSAGES.deadlineExpired)
     const queued = queue.find(item.requestId)
-    if (queued !== undefined && queued.item.attempt >= item.attempt) return { isAdmitted: true, estimatedWaitMs: estimateWaitMs(pool, this.buildWaitQuery(pool, item)) }
+    if (queued !== undefined && queued.item.attempt >= item.attempt) {
+      return { isAdmitted: true, estimatedWaitMs: estimateWaitMs(pool, this.buildWaitQuery(pool, item)) }
+    }
     if (pool.targets.length === 0) return reject(REJECTION_REASONS.noTargets, ADMISSION_MESSAGES.noTargets(item.pool))
     const impossibility = findImpossibility(pool, item, pool.isExecutorPool ? ONE_SLOT : convertNeed(item.resources))
     if (impossibility !== undefined) return reject(REJECTION_REASONS.impossible, impossibility)
@@ -46,10 +48,10 @@
     }
     const maxQueued = Math.floor(settings.maxQueuedPerPool * QUEUE_SHARES[item.urgency])
     if (pool.queuedCount >= maxQueued) {
-      return reject(REJECTION_REASONS.queueFull, ADMISSION_MESSAGES.queueFull(maxQueued), Math.max(MIN_RETRY_AFTER_MS, Math.round(estimatedWaitMs)))
+      const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, Math.round(estimatedWaitMs))
+      return reject(REJECTION_REASONS.queueFull, ADMISSION_MESSAGES.queueFull(maxQueued), retryAfterMs)
     }
     if (queued !== undefined) queue.remove(pool, queued)
-    this.#advanceRates(pool, nowMs)
     queue.insert(pool, item, query.share)
     return { isAdmitted: true, estimatedWaitMs }
   }
@@ -64,8 +66,4 @@
     const runtimeMs = profiles.estimateRuntimeMs(item.kind, item.runtimeMs) ?? settings.defaultRuntimeMs
     return { urgency: item.urgency, team: item.team, share, assumedWork: share * runtimeMs / 1_000 }
   }
-
-  #advanceRates (pool: PoolState, nowMs: number): void {
-    for (const urgency of URGENCIES) pool.rates[urgency].advance(nowMs, pool.queues[urgency].size > 0)
-  }
 }
--- /dev/null
+++ b/packages/scheduling/src/bench/decision-bench.ts
@@ -0,0 +1,144 @@
+import { build } from 'hdr-histogram-js'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import { PoolShardScheduler } from '../pool-shard-scheduler.js'
+import type { Resources } from '../resources.js'
+import type { Target } from '../target.js'
+import { URGENCIES } from '../urgency.js'
+import type { WorkItem } from '../work-item.js'
+import { buildBenchItem, buildBenchPool, buildBenchTarget } from './bench-builders.js'
+import type { TableRow } from './text-table.js'
+import { VirtualEventLoop } from './virtual-event-loop.js'
+
+export const DECISION_COLUMNS = ['workers', 'phase', 'running', 'starts', 'decision p50 us', 'decision p99 us', 'decision max us', 'placements/s', 'heap MB']
+
+const WORKER_COUNTS = [33, 300, 1_200, 2_400, 4_800]
+const DESIGN_WORKERS = 4_800
+const DESIGN_RUNNING = 20_000
+const TEAMS = 63
+const SERVICE_SHARE = 0.2
+const STEADY_STARTS_PER_S = 500
+const BURST_STARTS_PER_S = 5_000
+const STEADY_MS = 10_000
+const BURST_MS = 2_000
+/** Five of twelve workers have six accelerators: 12,000 on 4,800 workers. */
+const ACCELERATOR_PERIOD = 12
+const ACCELERATOR_WORKERS = 5
+const ACCELERATORS = 6
+
+function buildTargets (count: number): Target[] {
+  return Array.from({ length: count }, (_, index) => {
+    const accelerators = index % ACCELERATOR_PERIOD < ACCELERATOR_WORKERS ? ACCELERATORS : 0
+    return buildBenchTarget(index, 'worker', 8, { cores: 16, memoryMb: 65_536, accelerators })
+  })
+}
+
+function drawSize (random: SeededRandomSource): Resources {
+  const accelerators = random.drawFraction() < 0.2 ? 1 + random.drawInteger(2) : 0
+  return { cores: 1 + random.drawInteger(4), memoryMb: 1_024 * (1 + random.drawInteger(12)), accelerators }
+}
+
+/** Drives one scheduler and measures the real time of each admit and schedule pair and of each release. */
+class DecisionRun {
+  readonly #loop = new VirtualEventLoop()
+  readonly #scheduler = new PoolShardScheduler()
+  readonly #random: SeededRandomSource
+  readonly #readTimeMs: () => number
+  #histogram = build({ numberOfSignificantValueDigits: 3 })
+  #coreMs = 0
+  #starts = 0
+  #nextId = 0
+  #running = 0
+
+  constructor (workerCount: number, seed: number, readTimeMs: () => number) {
+    this.#random = new SeededRandomSource(seed)
+    this.#readTimeMs = readTimeMs
+    const quotas = Object.fromEntries(Array.from({ length: TEAMS }, (_, index) => [`team-${index}`, 5 + index % 20]))
+    const open = { floorPercent: 5, limitPercent: 100, maxQueueMs: 600_000 }
+    const pool = { ...buildBenchPool('bench', 'worker', quotas), classes: { urgent: open, high: open, normal: open, low: open } }
+    this.#scheduler.applyPools([pool], 0)
+    this.#scheduler.applyTargets(buildTargets(workerCount), 0)
+  }
+
+  /** Starts long-running work until `count` tasks run. */
+  fill (count: number, meanRuntimeMs: number): void {
+    for (let index = 0; index < count; index++) this.#submit(meanRuntimeMs)
+  }
+
+  run (phase: string, workerCount: number, startsPerSecond: number, durationMs: number, meanRuntimeMs: number, readHeapBytes: () => number): TableRow {
+    this.#histogram = build({ numberOfSignificantValueDigits: 3 })
+    this.#coreMs = 0
+    this.#starts = 0
+    const endMs = this.#loop.nowMs + durationMs
+    const gapMs = 1_000 / startsPerSecond
+    const arrive = (): void => {
+      this.#submit(meanRuntimeMs)
+      if (this.#loop.nowMs + gapMs < endMs) this.#loop.schedule(this.#loop.nowMs + gapMs, arrive)
+    }
+    this.#loop.schedule(this.#loop.nowMs, arrive)
+    this.#loop.run(endMs)
+    const readUs = (percentile: number): string => (this.#histogram.getValueAtPercentile(percentile) / 1_000).toFixed(0)
+    return [
+      String(workerCount), phase, String(this.#running), String(this.#starts), readUs(50), readUs(99),
+      (this.#histogram.maxValue / 1_000).toFixed(0), (1_000 * this.#starts / this.#coreMs).toFixed(0), (readHeapBytes() / 1_048_576).toFixed(0)
+    ]
+  }
+
+  #submit (meanRuntimeMs: number): void {
+    const { nowMs } = this.#loop
+    const isService = this.#random.drawFraction() < SERVICE_SHARE * 0.1
+    const item = buildBenchItem(`r${this.#nextId++}`, {
+      kind: `kind-${this.#random.drawInteger(40)}`,
+      team: `team-${this.#random.drawInteger(TEAMS)}`,
+      customer: `customer-${this.#random.drawInteger(200)}`,
+      urgency: URGENCIES[this.#random.drawInteger(URGENCIES.length)] ?? 'normal',
+      resources: drawSize(this.#random),
+      taskCount: this.#random.drawFraction() < 0.01 ? 8 : 1,
+      runtimeMs: meanRuntimeMs,
+      isService,
+      isResumable: true,
+      enqueuedAtMs: nowMs,
+      deadlineAtMs: nowMs + 600_000
+    })
+    const startedMs = this.#readTimeMs()
+    this.#scheduler.admit(item, nowMs)
+    const decisions = this.#scheduler.schedule(nowMs, 100)
+    const elapsedMs = this.#readTimeMs() - startedMs
+    this.#coreMs += elapsedMs
+    this.#histogram.recordValue(Math.round(elapsedMs * 1_000_000))
+    for (const decision of decisions) {
+      if (decision.type !== 'start') continue
+      for (let taskIndex = 0; taskIndex < decision.item.taskCount; taskIndex++) this.#startTask(decision.item, taskIndex, meanRuntimeMs)
+    }
+  }
+
+  #startTask (item: WorkItem, taskIndex: number, meanRuntimeMs: number): void {
+    this.#starts++
+    this.#running++
+    if (item.isService) return
+    this.#loop.schedule(this.#loop.nowMs + meanRuntimeMs * (0.5 + this.#random.drawFraction()), () => {
+      const startedMs = this.#readTimeMs()
+      this.#scheduler.releaseTask(item.requestId, taskIndex, 'succeeded', this.#loop.nowMs)
+      this.#coreMs += this.#readTimeMs() - startedMs
+      this.#running--
+    })
+  }
+}
+
+/** Real time of decisions from a small site to the design size; load grows with the number of workers. */
+export function measureDecisions (seed: number, readTimeMs: () => number, readHeapBytes: () => number): TableRow[] {
+  const rows: TableRow[] = []
+  // A first run compiles the code, which would otherwise count for the smallest size only.
+  const warmUp = new DecisionRun(300, seed, readTimeMs)
+  warmUp.fill(1_250, 60_000)
+  warmUp.run('warm-up', 300, STEADY_STARTS_PER_S, 5_000, 2_500, readHeapBytes)
+  for (const count of WORKER_COUNTS) {
+    const scale = count / DESIGN_WORKERS
+    const run = new DecisionRun(count, seed, readTimeMs)
+    const running = Math.round(DESIGN_RUNNING * scale)
+    const meanRuntimeMs = 1_000 * running / (STEADY_STARTS_PER_S * scale)
+    run.fill(running, meanRuntimeMs)
+    rows.push(run.run('500/s', count, STEADY_STARTS_PER_S * scale, STEADY_MS, meanRuntimeMs, readHeapBytes))
+    rows.push(run.run('5,000/s burst', count, BURST_STARTS_PER_S * scale, BURST_MS, meanRuntimeMs, readHeapBytes))
+  }
+  return rows
+}
--- a/packages/scheduling/src/failed-needs.ts
+++ b/packages/scheduling/src/failed-needs.ts
@@ -2,21 +2,27 @@
 
 const MAX_NEEDS = 8
 
+interface FailedNeed {
+  readonly needed: Amounts
+  readonly taskCount: number
+}
+
 /** Needs that fitted nowhere since capacity last became free, so that equal or larger ones are not tried again. */
 export class FailedNeeds {
-  #needs: Amounts[] = []
+  #failed: FailedNeed[] = []
   #version = -1
 
-  isKnownToFail (needed: Amounts, version: number): boolean {
-    return version === this.#version && this.#needs.some((failed) => needed.cores >= failed.cores && needed.memoryMb >= failed.memoryMb &&
-      needed.accelerators >= failed.accelerators && needed.slots >= failed.slots)
+  isKnownToFail (needed: Amounts, taskCount: number, version: number): boolean {
+    return version === this.#version && this.#failed.some((failed) => taskCount >= failed.taskCount &&
+      needed.cores >= failed.needed.cores && needed.memoryMb >= failed.needed.memoryMb &&
+      needed.accelerators >= failed.needed.accelerators && needed.slots >= failed.needed.slots)
   }
 
-  record (needed: Amounts, version: number): void {
+  record (needed: Amounts, taskCount: number, version: number): void {
     if (version !== this.#version) {
-      this.#needs = []
+      this.#failed = []
       this.#version = version
     }
-    if (this.#needs.length < MAX_NEEDS) this.#needs.push(needed)
+    if (this.#failed.length < MAX_NEEDS) this.#failed.push({ needed, taskCount })
   }
 }
--- a/packages/scheduling/src/failure-monitor.ts
+++ b/packages/scheduling/src/failure-monitor.ts
@@ -49,7 +49,7 @@
     health.outcomes = health.outcomes * MEMORY + 1
     health.failures = health.failures * MEMORY + (hasFailed ? 1 : 0)
     if (state.isQuarantined) return isProbe && this.#recordProbe(state, health, hasFailed, nowMs)
-    if (!hasFailed || !this.#isFailing(state, health) || !this.#isQuarantineAllowed(state)) return false
+    if (!hasFailed || !this.#isFailing(state, health) || !this.#isWithinCap(state, 1)) return false
     state.isQuarantined = true
     this.#quarantined.add(state)
     health.probeIntervalMs = this.#settings.probeIntervalMs
@@ -68,7 +68,7 @@
     }
     const released: TargetState[] = []
     for (const state of this.#quarantined) {
-      if (state.pools.every((pool) => this.#countQuarantined(pool.targets) <= pool.targets.length * this.#settings.quarantineMaxShare)) continue
+      if (this.#isWithinCap(state, 0)) continue
       this.#release(state, this.#ensure(state))
       released.push(state)
     }
@@ -113,8 +113,10 @@
     return outcomes >= 1 && rate >= this.#settings.quarantinePeerFactor * failures / outcomes
   }
 
-  #isQuarantineAllowed (state: TargetState): boolean {
-    return state.pools.every((pool) => this.#countQuarantined(pool.targets) + 1 <= pool.targets.length * this.#settings.quarantineMaxShare)
+  /** Whether the cap holds in each of the target's pools with `added` more in quarantine. */
+  #isWithinCap (state: TargetState, added: number): boolean {
+    const { quarantineMaxShare } = this.#settings
+    return state.pools.every((pool) => this.#countQuarantined(pool.targets) + added <= pool.targets.length * quarantineMaxShare)
   }
 
   #countQuarantined (targets: readonly TargetState[]): number {
@@ -124,7 +126,8 @@
   #ensure (state: TargetState): Health {
     let health = this.#health.get(state)
     if (health === undefined) {
-      health = { outcomes: 0, failures: 0, probeDueAtMs: 0, probeIntervalMs: this.#settings.probeIntervalMs, probeSuccesses: 0, isProbing: false }
+      const { probeIntervalMs } = this.#settings
+      health = { outcomes: 0, failures: 0, probeDueAtMs: 0, probeIntervalMs, probeSuccesses: 0, isProbing: false }
       this.#health.set(state, health)
     }
     return health
--- a/packages/scheduling/src/indexed-heap.ts
+++ b/packages/scheduling/src/indexed-heap.ts
@@ -69,7 +69,10 @@
     for (;;) {
       let childPosition = 2 * position + 1
       if (childPosition >= count) break
-      if (childPosition + 1 < count && this.#compare(this.#entries[childPosition + 1] as T, this.#entries[childPosition] as T) < 0) childPosition++
+      const rightPosition = childPosition + 1
+      if (rightPosition < count && this.#compare(this.#entries[rightPosition] as T, this.#entries[childPosition] as T) < 0) {
+        childPosition = rightPosition
+      }
       const child = this.#entries[childPosition] as T
       if (this.#compare(entry, child) <= 0) break
       this.#put(child, position)
--- a/packages/scheduling/src/kind-profiles.ts
+++ b/packages/scheduling/src/kind-profiles.ts
@@ -1,5 +1,5 @@
 import { mergeLargest, mergeSmallest } from './amounts.js'
-import type { Resources } from './resources.js'
+import { isFitting, type Resources } from './resources.js'
 import type { SchedulerSettings } from './scheduler-settings.js'
 
 interface KindProfile {
@@ -20,6 +20,10 @@
   return current + (observed - current) * (observed > current ? GAIN_UP : GAIN_DOWN)
 }
 
+function compareSizes (left: Resources, right: Resources): number {
+  return left.cores - right.cores || left.memoryMb - right.memoryMb || left.accelerators - right.accelerators
+}
+
 /** Sizes and run times learned by kind of work. */
 export class KindProfiles {
   readonly #settings: SchedulerSettings
@@ -56,13 +60,17 @@
     if (profile === undefined || profile.sizeSamples < this.#settings.sizeMinSamples) return declared
     const headroom = this.#settings.sizeHeadroom
     // Accelerators are whole devices, so they take no headroom.
-    const learned = { cores: profile.size.cores * headroom, memoryMb: profile.size.memoryMb * headroom, accelerators: Math.ceil(profile.size.accelerators - 0.5) }
+    const learned = {
+      cores: profile.size.cores * headroom,
+      memoryMb: profile.size.memoryMb * headroom,
+      accelerators: Math.round(profile.size.accelerators)
+    }
     const wanted = mergeLargest(declared, learned)
     let best: Resources | undefined
     for (const shape of shapes) {
-      if (declared.cores > shape.cores || declared.memoryMb > shape.memoryMb || declared.accelerators > shape.accelerators) continue
+      if (!isFitting(declared, shape)) continue
       const clipped = mergeSmallest(wanted, shape)
-      if (best === undefined || clipped.cores > best.cores || (clipped.cores === best.cores && clipped.memoryMb > best.memoryMb)) best = clipped
+      if (best === undefined || compareSizes(clipped, best) > 0) best = clipped
     }
     return best ?? declared
   }
--- a/packages/scheduling/src/load-reporter.ts
+++ b/packages/scheduling/src/load-reporter.ts
@@ -14,7 +14,7 @@
   return {
     pool: pool.name,
     targetCount: pool.targets.length,
-    freeShare: pool.targets.length === 0 ? 0 : Math.max(0, Math.min(1, 1 - pool.computeUsedShare())),
+    freeShare: pool.targets.length === 0 ? 0 : Math.max(0, Math.min(1, 1 - pool.computeOccupiedShare())),
     queued: { urgent: queues.urgent.size, high: queues.high.size, normal: queues.normal.size, low: queues.low.size },
     estimatedWaitMs: { urgent: estimate('urgent'), high: estimate('high'), normal: estimate('normal'), low: estimate('low') }
   }
--- a/packages/scheduling/src/placer.ts
+++ b/packages/scheduling/src/placer.ts
@@ -1,9 +1,8 @@
 import type { Amounts } from './amounts.js'
 import type { PoolState } from './pool-state.js'
-import { RESERVATION_CAUSES } from './reservation.js'
 import type { QueuedItem } from './queued-item.js'
+import { RESERVATION_CAUSES } from './reservation.js'
 import type { TargetState } from './target-state.js'
-import { URGENCIES } from './urgency.js'
 
 /** One task to place. */
 export interface PlacementQuery {
@@ -11,64 +10,76 @@
   readonly needed: Amounts
   /** When the task is expected to end, for backfill; Infinity when unknown. */
   readonly endsAtMs: number
-  /** Services that already run in each rack. */
+  /** Services of the same kind that already run in each rack; undefined for other work. */
   readonly servicesByRack: ReadonlyMap<string, number> | undefined
 }
 
+/** A query with what follows from it. */
+interface Search extends PlacementQuery {
+  readonly pool: PoolState
+  readonly isExcluded: (state: TargetState) => boolean
+  /** Lower is better. */
+  readonly score: (state: TargetState) => number
+}
+
 const SCARCE_WEIGHT = 1
 const OTHER_WEIGHT = 0.25
 
-/** Makes the score of a worker: the capacity that stays free, weighted towards the pool's scarcest dimension. Lower is better. */
+/** Makes the score of a worker: the capacity that stays free, weighted towards the pool's scarcest dimension. */
 export function buildScore (pool: PoolState, needed: Amounts): (state: TargetState) => number {
-  const { used, capacity, largest } = pool
-  const shares = [used.cores / Math.max(capacity.cores, 1), used.memoryMb / Math.max(capacity.memoryMb, 1), used.accelerators / Math.max(capacity.accelerators, 1)]
-  const scarcest = Math.max(...shares)
-  const [coreWeight, memoryWeight, acceleratorWeight] = shares.map((share) => share >= scarcest ? SCARCE_WEIGHT : OTHER_WEIGHT) as [number, number, number]
-  const coreScale = coreWeight / Math.max(largest.cores, 1)
-  const memoryScale = memoryWeight / Math.max(largest.memoryMb, 1)
-  const acceleratorScale = acceleratorWeight / Math.max(largest.accelerators, 1)
+  const { occupied, capacity, largest } = pool
+  const coreShare = occupied.cores / Math.max(capacity.cores, 1)
+  const memoryShare = occupied.memoryMb / Math.max(capacity.memoryMb, 1)
+  const acceleratorShare = occupied.accelerators / Math.max(capacity.accelerators, 1)
+  const scarcest = Math.max(coreShare, memoryShare, acceleratorShare)
+  const weigh = (share: number): number => share >= scarcest ? SCARCE_WEIGHT : OTHER_WEIGHT
+  const coreScale = weigh(coreShare) / Math.max(largest.cores, 1)
+  const memoryScale = weigh(memoryShare) / Math.max(largest.memoryMb, 1)
+  const acceleratorScale = weigh(acceleratorShare) / Math.max(largest.accelerators, 1)
   return (state) => (state.freeCores - needed.cores) * coreScale + (state.freeMemoryMb - needed.memoryMb) * memoryScale +
     (state.freeAccelerators - needed.accelerators) * acceleratorScale
 }
 
 /** Whether the reservation on a target lets this work use it. */
-function isReservationOpen (pool: PoolState, state: TargetState, query: PlacementQuery): boolean {
+function isReservationOpen (search: Search, state: TargetState): boolean {
   const { reservation } = state
-  if (reservation === undefined || reservation.holder === query.entry || query.endsAtMs <= reservation.startAtMs) return true
+  if (reservation === undefined || reservation.holder === search.entry || search.endsAtMs <= reservation.startAtMs) return true
   // Urgent work doesn't wait for a less urgent reservation, unless that class is owed its floor.
   const { urgency } = reservation.holder.item
-  return reservation.cause === RESERVATION_CAUSES.blockedHead && query.entry.item.urgency === 'urgent' && urgency !== 'urgent' &&
-    pool.computeClassShare(urgency) >= pool.readClassPolicy(urgency).floorPercent / 100
+  return reservation.cause === RESERVATION_CAUSES.blockedHead && search.entry.item.urgency === 'urgent' && urgency !== 'urgent' &&
+    !search.pool.isUnderFloor(urgency)
 }
 
-function findReserved (pool: PoolState, query: PlacementQuery, isExcluded: (state: TargetState) => boolean, score: (state: TargetState) => number): TargetState | undefined {
+function findReserved (search: Search): TargetState | undefined {
+  const { pool } = search
   let best: TargetState | undefined
   let bestScore = Infinity
   for (const state of pool.reservedTargets) {
-    if (!state.isAccepting() || isExcluded(state) || !pool.isFittingNow(state, query.needed) || !isReservationOpen(pool, state, query)) continue
-    const stateScore = state.reservation?.holder === query.entry ? score(state) - 1_000 : score(state)
-    if (stateScore < bestScore) {
-      best = state
-      bestScore = stateScore
-    }
+    const isUsable = state.isAccepting() && !search.isExcluded(state) && pool.isFittingNow(state, search.needed)
+    if (!isUsable || !isReservationOpen(search, state)) continue
+    const score = search.score(state)
+    if (score >= bestScore) continue
+    best = state
+    bestScore = score
   }
   return best
 }
 
 // Enough racks for a good choice without visiting every worker of a large pool.
 const MAX_SPREAD_CANDIDATES = 64
+const SERVICE_RANK = 1_000
+const WASTED_ACCELERATOR_RANK = 100
 
 /** A worker in the rack with the fewest services of the same kind, then by score. */
-function findSpread (pool: PoolState, query: PlacementQuery, isExcluded: (state: TargetState) => boolean, score: (state: TargetState) => number): TargetState | undefined {
-  const needsAccelerators = query.needed.accelerators > 0
+function findSpread (search: Search): TargetState | undefined {
   let best: TargetState | undefined
   let bestRank = Infinity
   let candidates = 0
-  for (const state of pool.targets) {
-    if (state.reservation !== undefined || !state.isAccepting() || !state.isFittingNow(query.needed) || isExcluded(state)) continue
-    const services = query.servicesByRack?.get(state.target.rack) ?? 0
-    const wastesAccelerators = !needsAccelerators && state.freeAccelerators > 0
-    const rank = services * 1_000 + (wastesAccelerators ? 100 : 0) + score(state)
+  for (const state of search.pool.targets) {
+    if (state.reservation !== undefined || !state.isAccepting() || !state.isFittingNow(search.needed) || search.isExcluded(state)) continue
+    const services = search.servicesByRack?.get(state.target.rack) ?? 0
+    const wastesAccelerators = search.needed.accelerators === 0 && state.freeAccelerators > 0
+    const rank = services * SERVICE_RANK + (wastesAccelerators ? WASTED_ACCELERATOR_RANK : 0) + search.score(state)
     if (rank < bestRank) {
       best = state
       bestRank = rank
@@ -78,23 +89,22 @@
   return best
 }
 
-/** Finds the target for one task, or undefined when none fits now. */
-export function findTarget (pool: PoolState, query: PlacementQuery): TargetState | undefined {
-  const { excludedTargets, isService } = query.entry.item
-  const isExcluded = (state: TargetState): boolean => excludedTargets.length > 0 && excludedTargets.includes(state.id)
-  const score = pool.isExecutorPool ? (state: TargetState): number => -pool.computeFreeSlots(state) : buildScore(pool, query.needed)
-  const holdsReservation = pool.reservations.has(query.entry.item.requestId)
-  const reserved = holdsReservation ? findReserved(pool, query, isExcluded, score) : undefined
-  if (reserved !== undefined) return reserved
-  let found: TargetState | undefined
-  if (pool.isExecutorPool) found = pool.executors.findLeastLoaded(isExcluded)
-  else if (isService) found = findSpread(pool, query, isExcluded, score)
-  else found = pool.workers.findBest(query.needed, isExcluded, score)
-  if (found !== undefined || holdsReservation || pool.reservedTargets.size === 0) return found
-  return findReserved(pool, query, isExcluded, score)
+function findOpen (search: Search): TargetState | undefined {
+  const { pool } = search
+  if (pool.isExecutorPool) return pool.executors.findLeastLoaded(search.isExcluded)
+  return search.entry.item.isService ? findSpread(search) : pool.workers.findBest(search.needed, search.isExcluded, search.score)
 }
 
-/** Rank of an urgency class; 0 is the most urgent. */
-export function rankUrgency (entry: QueuedItem): number {
-  return URGENCIES.indexOf(entry.item.urgency)
+/** Finds the target for one task, or undefined when none fits now. */
+export function findTarget (pool: PoolState, query: PlacementQuery): TargetState | undefined {
+  const { excludedTargets, requestId } = query.entry.item
+  const search: Search = {
+    ...query,
+    pool,
+    isExcluded: excludedTargets.length === 0 ? () => false : (state) => excludedTargets.includes(state.id),
+    score: pool.isExecutorPool ? (state) => -pool.computeFreeSlots(state) : buildScore(pool, query.needed)
+  }
+  if (pool.reservedTargets.size === 0) return findOpen(search)
+  // A holder fills its own targets first, so that it leaves open ones to others.
+  return pool.reservations.has(requestId) ? findReserved(search) ?? findOpen(search) : findOpen(search) ?? findReserved(search)
 }
--- a/packages/scheduling/src/pool-shard-scheduler.ts
+++ b/packages/scheduling/src/pool-shard-scheduler.ts
@@ -1,5 +1,5 @@
 import type { RequestId, TargetId } from '@hibiscusledge/runtime/identifiers.js'
-import { convertNeed, mergeLargest, mergeSmallest, NO_AMOUNTS, type Amounts } from './amounts.js'
+import { type Amounts, convertNeed, mergeLargest, mergeSmallest } from './amounts.js'
 import { CapacityLedger } from './capacity-ledger.js'
 import type { Admission, Decision, RunResult } from './decision.js'
 import { FailureMonitor } from './failure-monitor.js'
@@ -19,7 +19,6 @@
 import { type Target, TARGET_KINDS, TARGET_STATES } from './target.js'
 import type { TargetState } from './target-state.js'
 import { TargetTable } from './target-table.js'
-import { URGENCIES } from './urgency.js'
 import { explainReason } from './wait-explainer.js'
 import { estimateWaitMs } from './wait-estimator.js'
 import type { WorkItem } from './work-item.js'
@@ -61,8 +60,8 @@
   }
 
   applyTargets (targets: readonly Target[], nowMs: number): void {
-    this.#context.targets.apply(targets, nowMs)
-    this.#derivePools()
+    // The list is polled every second and rarely changes.
+    if (this.#context.targets.apply(targets, nowMs)) this.#derivePools()
   }
 
   suspendTarget (targetId: TargetId, untilMs: number): void {
@@ -86,9 +85,10 @@
     const pool = this.#ensurePool(item.pool)
     const queued = queue.find(item.requestId)
     if (queued !== undefined) this.#removeQueued(pool, queued)
-    const states = start.targets.map((targetId) => targets.ensure(targetId, () => this.#describeUnknownTarget(targetId, pool)))
-    const isExecutor = pool.policy === undefined ? states[0]?.target.kind === TARGET_KINDS.executor : pool.isExecutorPool
-    const given = isExecutor ? { ...NO_AMOUNTS, slots: 1 } : convertNeed(item.resources)
+    const states = start.targets.map((targetId) => targets.ensure(targetId, () => this.#describeUnknownTarget(targetId)))
+    // Until a target is listed its kind is unknown, so both a slot and the resources count.
+    const slots = states.every((state) => state.isListed && state.target.kind === TARGET_KINDS.worker) ? 0 : 1
+    const given = { ...convertNeed(item.resources), slots }
     for (const state of states) ledger.addUse(pool, item, state, given, 1)
     ledger.register(pool, item, states, given, false, start.startedAtMs)
   }
@@ -124,7 +124,7 @@
     if (result === 'succeeded' && !item.isService) {
       const runtimeMs = Math.max(0, nowMs - startedAtMs)
       profiles.recordRuntime(item.kind, runtimeMs)
-      pool.rates[item.urgency].recordWork(computeItemShare(pool, task.counted, 1) * item.taskCount * runtimeMs / 1_000)
+      pool.rates[item.urgency].recordWork(computeItemShare(pool, task.counted, item.taskCount) * runtimeMs / 1_000)
     }
     if (this.#failures.recordOutcome(task.state, result, task.isProbe, nowMs)) {
       if (task.state.isQuarantined) this.#dropReservationOn(task.state)
@@ -156,7 +156,8 @@
   }
 
   reportLoads (_nowMs: number): readonly PoolLoad[] {
-    return [...this.#context.pools.values()].filter((pool) => pool.policy !== undefined).map((pool) => reportLoad(pool, this.#context.settings))
+    const listed = [...this.#context.pools.values()].filter((pool) => pool.policy !== undefined)
+    return listed.map((pool) => reportLoad(pool, this.#context.settings))
   }
 
   explainWait (requestId: RequestId, nowMs: number): WaitExplanation | undefined {
@@ -187,16 +188,14 @@
     return pool
   }
 
-  /** Derives pool membership again and drops reservations that name a target which takes no new work any more. */
+  /** Derives pool membership again. Reservations are planned anew, since their targets may have left the pool. */
   #derivePools (): void {
     const { pools, targets, reservations } = this.#context
     for (const [name, pool] of pools) {
-      if (pool.policy === undefined && !pool.hasBacklog() && URGENCIES.every((urgency) => pool.running[urgency].size === 0)) pools.delete(name)
+      if (pool.policy === undefined && !pool.hasBacklog() && !pool.hasRunningTasks()) pools.delete(name)
     }
     for (const pool of pools.values()) {
-      for (const [requestId, reservation] of pool.reservations) {
-        if (reservation.targets.some((state) => !state.isAccepting())) reservations.drop(pool, requestId)
-      }
+      for (const requestId of pool.reservations.keys()) reservations.drop(pool, requestId)
     }
     targets.assignPools(pools.values())
     for (const state of this.#failures.prune()) targets.refresh(state, true)
@@ -213,10 +212,10 @@
     this.#context.reservations.drop(this.#ensurePool(reservation.holder.item.pool), reservation.holder.item.requestId)
   }
 
-  #describeUnknownTarget (id: TargetId, pool: PoolState): Target {
+  #describeUnknownTarget (id: TargetId): Target {
     return {
       id,
-      kind: pool.policy?.targetKind ?? TARGET_KINDS.worker,
+      kind: TARGET_KINDS.worker,
       address: '',
       state: TARGET_STATES.leaving,
       failureDomain: '' as Target['failureDomain'],
--- a/packages/scheduling/src/pool-state.ts
+++ b/packages/scheduling/src/pool-state.ts
@@ -3,6 +3,7 @@
 import { ExecutorIndex } from './executor-index.js'
 import { FailedNeeds } from './failed-needs.js'
 import type { ClassPolicy, PoolPolicy } from './pool-policy.js'
+import type { QueuedItem } from './queued-item.js'
 import type { Reservation } from './reservation.js'
 import type { Resources } from './resources.js'
 import { RetryBudget } from './retry-budget.js'
@@ -45,7 +46,11 @@
   shapes: readonly WorkerShape[] = []
   largest: Amounts = NO_AMOUNTS
   capacity: Amounts = NO_AMOUNTS
+  /** What the pool's work uses, on any target. */
   used: Amounts = NO_AMOUNTS
+  /** What any pool's work uses on this pool's targets. */
+  occupied: Amounts = NO_AMOUNTS
+  blockedHead: { readonly entry: QueuedItem, readonly sinceMs: number } | undefined
   /** Grows whenever capacity may have become free, which makes earlier failures to place invalid. */
   freedVersion = 0
   lastServed = 0
@@ -80,8 +85,13 @@
     return this.teamUse.computeShare(team, this.capacity)
   }
 
-  computeUsedShare (): number {
-    return computeDominantShare(this.used, this.capacity)
+  isUnderFloor (urgency: Urgency): boolean {
+    return this.computeClassShare(urgency) < this.readClassPolicy(urgency).floorPercent / 100
+  }
+
+  /** Share of the pool's capacity that is in use, whichever pool's work uses it. */
+  computeOccupiedShare (): number {
+    return computeDominantShare(this.occupied, this.capacity)
   }
 
   addUse (urgency: Urgency, team: string, amounts: Amounts, factor: 1 | -1): void {
@@ -101,11 +111,13 @@
     }
     this.targets = targets
     this.capacity = NO_AMOUNTS
+    this.occupied = NO_AMOUNTS
     this.largest = NO_AMOUNTS
     const shapes = new Map<string, { capacity: Amounts, count: number }>()
     for (const state of targets) {
       const capacity = this.isExecutorPool ? { ...NO_AMOUNTS, slots: this.#computeUsableSlots(state) } : { ...state.capacity, slots: 0 }
       this.capacity = addAmounts(this.capacity, capacity, 1)
+      this.occupied = addAmounts(this.occupied, state.used, 1)
       this.largest = {
         cores: Math.max(this.largest.cores, capacity.cores),
         memoryMb: Math.max(this.largest.memoryMb, capacity.memoryMb),
@@ -149,6 +161,10 @@
     return URGENCIES.some((urgency) => this.queues[urgency].size > 0)
   }
 
+  hasRunningTasks (): boolean {
+    return URGENCIES.some((urgency) => this.running[urgency].size > 0)
+  }
+
   get shapeSizes (): readonly Resources[] {
     return this.shapes.map((shape) => shape.capacity)
   }
--- a/packages/scheduling/src/queued-item.ts
+++ b/packages/scheduling/src/queued-item.ts
@@ -1,3 +1,4 @@
+import { URGENCIES } from './urgency.js'
 import type { WorkItem } from './work-item.js'
 
 /** An admitted item that has not started. */
@@ -9,7 +10,13 @@
   readonly share: number
 }
 
+/** The more urgent class first. */
+export function compareUrgency (left: QueuedItem, right: QueuedItem): number {
+  return URGENCIES.indexOf(left.item.urgency) - URGENCIES.indexOf(right.item.urgency)
+}
+
 /** Earliest deadline first, then arrival. */
 export function compareByDeadline (left: QueuedItem, right: QueuedItem): number {
-  return left.item.deadlineAtMs - right.item.deadlineAtMs || left.item.enqueuedAtMs - right.item.enqueuedAtMs || left.sequence - right.sequence
+  return left.item.deadlineAtMs - right.item.deadlineAtMs || left.item.enqueuedAtMs - right.item.enqueuedAtMs ||
+    left.sequence - right.sequence
 }
--- a/packages/scheduling/src/reservation-book.ts
+++ b/packages/scheduling/src/reservation-book.ts
@@ -1,6 +1,6 @@
 import type { PoolState } from './pool-state.js'
 import type { QueuedItem } from './queued-item.js'
-import type { Reservation, ReservationCause } from './reservation.js'
+import { type Reservation, RESERVATION_CAUSES, type ReservationCause } from './reservation.js'
 import type { ReservationPlan } from './reservation-planner.js'
 import type { TargetTable } from './target-table.js'
 
@@ -35,9 +35,15 @@
     }
   }
 
+  countPreemptions (pool: PoolState): number {
+    let count = 0
+    for (const reservation of pool.reservations.values()) if (reservation.cause === RESERVATION_CAUSES.preemption) count++
+    return count
+  }
+
   /** The reservation made for the pool's blocked head, if there is one. */
   findHeadReservation (pool: PoolState): Reservation | undefined {
-    for (const reservation of pool.reservations.values()) if (reservation.cause === 'blockedHead') return reservation
+    for (const reservation of pool.reservations.values()) if (reservation.cause === RESERVATION_CAUSES.blockedHead) return reservation
     return undefined
   }
 }
--- a/packages/scheduling/src/reservation-planner.ts
+++ b/packages/scheduling/src/reservation-planner.ts
@@ -1,7 +1,8 @@
 import { addAmounts, type Amounts, countFits } from './amounts.js'
 import type { PoolState } from './pool-state.js'
-import type { RunningTask } from './running-task.js'
+import type { RunEstimator } from './run-estimator.js'
 import type { TargetState } from './target-state.js'
+import type { WorkItem } from './work-item.js'
 
 /** Where and when an item's tasks are expected to fit. */
 export interface ReservationPlan {
@@ -9,12 +10,10 @@
   readonly startAtMs: number
 }
 
-/** When a running task is expected to end; Infinity for services and unknown run times. */
-export type EstimateEnd = (task: RunningTask) => number
-
 interface HostEvent {
   readonly atMs: number
   readonly state: TargetState
+  /** How many more tasks the target holds from then on. */
   readonly hosts: number
 }
 
@@ -22,12 +21,11 @@
 const MIN_CANDIDATES = 128
 const CANDIDATES_PER_TASK = 4
 
-/** How many of the tasks a target can hold now and after each end of a running task. */
-function collectHostEvents (state: TargetState, needed: Amounts, nowMs: number, estimateEnd: EstimateEnd, events: HostEvent[]): void {
-  let free = state.free
+function collectHostEvents (state: TargetState, needed: Amounts, estimator: RunEstimator, events: HostEvent[]): void {
+  let { free } = state
   let hosts = countFits(needed, free)
-  if (hosts > 0) events.push({ atMs: nowMs, state, hosts })
-  const ends = [...state.tasks].map((task) => ({ task, atMs: estimateEnd(task) })).filter((end) => end.atMs < Infinity)
+  if (hosts > 0) events.push({ atMs: estimator.nowMs, state, hosts })
+  const ends = [...state.tasks].map((task) => ({ task, atMs: estimator.estimateEndOfTask(task) })).filter((end) => end.atMs < Infinity)
   ends.sort((left, right) => left.atMs - right.atMs)
   for (const end of ends) {
     free = addAmounts(free, end.task.counted, 1)
@@ -37,35 +35,40 @@
   }
 }
 
+function chooseLargestHosts (hostsOf: ReadonlyMap<TargetState, number>, taskCount: number): TargetState[] {
+  const largestFirst = [...hostsOf].sort((left, right) => right[1] - left[1] || left[0].ordinal - right[0].ordinal)
+  const targets: TargetState[] = []
+  let held = 0
+  for (const [state, hosts] of largestFirst) {
+    if (held >= taskCount) break
+    targets.push(state)
+    held += hosts
+  }
+  return targets
+}
+
 /** The earliest time at which `taskCount` tasks fit on `candidates`, and the targets that hold them then. */
-export function planOn (candidates: readonly TargetState[], needed: Amounts, taskCount: number, nowMs: number, estimateEnd: EstimateEnd): ReservationPlan | undefined {
+export function planOn (
+  candidates: readonly TargetState[], needed: Amounts, taskCount: number, estimator: RunEstimator
+): ReservationPlan | undefined {
   const events: HostEvent[] = []
-  for (const state of candidates) collectHostEvents(state, needed, nowMs, estimateEnd, events)
+  for (const state of candidates) collectHostEvents(state, needed, estimator, events)
   events.sort((left, right) => left.atMs - right.atMs || left.state.ordinal - right.state.ordinal)
   const hostsOf = new Map<TargetState, number>()
   let total = 0
   for (const event of events) {
     hostsOf.set(event.state, (hostsOf.get(event.state) ?? 0) + event.hosts)
     total += event.hosts
-    if (total < taskCount) continue
-    const largestFirst = [...hostsOf].sort((left, right) => right[1] - left[1] || left[0].ordinal - right[0].ordinal)
-    const targets: TargetState[] = []
-    let held = 0
-    for (const [state, hosts] of largestFirst) {
-      if (held >= taskCount) break
-      targets.push(state)
-      held += hosts
-    }
-    return { targets, startAtMs: event.atMs }
+    if (total >= taskCount) return { targets: chooseLargestHosts(hostsOf, taskCount), startAtMs: event.atMs }
   }
   return undefined
 }
 
 /** Plans a reservation on targets of the pool that no other item has reserved. */
-export function planReservation (pool: PoolState, needed: Amounts, taskCount: number, excluded: readonly string[], nowMs: number, estimateEnd: EstimateEnd): ReservationPlan | undefined {
-  const count = Math.max(MIN_CANDIDATES, CANDIDATES_PER_TASK * taskCount)
+export function planReservation (pool: PoolState, item: WorkItem, needed: Amounts, estimator: RunEstimator): ReservationPlan | undefined {
+  const count = Math.max(MIN_CANDIDATES, CANDIDATES_PER_TASK * item.taskCount)
   const listed = pool.isExecutorPool ? pool.targets.slice(0, count) : pool.workers.listMostFree(count)
-  const candidates = listed.filter((state) => state.reservation === undefined && state.isAccepting() && !excluded.includes(state.id) &&
-    countFits(needed, state.capacity) > 0)
-  return planOn(candidates, needed, taskCount, nowMs, estimateEnd)
+  const candidates = listed.filter((state) => state.reservation === undefined && state.isAccepting() &&
+    !item.excludedTargets.includes(state.id) && countFits(needed, state.capacity) > 0)
+  return planOn(candidates, needed, item.taskCount, estimator)
 }
--- /dev/null
+++ b/packages/scheduling/src/room-maker.ts
@@ -0,0 +1,95 @@
+import type { Amounts } from './amounts.js'
+import type { PreemptDecision } from './decision.js'
+import { computeNeed } from './item-need.js'
+import type { PoolPass } from './pool-pass.js'
+import type { PoolState } from './pool-state.js'
+import { planPreemption } from './preemption-planner.js'
+import { compareUrgency, type QueuedItem } from './queued-item.js'
+import { type Reservation, RESERVATION_CAUSES } from './reservation.js'
+import { planOn, planReservation } from './reservation-planner.js'
+import { RunEstimator } from './run-estimator.js'
+import type { SchedulerContext } from './scheduler-context.js'
+
+/** Makes room for items that do not fit: reservations for the blocked head of a pool, preemption for urgent items. */
+export class RoomMaker {
+  readonly #context: SchedulerContext
+  readonly #nowMs: number
+  readonly #estimator: RunEstimator
+
+  constructor (context: SchedulerContext, nowMs: number) {
+    this.#context = context
+    this.#nowMs = nowMs
+    this.#estimator = new RunEstimator(context.profiles, nowMs)
+  }
+
+  /** Estimates the reservations' starts again and drops those that are far too late, so that other targets are chosen. */
+  refreshReservations (pool: PoolState): void {
+    const { reservationRefreshMs, reservationPatienceMs } = this.#context.settings
+    for (const [requestId, reservation] of pool.reservations) {
+      if (this.#nowMs - reservation.refreshedAtMs < reservationRefreshMs) continue
+      reservation.refreshedAtMs = this.#nowMs
+      const { item } = reservation.holder
+      const plan = planOn(reservation.targets, this.#computeNeed(pool, reservation.holder), item.taskCount, this.#estimator)
+      const isLate = plan === undefined || plan.startAtMs > reservation.firstStartAtMs + reservationPatienceMs
+      if (isLate) this.#context.reservations.drop(pool, requestId)
+      else reservation.startAtMs = plan.startAtMs
+    }
+  }
+
+  /** Reserves targets for the first item that did not fit, so that smaller work doesn't keep it waiting for ever. */
+  reserveFor (pass: PoolPass): void {
+    const { pool, firstBlocked: entry } = pass
+    const { queue, reservations, settings } = this.#context
+    if (entry === undefined || queue.find(entry.item.requestId) !== entry) {
+      pool.blockedHead = undefined
+      return
+    }
+    if (pool.blockedHead?.entry !== entry) pool.blockedHead = { entry, sinceMs: this.#nowMs }
+    if (pool.reservations.has(entry.item.requestId)) return
+    // A single task usually gets the next capacity that comes free, which needs no plan.
+    if (entry.item.taskCount === 1 && (pool.isExecutorPool || this.#nowMs - pool.blockedHead.sinceMs < settings.reservationDelayMs)) return
+    const current = reservations.findHeadReservation(pool)
+    if (current !== undefined) {
+      if (!this.#isReplaceable(pool, current, entry)) return
+      reservations.drop(pool, current.holder.item.requestId)
+    }
+    const plan = planReservation(pool, entry.item, this.#computeNeed(pool, entry), this.#estimator)
+    if (plan !== undefined) reservations.create(pool, entry, RESERVATION_CAUSES.blockedHead, plan, this.#nowMs)
+  }
+
+  /** Makes room for urgent items that would wait too long; at most `maxDecisions`. */
+  preemptFor (pass: PoolPass, maxDecisions: number): readonly PreemptDecision[] {
+    const { pool } = pass
+    const { settings, reservations } = this.#context
+    const decisions: PreemptDecision[] = []
+    if (pool.isExecutorPool) return decisions
+    for (const entry of pass.blockedUrgent) {
+      const { item } = entry
+      if (item.taskCount > 1 || pool.reservations.get(item.requestId)?.cause === RESERVATION_CAUSES.preemption) continue
+      if (reservations.countPreemptions(pool) >= settings.maxPreemptionsPerPool) break
+      const needed = this.#computeNeed(pool, entry)
+      const natural = planReservation(pool, item, needed, this.#estimator)
+      const naturalWaitMs = (natural?.startAtMs ?? item.deadlineAtMs) - this.#nowMs
+      if (this.#nowMs - item.enqueuedAtMs + naturalWaitMs <= settings.preemptionWaitMs) continue
+      const plan = planPreemption(pool, { item, needed, naturalWaitMs }, this.#estimator, settings)
+      if (plan === undefined || decisions.length + plan.victims.length > maxDecisions) break
+      reservations.drop(pool, item.requestId)
+      const startAtMs = this.#nowMs + settings.checkpointCostMs
+      reservations.create(pool, entry, RESERVATION_CAUSES.preemption, { targets: [plan.target], startAtMs }, this.#nowMs)
+      for (const victim of plan.victims) {
+        victim.isPreempted = true
+        decisions.push({ type: 'preempt', requestId: victim.request.item.requestId, action: plan.action, beneficiary: item.requestId })
+      }
+    }
+    return decisions
+  }
+
+  #isReplaceable (pool: PoolState, current: Reservation, entry: QueuedItem): boolean {
+    const { urgency } = current.holder.item
+    return compareUrgency(entry, current.holder) < 0 && !pool.isUnderFloor(urgency)
+  }
+
+  #computeNeed (pool: PoolState, entry: QueuedItem): Amounts {
+    return computeNeed(pool, this.#context.profiles, entry.item)
+  }
+}
--- a/packages/scheduling/src/scheduler-settings.ts
+++ b/packages/scheduling/src/scheduler-settings.ts
@@ -42,6 +42,8 @@
   readonly checkpointCostMs: number
   /** Most preemptions under way in one pool. */
   readonly maxPreemptionsPerPool: number
+  /** How long a single task is the blocked head of its pool before targets are reserved for it. */
+  readonly reservationDelayMs: number
   /** Period after which the start of a reservation is estimated again. */
   readonly reservationRefreshMs: number
   /** Overrun of a reservation's first estimate after which other targets are chosen. */
@@ -71,6 +73,7 @@
   preemptionWaitMs: 1_000,
   checkpointCostMs: 500,
   maxPreemptionsPerPool: 32,
+  reservationDelayMs: 500,
   reservationRefreshMs: 1_000,
   reservationPatienceMs: 30_000
 }
--- a/packages/scheduling/src/scheduling-round.ts
+++ b/packages/scheduling/src/scheduling-round.ts
@@ -1,42 +1,41 @@
-import type { Amounts } from './amounts.js'
+import { type Amounts, countFits } from './amounts.js'
 import type { ClassChoice } from './class-chooser.js'
 import type { Decision } from './decision.js'
 import { computeNeed } from './item-need.js'
+import { findTarget, type PlacementQuery } from './placer.js'
 import { PoolPass } from './pool-pass.js'
 import type { PoolState } from './pool-state.js'
-import { findTarget, type PlacementQuery, rankUrgency } from './placer.js'
-import { planPreemption } from './preemption-planner.js'
-import type { QueuedItem } from './queued-item.js'
-import { type Reservation, RESERVATION_CAUSES } from './reservation.js'
-import { planOn, planReservation } from './reservation-planner.js'
-import type { RunningTask } from './running-task.js'
+import { compareUrgency, type QueuedItem } from './queued-item.js'
+import { RoomMaker } from './room-maker.js'
+import { RunEstimator } from './run-estimator.js'
 import type { SchedulerContext } from './scheduler-context.js'
 import type { TargetState } from './target-state.js'
 import { URGENCIES } from './urgency.js'
 
-/** An overdue task is expected to need this share of its age again. */
-const OVERDUE_SHARE = 0.25
-
 /** One call of `schedule`. */
 export class SchedulingRound {
   readonly #context: SchedulerContext
   readonly #nowMs: number
   readonly #maxDecisions: number
+  readonly #estimator: RunEstimator
+  readonly #rooms: RoomMaker
   readonly #decisions: Decision[] = []
 
   constructor (context: SchedulerContext, nowMs: number, maxDecisions: number) {
     this.#context = context
     this.#nowMs = nowMs
     this.#maxDecisions = maxDecisions
+    this.#estimator = new RunEstimator(context.profiles, nowMs)
+    this.#rooms = new RoomMaker(context, nowMs)
   }
 
   run (): readonly Decision[] {
     this.#expireQueued()
     const passes: PoolPass[] = []
     for (const pool of this.#context.pools.values()) {
-      for (const urgency of URGENCIES) pool.rates[urgency].advance(this.#nowMs, pool.queues[urgency].size > 0)
+      for (const urgency of URGENCIES) pool.rates[urgency].advance(this.#nowMs)
       if (pool.policy === undefined || pool.targets.length === 0 || !pool.hasBacklog()) continue
-      this.#refreshReservations(pool)
+      this.#rooms.refreshReservations(pool)
       passes.push(new PoolPass(pool, this.#context.settings))
     }
     this.#startProbes(passes)
@@ -45,8 +44,11 @@
     for (const pass of passes) pass.finish()
     for (const pass of passes) {
       if (this.#isFull()) break
-      this.#preemptFor(pass)
-      this.#reserveFor(pass)
+      this.#decisions.push(...this.#rooms.preemptFor(pass, this.#maxDecisions - this.#decisions.length))
+      this.#rooms.reserveFor(pass)
+    }
+    for (const pool of this.#context.pools.values()) {
+      for (const urgency of URGENCIES) pool.rates[urgency].setBacklogged(pool.queues[urgency].size > 0)
     }
     return this.#decisions
   }
@@ -71,13 +73,7 @@
   #startInOrder (passes: readonly PoolPass[]): void {
     let served = Math.max(0, ...passes.map((pass) => pass.pool.lastServed))
     while (!this.#isFull()) {
-      let best: { pass: PoolPass, choice: ClassChoice, rank: number } | undefined
-      for (const pass of passes) {
-        const choice = pass.chooseClass()
-        if (choice === undefined) continue
-        const rank = choice.isUnderFloor ? -1 : URGENCIES.indexOf(choice.urgency)
-        if (best === undefined || rank < best.rank || (rank === best.rank && pass.pool.lastServed < best.pass.pool.lastServed)) best = { pass, choice, rank }
-      }
+      const best = this.#choosePass(passes)
       if (best === undefined) return
       const { pass, choice } = best
       const entry = pass.chooseEntry(choice.urgency)
@@ -93,15 +89,30 @@
     }
   }
 
+  #choosePass (passes: readonly PoolPass[]): { pass: PoolPass, choice: ClassChoice } | undefined {
+    let best: { pass: PoolPass, choice: ClassChoice } | undefined
+    let bestRank = Infinity
+    for (const pass of passes) {
+      const choice = pass.chooseClass()
+      if (choice === undefined) continue
+      const rank = choice.isUnderFloor ? -1 : URGENCIES.indexOf(choice.urgency)
+      if (rank > bestRank || (rank === bestRank && best !== undefined && pass.pool.lastServed >= best.pass.pool.lastServed)) continue
+      best = { pass, choice }
+      bestRank = rank
+    }
+    return best
+  }
+
   #startReserved (passes: readonly PoolPass[]): void {
     for (const pass of passes) {
       const { pool } = pass
-      const holders = [...pool.reservations.values()].map((reservation) => reservation.holder)
-      holders.sort((left, right) => rankUrgency(left) - rankUrgency(right) || left.sequence - right.sequence)
-      for (const holder of holders) {
+      const reservations = [...pool.reservations.values()]
+      reservations.sort((left, right) => compareUrgency(left.holder, right.holder) || left.holder.sequence - right.holder.sequence)
+      for (const { holder, targets } of reservations) {
         if (this.#isFull()) return
         const needed = computeNeed(pool, this.#context.profiles, holder.item)
-        if (pass.isWithinLimits(holder, needed)) this.#startIfFitting(pool, holder, needed)
+        const hosts = targets.reduce((sum, target) => sum + countFits(needed, target.free), 0)
+        if (hosts >= holder.item.taskCount && pass.isWithinLimits(holder, needed)) this.#startIfFitting(pool, holder, needed)
       }
     }
   }
@@ -109,9 +120,11 @@
   #startIfFitting (pool: PoolState, entry: QueuedItem, needed: Amounts): boolean {
     const { item } = entry
     const { ledger } = this.#context
-    const isRemembered = !pool.isExecutorPool && item.excludedTargets.length === 0 && !pool.reservations.has(item.requestId) && pool.reservedTargets.size === 0
-    if (isRemembered && pool.failedNeeds.isKnownToFail(needed, pool.freedVersion)) return false
-    const query: PlacementQuery = { entry, needed, endsAtMs: this.#estimateEndOf(entry), servicesByRack: ledger.readServicesByRack(item) }
+    // Only failures that depend on the need alone hold for other items too.
+    const isComparable = item.excludedTargets.length === 0 && pool.reservedTargets.size === 0
+    if (isComparable && pool.failedNeeds.isKnownToFail(needed, item.taskCount, pool.freedVersion)) return false
+    const endsAtMs = pool.reservedTargets.size === 0 ? Infinity : this.#estimator.estimateEndOfItem(item)
+    const query: PlacementQuery = { entry, needed, endsAtMs, servicesByRack: item.isService ? ledger.readServicesByRack(item) : undefined }
     const targets: TargetState[] = []
     for (let taskIndex = 0; taskIndex < item.taskCount; taskIndex++) {
       const target = findTarget(pool, query)
@@ -119,47 +132,45 @@
       ledger.addUse(pool, item, target, needed, 1)
       targets.push(target)
     }
-    if (targets.length < item.taskCount) {
-      const version = pool.freedVersion
-      for (const target of targets) ledger.addUse(pool, item, target, needed, -1)
-      // Giving back what this try took frees nothing for others.
-      pool.freedVersion = version
-      if (isRemembered && item.taskCount === 1) pool.failedNeeds.record(needed, version)
-      return false
+    if (targets.length === item.taskCount) {
+      this.#commitStart(pool, entry, targets, needed, false)
+      return true
     }
-    this.#commitStart(pool, entry, targets, needed, false)
-    return true
+    const version = pool.freedVersion
+    for (const target of targets) ledger.addUse(pool, item, target, needed, -1)
+    // Giving back what this try took frees nothing for others.
+    pool.freedVersion = version
+    if (isComparable) pool.failedNeeds.record(needed, item.taskCount, version)
+    return false
   }
 
   #commitStart (pool: PoolState, entry: QueuedItem, targets: readonly TargetState[], needed: Amounts, isProbe: boolean): void {
     const { ledger, queue, reservations } = this.#context
     const { item } = entry
-    pool.rates[item.urgency].recordStart(true)
+    pool.rates[item.urgency].recordStart()
     queue.remove(pool, entry)
     reservations.drop(pool, item.requestId)
     ledger.register(pool, item, targets, needed, isProbe, this.#nowMs)
     this.#decisions.push({ type: 'start', item, targets: targets.map((target) => target.id), isProbe })
   }
 
-  /** Gives each quarantined target that is due one idempotent, not urgent task. */
+  /** Gives each quarantined target that is due one idempotent task of the least urgent class that has one. */
   #startProbes (passes: readonly PoolPass[]): void {
     for (const target of this.#context.failures.listProbeable(this.#nowMs)) {
       for (const pass of passes) {
         if (this.#isFull()) return
-        if (!target.pools.includes(pass.pool) || !this.#startProbe(pass, target)) continue
-        break
+        if (target.pools.includes(pass.pool) && [...URGENCIES].reverse().some((urgency) => this.#startProbe(pass, target, urgency))) break
       }
     }
   }
 
-  #startProbe (pass: PoolPass, target: TargetState): boolean {
+  #startProbe (pass: PoolPass, target: TargetState, urgency: typeof URGENCIES[number]): boolean {
     const { pool } = pass
-    const choice = pass.chooseClass()
-    if (choice === undefined || choice.urgency === 'urgent') return false
-    const entry = pass.chooseEntry(choice.urgency)
+    const entry = pass.chooseEntry(urgency)
     if (entry === undefined) return false
     const { item } = entry
-    if (!item.isIdempotent || item.isExclusive || item.isService || item.taskCount > 1 || item.excludedTargets.includes(target.id)) return false
+    const isProbe = item.isIdempotent && !item.isExclusive && !item.isService && item.taskCount === 1
+    if (!isProbe || item.excludedTargets.includes(target.id)) return false
     const needed = computeNeed(pool, this.#context.profiles, item)
     if (!pool.isFittingNow(target, needed) || !pass.isWithinLimits(entry, needed)) return false
     this.#context.ledger.addUse(pool, item, target, needed, 1)
@@ -167,78 +178,4 @@
     this.#commitStart(pool, entry, [target], needed, true)
     return true
   }
-
-  #refreshReservations (pool: PoolState): void {
-    const { reservationRefreshMs, reservationPatienceMs } = this.#context.settings
-    for (const [requestId, reservation] of pool.reservations) {
-      if (this.#nowMs - reservation.refreshedAtMs < reservationRefreshMs) continue
-      reservation.refreshedAtMs = this.#nowMs
-      const { item } = reservation.holder
-      const needed = computeNeed(pool, this.#context.profiles, item)
-      const plan = planOn(reservation.targets, needed, item.taskCount, this.#nowMs, this.#estimateEnd)
-      const isLate = plan === undefined || plan.startAtMs > reservation.firstStartAtMs + reservationPatienceMs
-      if (isLate) this.#context.reservations.drop(pool, requestId)
-      else reservation.startAtMs = plan.startAtMs
-    }
-  }
-
-  /** Reserves targets for the first item that did not fit, so that smaller work doesn't keep it waiting for ever. */
-  #reserveFor (pass: PoolPass): void {
-    const { pool, firstBlocked: entry } = pass
-    if (entry === undefined || pool.reservations.has(entry.item.requestId) || this.#context.queue.find(entry.item.requestId) !== entry) return
-    const current = this.#context.reservations.findHeadReservation(pool)
-    if (current !== undefined) {
-      if (!this.#isReplaceable(pool, current, entry)) return
-      this.#context.reservations.drop(pool, current.holder.item.requestId)
-    }
-    const needed = computeNeed(pool, this.#context.profiles, entry.item)
-    const { taskCount, excludedTargets } = entry.item
-    const plan = planReservation(pool, needed, taskCount, excludedTargets, this.#nowMs, this.#estimateEnd)
-    if (plan !== undefined) this.#context.reservations.create(pool, entry, RESERVATION_CAUSES.blockedHead, plan, this.#nowMs)
-  }
-
-  #isReplaceable (pool: PoolState, current: Reservation, entry: QueuedItem): boolean {
-    const { urgency } = current.holder.item
-    return rankUrgency(entry) < rankUrgency(current.holder) && pool.computeClassShare(urgency) >= pool.readClassPolicy(urgency).floorPercent / 100
-  }
-
-  /** Makes room for urgent items that would wait too long. */
-  #preemptFor (pass: PoolPass): void {
-    const { pool } = pass
-    const { settings, profiles, reservations } = this.#context
-    if (pool.isExecutorPool || pass.blockedUrgent.length === 0) return
-    for (const entry of pass.blockedUrgent) {
-      const { item } = entry
-      if (this.#isFull() || item.taskCount > 1 || pool.reservations.get(item.requestId)?.cause === RESERVATION_CAUSES.preemption) continue
-      const underWay = [...pool.reservations.values()].filter((reservation) => reservation.cause === RESERVATION_CAUSES.preemption).length
-      if (underWay >= settings.maxPreemptionsPerPool) return
-      const needed = computeNeed(pool, profiles, item)
-      const natural = planReservation(pool, needed, 1, item.excludedTargets, this.#nowMs, this.#estimateEnd)
-      const naturalWaitMs = natural === undefined ? item.deadlineAtMs - this.#nowMs : natural.startAtMs - this.#nowMs
-      if (this.#nowMs - item.enqueuedAtMs + naturalWaitMs <= settings.preemptionWaitMs) continue
-      const plan = planPreemption(pool, entry, needed, naturalWaitMs, this.#nowMs, settings, this.#estimateEnd)
-      if (plan === undefined) return
-      reservations.drop(pool, item.requestId)
-      reservations.create(pool, entry, RESERVATION_CAUSES.preemption, { targets: [plan.target], startAtMs: this.#nowMs + settings.checkpointCostMs }, this.#nowMs)
-      for (const victim of plan.victims) {
-        victim.isPreempted = true
-        this.#decisions.push({ type: 'preempt', requestId: victim.request.item.requestId, action: plan.action, beneficiary: item.requestId })
-      }
-    }
-  }
-
-  #estimateEndOf (entry: QueuedItem): number {
-    const { item } = entry
-    if (item.isService) return Infinity
-    const runtimeMs = this.#context.profiles.estimateRuntimeMs(item.kind, item.runtimeMs)
-    return runtimeMs === undefined ? Infinity : this.#nowMs + runtimeMs
-  }
-
-  readonly #estimateEnd = (task: RunningTask): number => {
-    const { item, startedAtMs } = task.request
-    if (item.isService) return Infinity
-    const runtimeMs = this.#context.profiles.estimateRuntimeMs(item.kind, item.runtimeMs)
-    if (runtimeMs === undefined) return Infinity
-    return Math.max(startedAtMs + runtimeMs, this.#nowMs + (this.#nowMs - startedAtMs) * OVERDUE_SHARE)
-  }
 }
--- a/packages/scheduling/src/target-state.ts
+++ b/packages/scheduling/src/target-state.ts
@@ -62,8 +62,8 @@
   }
 
   isFittingNow (needed: Amounts): boolean {
-    return needed.cores <= this.freeCores && needed.memoryMb <= this.freeMemoryMb &&
-      needed.accelerators <= this.freeAccelerators && needed.slots <= this.freeSlots
+    return (needed.cores === 0 || needed.cores <= this.freeCores) && (needed.memoryMb === 0 || needed.memoryMb <= this.freeMemoryMb) &&
+      (needed.accelerators === 0 || needed.accelerators <= this.freeAccelerators) && (needed.slots === 0 || needed.slots <= this.freeSlots)
   }
 
   get free (): Amounts {
@@ -72,6 +72,7 @@
 
   addUse (pool: string, amounts: Amounts, factor: 1 | -1): void {
     this.used = addAmounts(this.used, amounts, factor)
+    for (const member of this.pools) member.occupied = addAmounts(member.occupied, amounts, factor)
     if (amounts.slots === 0) return
     const slots = this.getSlotsUsedBy(pool) + amounts.slots * factor
     if (slots === 0) this.#slotsUsedByPool.delete(pool)
--- a/packages/scheduling/src/target-table.ts
+++ b/packages/scheduling/src/target-table.ts
@@ -4,6 +4,16 @@
 import { type Target, TARGET_STATES } from './target.js'
 import { TargetState } from './target-state.js'
 
+function isSameTarget (left: Target, right: Target): boolean {
+  if (left === right) return true
+  const labelNames = Object.keys(left.labels)
+  return left.kind === right.kind && left.address === right.address && left.state === right.state &&
+    left.failureDomain === right.failureDomain && left.rack === right.rack && left.slots === right.slots &&
+    left.connections === right.connections && left.capacity.cores === right.capacity.cores &&
+    left.capacity.memoryMb === right.capacity.memoryMb && left.capacity.accelerators === right.capacity.accelerators &&
+    labelNames.length === Object.keys(right.labels).length && labelNames.every((name) => left.labels[name] === right.labels[name])
+}
+
 /** The shard's targets and the pools that each belongs to. */
 export class TargetTable {
   readonly #states = new Map<TargetId, TargetState>()
@@ -24,22 +34,29 @@
     return state
   }
 
-  /** Applies the instance list. A missing target is forgotten once nothing runs on it. */
-  apply (targets: readonly Target[], nowMs: number): void {
+  /** Applies the instance list and returns whether anything changed. A missing target is forgotten once nothing runs on it. */
+  apply (targets: readonly Target[], nowMs: number): boolean {
     const listed = new Set<TargetId>()
+    let hasChanged = false
     for (const target of targets) {
       listed.add(target.id)
       const state = this.ensure(target.id, () => target)
-      state.setTarget(target)
+      if (!state.isListed || !isSameTarget(state.target, target)) {
+        state.setTarget(target)
+        hasChanged = true
+      }
       if (state.suspendedUntilMs !== undefined && nowMs >= state.suspendedUntilMs && target.state === TARGET_STATES.live) {
         state.suspendedUntilMs = undefined
+        hasChanged = true
       }
     }
     for (const [id, state] of this.#states) {
       if (listed.has(id)) continue
+      if (state.isListed) hasChanged = true
       state.isListed = false
       if (state.tasks.size === 0) this.#states.delete(id)
     }
+    return hasChanged
   }
 
   /** Derives which targets belong to which pools. */
--- a/packages/scheduling/src/wait-estimator.ts
+++ b/packages/scheduling/src/wait-estimator.ts
@@ -45,7 +45,7 @@
   const isWithinQuota = pool.computeTeamShare(team) + share <= quota
   let shareAhead = 0
   for (const [otherRank, other] of URGENCIES.entries()) if (otherRank <= rank) shareAhead += pool.queues[other].share
-  const freeShare = Math.min(1 - pool.computeUsedShare(), pool.readClassPolicy(urgency).limitPercent / 100 - classShare)
+  const freeShare = Math.min(1 - pool.computeOccupiedShare(), pool.readClassPolicy(urgency).limitPercent / 100 - classShare)
   if (isWithinQuota && shareAhead + share <= freeShare) return 0
   const available = Math.min(computeAvailableShare(pool, urgency), isWithinQuota ? 1 : Math.max(quota, MIN_AVAILABLE_SHARE))
   const rate = pool.rates[urgency].computeRate(available, query.assumedWork)
--- /dev/null
+++ b/packages/scheduling/tests/random-session.ts
@@ -0,0 +1,145 @@
+import { toRequestId, toTargetId, type RequestId } from '@hibiscusledge/runtime/identifiers.js'
+import fc from 'fast-check'
+import type { Decision } from '../src/decision.js'
+import { PoolShardScheduler } from '../src/pool-shard-scheduler.js'
+import { URGENCIES } from '../src/urgency.js'
+import type { WorkItem } from '../src/work-item.js'
+import { buildExecutor, buildItem, buildPool, buildWorker } from './fixtures.js'
+
+export type Step =
+  | { type: 'admit', item: Partial<WorkItem> }
+  | { type: 'cancel', index: number }
+  | { type: 'release', index: number, isFailure: boolean }
+  | { type: 'usage', index: number, cores: number }
+  | { type: 'progress', target: number, progress: number }
+  | { type: 'targets', mask: number }
+  | { type: 'pools', variant: number }
+  | { type: 'schedule', maxDecisions: number }
+
+const itemArbitrary = fc.record({
+  pool: fc.constantFrom('a', 'b', 'x'),
+  urgency: fc.constantFrom(...URGENCIES),
+  team: fc.constantFrom('t1', 't2', 't3'),
+  kind: fc.constantFrom('k1', 'k2'),
+  resources: fc.record({ cores: fc.constantFrom(0.1, 0.5, 1, 3, 8, 16), memoryMb: fc.constantFrom(100, 1_000, 30_000), accelerators: fc.constantFrom(0, 0, 1, 4) }),
+  taskCount: fc.constantFrom(1, 1, 1, 2, 5),
+  isResumable: fc.boolean(),
+  isService: fc.boolean(),
+  runtimeMs: fc.constantFrom(undefined, 10, 1_000),
+  excludedTargets: fc.constantFrom([], [toTargetId('w0')])
+})
+
+export const stepArbitrary: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ type: fc.constant('admit' as const), item: itemArbitrary }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('cancel' as const), index: fc.nat(200) }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('release' as const), index: fc.nat(200), isFailure: fc.boolean() }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('usage' as const), index: fc.nat(200), cores: fc.nat(20) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('progress' as const), target: fc.nat(5), progress: fc.nat(1) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('targets' as const), mask: fc.nat(63) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('pools' as const), variant: fc.nat(2) }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('schedule' as const), maxDecisions: fc.constantFrom(1, 3, 100) }) }
+)
+
+const TARGETS = [
+  buildWorker('w0', { rack: 'r0' }), buildWorker('w1', { rack: 'r1' }),
+  buildWorker('w2', { rack: 'r1', capacity: { cores: 32, memoryMb: 131_072, accelerators: 8 } }), buildWorker('w3', { rack: 'r2', labels: { size: 'big' } }),
+  buildExecutor('e0', 3), buildExecutor('e1', 2)
+]
+const POOL_VARIANTS = [
+  [buildPool({ name: 'a', classes: { low: { floorPercent: 10, limitPercent: 60 } } }), buildPool({ name: 'b', racks: ['r1'] }), buildPool({ name: 'x', targetKind: 'executor' })],
+  [buildPool({ name: 'a', teamQuotas: { t1: 50 } }), buildPool({ name: 'b' }), buildPool({ name: 'x', targetKind: 'executor', slotsPerTarget: 1 })],
+  [buildPool({ name: 'b', labels: { size: 'big' } }), buildPool({ name: 'x', targetKind: 'executor', slotsPerTarget: 2 })]
+]
+
+/** Runs random steps against a scheduler and throws at the first broken invariant. */
+export class RandomSession {
+  readonly #scheduler = new PoolShardScheduler({ reservationDelayMs: 0 })
+  readonly #used = new Map<string, { cores: number, memoryMb: number, accelerators: number, slots: number }>()
+  readonly #holding: Array<{ item: WorkItem, target: string, taskIndex: number }> = []
+  readonly #fates = new Map<RequestId, string>()
+  readonly log: string[] = []
+  #nowMs = 0
+  #admitted = 0
+
+  constructor () {
+    this.#scheduler.applyPools(POOL_VARIANTS[0] ?? [], 0)
+    this.#scheduler.applyTargets(TARGETS, 0)
+  }
+
+  run (steps: readonly Step[]): void {
+    for (const step of steps) {
+      this.#nowMs += 50
+      this.#runStep(step)
+    }
+  }
+
+  /** Lets everything end and checks that no admitted item is left without a fate. */
+  finish (): void {
+    this.#nowMs += 1_000_000
+    this.#note(this.#scheduler.schedule(this.#nowMs, 10_000))
+    for (const [id, fate] of this.#fates) if (fate === 'queued') throw new Error(`${id} has no end`)
+  }
+
+  #runStep (step: Step): void {
+    const scheduler = this.#scheduler
+    if (step.type === 'admit') this.#admit(step.item)
+    else if (step.type === 'schedule') this.#note(scheduler.schedule(this.#nowMs, step.maxDecisions))
+    else if (step.type === 'cancel') for (const id of scheduler.cancelQueued([toRequestId(`r${step.index}`)])) this.#end(id, 'cancelled')
+    else if (step.type === 'targets') scheduler.applyTargets(TARGETS.filter((_, index) => (step.mask >> index) % 2 === 1), this.#nowMs)
+    else if (step.type === 'pools') scheduler.applyPools(POOL_VARIANTS[step.variant] ?? [], this.#nowMs)
+    else if (step.type === 'progress') scheduler.recordProgress(toTargetId(`e${step.target % 2}`), step.progress, 1, this.#nowMs)
+    else this.#touchTask(step)
+  }
+
+  #touchTask (step: Extract<Step, { type: 'release' | 'usage' }>): void {
+    const task = this.#holding[step.index % Math.max(1, this.#holding.length)]
+    if (task === undefined) return
+    const { requestId, resources } = task.item
+    if (step.type === 'usage') return this.#scheduler.recordUsage(requestId, task.taskIndex, { ...resources, cores: step.cores }, this.#nowMs)
+    this.#holding.splice(this.#holding.indexOf(task), 1)
+    this.#count(task.item, task.target, -1)
+    this.#scheduler.releaseTask(requestId, task.taskIndex, step.isFailure ? 'failed' : 'succeeded', this.#nowMs)
+  }
+
+  #admit (partial: Partial<WorkItem>): void {
+    const item = buildItem(`r${this.#admitted++}`, { ...partial, enqueuedAtMs: this.#nowMs, deadlineAtMs: this.#nowMs + 2_000 })
+    const { isAdmitted } = this.#scheduler.admit(item, this.#nowMs)
+    if (isAdmitted) this.#fates.set(item.requestId, 'queued')
+  }
+
+  #note (decisions: readonly Decision[]): void {
+    for (const decision of decisions) {
+      this.log.push(JSON.stringify(decision))
+      if (decision.type === 'preempt') continue
+      this.#end(decision.item.requestId, decision.type)
+      if (decision.type === 'expire') continue
+      if (decision.targets.length !== decision.item.taskCount) throw new Error('gang is not whole')
+      for (const [taskIndex, target] of decision.targets.entries()) {
+        if (decision.item.excludedTargets.includes(target)) throw new Error('excluded target')
+        this.#holding.push({ item: decision.item, target, taskIndex })
+        this.#count(decision.item, target, 1)
+      }
+    }
+  }
+
+  #end (id: RequestId, fate: string): void {
+    if (this.#fates.get(id) !== 'queued') throw new Error(`${id} ends twice: ${this.#fates.get(id)}, ${fate}`)
+    this.#fates.set(id, fate)
+  }
+
+  #count (item: WorkItem, id: string, factor: 1 | -1): void {
+    const target = TARGETS.find((candidate) => candidate.id === id)
+    const used = this.#used.get(id) ?? { cores: 0, memoryMb: 0, accelerators: 0, slots: 0 }
+    this.#used.set(id, used)
+    if (target?.kind === 'executor') used.slots += factor
+    else {
+      used.cores += item.resources.cores * factor
+      used.memoryMb += item.resources.memoryMb * factor
+      used.accelerators += item.resources.accelerators * factor
+    }
+    const { capacity, slots } = target ?? buildWorker('none')
+    if (used.cores > capacity.cores + 1e-6 || used.memoryMb > capacity.memoryMb || used.accelerators > capacity.accelerators || used.slots > slots) {
+      throw new Error(`${id} is overcommitted: ${JSON.stringify(used)}`)
+    }
+  }
+}
