Skip work that a full scheduling pass found not to fit

Cause: at saturation each call of schedule tried up to 32 items of each class again, and took each out of its heap and put it back. The profile showed 25 % of the time in the choice of the team, 25 % in searches that had failed before with the same free capacity. Ruled out: the worker index, 7 % of the time, and garbage collection, 5 %. Now a pool is passed over in full only after capacity came free or every 100 ms; between two such passes only newly admitted items are tried. Teams are ordered once per pass. Packing is unchanged.

--- a/packages/scheduling/src/bench/decision-bench.ts
+++ b/packages/scheduling/src/bench/decision-bench.ts
@@ -1,5 +1,7 @@
 import { build } from 'hdr-histogram-js'
+import type { RequestId } from '@hibiscusledge/runtime/identifiers.js'
 import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import type { RunResult } from '../decision.js'
 import { PoolShardScheduler } from '../pool-shard-scheduler.js'
 import type { Resources } from '../resources.js'
 import type { Target } from '../target.js'
@@ -20,6 +22,7 @@
 const BURST_STARTS_PER_S = 5_000
 const STEADY_MS = 10_000
 const BURST_MS = 2_000
+const CHECKPOINT_MS = 400
 /** Five of twelve workers have six accelerators: 12,000 on 4,800 workers. */
 const ACCELERATOR_PERIOD = 12
 const ACCELERATOR_WORKERS = 5
@@ -47,7 +50,7 @@
   #coreMs = 0
   #starts = 0
   #nextId = 0
-  #running = 0
+  readonly #runningTasks = new Set<string>()
 
   constructor (workerCount: number, seed: number, readTimeMs: () => number) {
     this.#random = new SeededRandomSource(seed)
@@ -78,7 +81,7 @@
     this.#loop.run(endMs)
     const readUs = (percentile: number): string => (this.#histogram.getValueAtPercentile(percentile) / 1_000).toFixed(0)
     return [
-      String(workerCount), phase, String(this.#running), String(this.#starts), readUs(50), readUs(99),
+      String(workerCount), phase, String(this.#runningTasks.size), String(this.#starts), readUs(50), readUs(99),
       (this.#histogram.maxValue / 1_000).toFixed(0), (1_000 * this.#starts / this.#coreMs).toFixed(0), (readHeapBytes() / 1_048_576).toFixed(0)
     ]
   }
@@ -106,6 +109,7 @@
     this.#coreMs += elapsedMs
     this.#histogram.recordValue(Math.round(elapsedMs * 1_000_000))
     for (const decision of decisions) {
+      if (decision.type === 'preempt') this.#loop.schedule(nowMs + CHECKPOINT_MS, () => { this.#release(decision.requestId, 0, 'refused') })
       if (decision.type !== 'start') continue
       for (let taskIndex = 0; taskIndex < decision.item.taskCount; taskIndex++) this.#startTask(decision.item, taskIndex, meanRuntimeMs)
     }
@@ -113,15 +117,20 @@
 
   #startTask (item: WorkItem, taskIndex: number, meanRuntimeMs: number): void {
     this.#starts++
-    this.#running++
+    this.#runningTasks.add(`${item.requestId}/${taskIndex}`)
     if (item.isService) return
     this.#loop.schedule(this.#loop.nowMs + meanRuntimeMs * (0.5 + this.#random.drawFraction()), () => {
-      const startedMs = this.#readTimeMs()
-      this.#scheduler.releaseTask(item.requestId, taskIndex, 'succeeded', this.#loop.nowMs)
-      this.#coreMs += this.#readTimeMs() - startedMs
-      this.#running--
+      this.#release(item.requestId, taskIndex, 'succeeded')
     })
   }
+
+  /** Ends one task, unless it has ended before. */
+  #release (requestId: RequestId, taskIndex: number, result: RunResult): void {
+    if (!this.#runningTasks.delete(`${requestId}/${taskIndex}`)) return
+    const startedMs = this.#readTimeMs()
+    this.#scheduler.releaseTask(requestId, taskIndex, result, this.#loop.nowMs)
+    this.#coreMs += this.#readTimeMs() - startedMs
+  }
 }
 
 /** Real time of decisions from a small site to the design size; load grows with the number of workers. */
--- a/packages/scheduling/src/bench/flood-run.ts
+++ b/packages/scheduling/src/bench/flood-run.ts
@@ -1,6 +1,6 @@
 import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
 import type { RequestId } from '@hibiscusledge/runtime/identifiers.js'
-import type { Decision } from '../decision.js'
+import type { Decision, RunResult } from '../decision.js'
 import { URGENCIES, type Urgency } from '../urgency.js'
 import type { WorkItem } from '../work-item.js'
 import { buildBenchItem, buildSiteTargets } from './bench-builders.js'
@@ -60,7 +60,7 @@
       if (!flood.urgencies.includes(kind.urgency)) continue
       this.#startStream(kind, flood.times / this.#computeWork(kind), true, WARM_UP_MS, endMs, new SeededRandomSource(this.#seed * 100 + 50 + index))
     }
-    for (let atMs = 0; atMs <= endMs; atMs += TICK_MS) this.#loop.schedule(atMs, () => { this.#decide() })
+    for (let atMs = 0; atMs <= endMs; atMs += TICK_MS) this.#loop.schedule(atMs, () => { this.#runTick() })
     this.#loop.run(endMs)
     return this.reports
   }
@@ -84,14 +84,14 @@
     const drawGapMs = (): number => -Math.log(1 - random.drawFraction()) / ratePerMs
     const arrive = (): void => {
       // Run times vary between half and one and a half of the mean.
-      this.#arrive(kind, isFlood, kind.meanRuntimeMs * (0.5 + random.drawFraction()))
+      this.#submit(kind, isFlood, kind.meanRuntimeMs * (0.5 + random.drawFraction()))
       const nextMs = this.#loop.nowMs + drawGapMs()
       if (nextMs < endMs) this.#loop.schedule(nextMs, arrive)
     }
     this.#loop.schedule(fromMs + drawGapMs(), arrive)
   }
 
-  #arrive (kind: BenchKind, isFlood: boolean, runtimeMs: number): void {
+  #submit (kind: BenchKind, isFlood: boolean, runtimeMs: number): void {
     const { nowMs } = this.#loop
     const item = buildBenchItem(`r${this.#nextId++}`, {
       kind: kind.kind,
@@ -111,7 +111,7 @@
     else if (this.#isMeasuring) report.rejected++
   }
 
-  #decide (): void {
+  #runTick (): void {
     this.#sampleUse()
     for (const decision of this.#scheduler.schedule(this.#loop.nowMs, MAX_DECISIONS)) this.#apply(decision)
   }
@@ -119,7 +119,7 @@
   #apply (decision: Decision): void {
     const { nowMs } = this.#loop
     if (decision.type === 'preempt') {
-      this.#loop.schedule(nowMs + CHECKPOINT_MS, () => { this.#checkpoint(decision.requestId) })
+      this.#loop.schedule(nowMs + CHECKPOINT_MS, () => { this.#pause(decision.requestId) })
       return
     }
     const job = this.#jobs.get(decision.item.requestId)
@@ -134,32 +134,32 @@
     job.startedAtMs = nowMs
     const run = ++job.run
     this.#running[job.kind.urgency]++
-    this.#loop.schedule(nowMs + job.remainingMs, () => { this.#complete(job, run) })
+    this.#loop.schedule(nowMs + job.remainingMs, () => { this.#finish(job, run) })
   }
 
-  #complete (job: Job, run: number): void {
+  #finish (job: Job, run: number): void {
     if (job.run !== run || !this.#jobs.delete(job.item.requestId)) return
-    this.#release(job)
+    this.#release(job, 'succeeded')
     if (!this.#isMeasuring) return
     if (job.isFlood) this.reports[job.kind.urgency].floodCompleted++
     else this.reports[job.kind.urgency].ordinaryCompleted++
   }
 
   /** Ends a running task early and queues the rest of it again. */
-  #checkpoint (requestId: RequestId): void {
+  #pause (requestId: RequestId): void {
     const job = this.#jobs.get(requestId)
     if (job === undefined) return
     const { nowMs } = this.#loop
     job.run++
     job.remainingMs = Math.max(1, job.remainingMs - (nowMs - job.startedAtMs))
-    this.#release(job)
+    this.#release(job, 'refused')
     if (!this.#scheduler.admit({ ...job.item, attempt: job.item.attempt + 1 }, nowMs).isAdmitted) this.#jobs.delete(requestId)
   }
 
-  #release (job: Job): void {
+  #release (job: Job, result: RunResult): void {
     this.#sampleUse()
     this.#running[job.kind.urgency]--
-    this.#scheduler.releaseTask(job.item.requestId, 0, 'succeeded', this.#loop.nowMs)
+    this.#scheduler.releaseTask(job.item.requestId, 0, result, this.#loop.nowMs)
   }
 
   #sampleUse (): void {
--- a/packages/scheduling/src/bench/hung-bench.ts
+++ b/packages/scheduling/src/bench/hung-bench.ts
@@ -54,6 +54,10 @@
   }
 }
 
+function formatDelay (delayMs: number): string {
+  return delayMs < 0 ? `${(-delayMs / 1_000).toFixed(1)} before the freeze` : (delayMs / 1_000).toFixed(1)
+}
+
 function runScenario (scenario: Scenario, seed: number, rule: 'progress counter' | 'timeout'): TableRow {
   const executor = new ExecutorModel(scenario, seed)
   const state = new TargetState(buildBenchTarget(0, 'executor', 8), 0)
@@ -79,7 +83,7 @@
     firstAtMs ??= nowMs
   }
   const isTrueCase = scenario === 'saturated, then frozen'
-  const after = firstAtMs === undefined ? '-' : ((firstAtMs - (isTrueCase ? FREEZE_AT_MS : 0)) / 1_000).toFixed(1)
+  const after = firstAtMs === undefined ? '-' : formatDelay(firstAtMs - (isTrueCase ? FREEZE_AT_MS : 0))
   return [scenario, rule, `${suspicions} times`, after, (100 * withheldMs / advancingMs).toFixed(1)]
 }
 
--- a/packages/scheduling/src/indexed-heap.ts
+++ b/packages/scheduling/src/indexed-heap.ts
@@ -21,6 +21,27 @@
     return this.#entries[0]
   }
 
+  /** The first `count` entries in order. */
+  listFirst (count: number): T[] {
+    const first = this.#entries[0]
+    if (first === undefined) return []
+    if (count === 1 || this.#entries.length === 1) return [first]
+    const found: T[] = []
+    const frontier: number[] = [0]
+    while (found.length < count && frontier.length > 0) {
+      let bestIndex = 0
+      for (let index = 1; index < frontier.length; index++) {
+        if (this.#compare(this.#entries[frontier[index] as number] as T, this.#entries[frontier[bestIndex] as number] as T) < 0) bestIndex = index
+      }
+      const position = frontier[bestIndex] as number
+      frontier[bestIndex] = frontier[frontier.length - 1] as number
+      frontier.pop()
+      found.push(this.#entries[position] as T)
+      for (let child = 2 * position + 1; child <= 2 * position + 2; child++) if (child < this.#entries.length) frontier.push(child)
+    }
+    return found
+  }
+
   has (entry: T): boolean {
     return this.#positions.has(entry)
   }
--- a/packages/scheduling/src/placer.ts
+++ b/packages/scheduling/src/placer.ts
@@ -72,6 +72,8 @@
 
 /** A worker in the rack with the fewest services of the same kind, then by score. */
 function findSpread (search: Search): TargetState | undefined {
+  // The index tells at once when none fits, which saves the walk.
+  if (search.pool.workers.findBest(search.needed, search.isExcluded, () => 0) === undefined) return undefined
   let best: TargetState | undefined
   let bestRank = Infinity
   let candidates = 0
--- a/packages/scheduling/src/pool-pass.ts
+++ b/packages/scheduling/src/pool-pass.ts
@@ -1,25 +1,35 @@
 import { addAmounts, type Amounts, computeDominantShare } from './amounts.js'
 import { type ClassCandidate, type ClassChoice, chooseClass } from './class-chooser.js'
+import { IndexedHeap } from './indexed-heap.js'
 import type { PoolState } from './pool-state.js'
 import type { QueuedItem } from './queued-item.js'
 import type { SchedulerSettings } from './scheduler-settings.js'
+import { compareCursors, TeamCursor } from './team-cursor.js'
 import { URGENCIES, type Urgency } from './urgency.js'
 
 const TOLERANCE = 1e-9
 
-/** One pool within one call of `schedule`: what was tried and set aside. */
+/** What keeps an item out whatever capacity is free. */
+export type LimitKind = 'class' | 'team'
+
+interface ClassOrder {
+  readonly cursors: IndexedHeap<TeamCursor>
+  readonly byTeam: Map<string, TeamCursor>
+  tries: number
+}
+
+/** One pool within one call of `schedule`: the order of its work, and what was tried. */
 export class PoolPass {
   readonly pool: PoolState
   readonly #settings: SchedulerSettings
-  readonly #setAside: QueuedItem[] = []
+  readonly #orders = new Map<Urgency, ClassOrder>()
   readonly #closedClasses = new Set<Urgency>()
-  readonly #closedTeams = new Set<string>()
-  readonly #triesByClass = new Map<Urgency, number>()
-  readonly #triesByTeam = new Map<string, number>()
   /** First item that did not fit, in the order of entitlement. */
   firstBlocked: QueuedItem | undefined
-  /** Urgent items that did not fit. */
+  /** The first urgent items that did not fit. */
   readonly blockedUrgent: QueuedItem[] = []
+  /** Classes that were left with untried work. */
+  readonly cutOffClasses = new Set<Urgency>()
 
   constructor (pool: PoolState, settings: SchedulerSettings) {
     this.pool = pool
@@ -38,68 +48,92 @@
 
   /** The first item of the team with the lowest share of its quota. Closes the class when no team can go. */
   chooseEntry (urgency: Urgency): QueuedItem | undefined {
-    let best: QueuedItem | undefined
-    let bestShare = Infinity
-    for (const [team, heap] of this.pool.queues[urgency].listTeams()) {
-      if (this.#closedTeams.has(`${urgency}/${team}`)) continue
-      const first = heap.getFirst()
-      if (first === undefined) continue
-      const share = this.pool.computeTeamShare(team) / Math.max(this.pool.readQuotaShare(team), TOLERANCE)
-      if (share < bestShare || (share === bestShare && best !== undefined && first.item.deadlineAtMs < best.item.deadlineAtMs)) {
-        best = first
-        bestShare = share
-      }
+    const { cursors } = this.#ensureOrder(urgency)
+    for (;;) {
+      const cursor = cursors.getFirst()
+      if (cursor === undefined) break
+      if (cursor.entry !== undefined) return cursor.entry
+      cursors.remove(cursor)
     }
-    if (best === undefined) this.#closedClasses.add(urgency)
-    return best
+    this.#closedClasses.add(urgency)
+    return undefined
   }
 
-  /** Whether the class's limit and the team's quota hold the whole item. Closes what is at its limit. */
-  isWithinLimits (entry: QueuedItem, needed: Amounts): boolean {
+  /** The class's limit or the team's quota, when it does not hold the whole item. */
+  findLimit (entry: QueuedItem, needed: Amounts): LimitKind | undefined {
     const { pool } = this
     const { urgency, team, taskCount } = entry.item
     const total = addAmounts(pool.classUse.read(urgency), needed, taskCount)
-    if (computeDominantShare(total, pool.capacity) > pool.readClassPolicy(urgency).limitPercent / 100 + TOLERANCE) {
-      if (pool.isExecutorPool && taskCount === 1) this.#closedClasses.add(urgency)
-      else this.setAside(entry)
-      return false
-    }
+    if (computeDominantShare(total, pool.capacity) > pool.readClassPolicy(urgency).limitPercent / 100 + TOLERANCE) return 'class'
     const teamTotal = addAmounts(pool.teamUse.read(team), needed, taskCount)
-    if (computeDominantShare(teamTotal, pool.capacity) > pool.readQuotaShare(team) + TOLERANCE) {
-      this.#closedTeams.add(`${urgency}/${team}`)
-      return false
-    }
-    return true
+    return computeDominantShare(teamTotal, pool.capacity) > pool.readQuotaShare(team) + TOLERANCE ? 'team' : undefined
   }
 
-  /** Takes an item out of the order for the rest of the pass. */
-  setAside (entry: QueuedItem): void {
-    const { urgency, team } = entry.item
-    this.pool.queues[urgency].remove(entry)
-    this.#setAside.push(entry)
-    const classTries = (this.#triesByClass.get(urgency) ?? 0) + 1
-    this.#triesByClass.set(urgency, classTries)
-    if (classTries >= this.#settings.placementTriesPerClass) this.#closedClasses.add(urgency)
-    const teamKey = `${urgency}/${team}`
-    const teamTries = (this.#triesByTeam.get(teamKey) ?? 0) + 1
-    this.#triesByTeam.set(teamKey, teamTries)
-    if (teamTries >= this.#settings.placementTriesPerTeam) this.#closedTeams.add(teamKey)
+  /** Passes over an item at a limit, and over all that would meet the same limit. */
+  skipForLimit (entry: QueuedItem, limit: LimitKind): void {
+    const { urgency, team, taskCount } = entry.item
+    const order = this.#ensureOrder(urgency)
+    const cursor = order.byTeam.get(team)
+    if (limit === 'team' && cursor !== undefined) order.cursors.remove(cursor)
+    else if (this.pool.isExecutorPool && taskCount === 1) this.#closedClasses.add(urgency)
+    else this.skip(entry)
   }
 
-  /** Closes a class in which no further item can be placed in this pass. */
-  closeClass (urgency: Urgency): void {
+  /** Passes over an item for the rest of the pass. */
+  skip (entry: QueuedItem): void {
+    const { urgency, team } = entry.item
+    const order = this.#ensureOrder(urgency)
+    const cursor = order.byTeam.get(team)
+    if (cursor === undefined) return
+    order.cursors.remove(cursor)
+    cursor.advance(false)
+    order.tries++
+    if (cursor.triedCount < this.#settings.placementTriesPerTeam) order.cursors.insert(cursor)
+    else if (cursor.entry !== undefined) this.cutOffClasses.add(urgency)
+    if (order.tries < this.#settings.placementTriesPerClass) return
     this.#closedClasses.add(urgency)
+    this.cutOffClasses.add(urgency)
+  }
+
+  /** Notes a start, which changes the team's place in every class. */
+  recordStart (entry: QueuedItem): void {
+    const { urgency, team } = entry.item
+    const quotaUse = this.#computeQuotaUse(team)
+    for (const [orderUrgency, order] of this.#orders) {
+      const cursor = order.byTeam.get(team)
+      if (cursor === undefined || !order.cursors.remove(cursor)) continue
+      cursor.quotaUse = quotaUse
+      if (orderUrgency === urgency) cursor.advance(true)
+      order.cursors.insert(cursor)
+    }
   }
 
   /** Notes that an item within its limits did not fit. */
   recordBlocked (entry: QueuedItem): void {
     this.firstBlocked ??= entry
-    if (entry.item.urgency === 'urgent' && this.blockedUrgent.length < this.#settings.maxPreemptionsPerPool) this.blockedUrgent.push(entry)
+    if (entry.item.urgency === 'urgent' && this.blockedUrgent.length < this.#settings.preemptionTriesPerPass) this.blockedUrgent.push(entry)
+  }
+
+  /** Ends the pass: no further item of the pool fits. */
+  close (): void {
+    for (const urgency of URGENCIES) this.#closedClasses.add(urgency)
+  }
+
+  #computeQuotaUse (team: string): number {
+    return this.pool.computeTeamShare(team) / Math.max(this.pool.readQuotaShare(team), TOLERANCE)
   }
 
-  /** Puts back what was set aside. */
-  finish (): void {
-    for (const entry of this.#setAside) this.pool.queues[entry.item.urgency].insert(entry)
-    this.#setAside.length = 0
+  #ensureOrder (urgency: Urgency): ClassOrder {
+    let order = this.#orders.get(urgency)
+    if (order === undefined) {
+      order = { cursors: new IndexedHeap(compareCursors), byTeam: new Map(), tries: 0 }
+      for (const [team, heap] of this.pool.queues[urgency].listTeams()) {
+        const cursor = new TeamCursor(team, heap, this.#computeQuotaUse(team))
+        order.byTeam.set(team, cursor)
+        order.cursors.insert(cursor)
+      }
+      this.#orders.set(urgency, order)
+    }
+    return order
   }
 }
--- a/packages/scheduling/src/pool-state.ts
+++ b/packages/scheduling/src/pool-state.ts
@@ -54,6 +54,13 @@
   /** Grows whenever capacity may have become free, which makes earlier failures to place invalid. */
   freedVersion = 0
   lastServed = 0
+  /** The `freedVersion` at which a full pass found that nothing more fits; -1 when none did. */
+  exhaustedVersion = -1
+  fullPassAtMs = -Infinity
+  /** Classes that the last full pass left with untried work. */
+  cutOffClasses: ReadonlySet<Urgency> = new Set()
+  /** Items admitted since the last pass. */
+  readonly fresh: QueuedItem[] = []
 
   constructor (name: string, settings: SchedulerSettings) {
     this.name = name
--- a/packages/scheduling/src/scheduler-settings.ts
+++ b/packages/scheduling/src/scheduler-settings.ts
@@ -38,6 +38,10 @@
   readonly hungCheckIntervalMs: number
   /** Wait of an urgent item from which preemption is considered. */
   readonly preemptionWaitMs: number
+  /** Urgent items for which one pass considers preemption. */
+  readonly preemptionTriesPerPass: number
+  /** Longest time between two full passes over a pool with a backlog, for what changes with time alone. */
+  readonly fullPassIntervalMs: number
   /** Time that a checkpoint takes before the capacity is free. */
   readonly checkpointCostMs: number
   /** Most preemptions under way in one pool. */
@@ -71,6 +75,8 @@
   retryMinimumRefillMs: 10_000,
   hungCheckIntervalMs: 3_000,
   preemptionWaitMs: 1_000,
+  preemptionTriesPerPass: 4,
+  fullPassIntervalMs: 100,
   checkpointCostMs: 500,
   maxPreemptionsPerPool: 32,
   reservationDelayMs: 500,
--- a/packages/scheduling/src/scheduling-round.ts
+++ b/packages/scheduling/src/scheduling-round.ts
@@ -40,12 +40,13 @@
     }
     this.#startProbes(passes)
     this.#startReserved(passes)
-    this.#startInOrder(passes)
-    for (const pass of passes) pass.finish()
+    const fullPasses = passes.filter((pass) => this.#isFullPassDue(pass.pool))
+    this.#startInOrder(fullPasses)
     for (const pass of passes) {
-      if (this.#isFull()) break
-      this.#decisions.push(...this.#rooms.preemptFor(pass, this.#maxDecisions - this.#decisions.length))
-      this.#rooms.reserveFor(pass)
+      if (fullPasses.includes(pass)) this.#finishFullPass(pass)
+      else this.#startFresh(pass)
+      if (this.#isFull()) pass.pool.exhaustedVersion = -1
+      pass.pool.fresh.length = 0
     }
     for (const pool of this.#context.pools.values()) {
       for (const urgency of URGENCIES) pool.rates[urgency].setBacklogged(pool.queues[urgency].size > 0)
@@ -53,6 +54,36 @@
     return this.#decisions
   }
 
+  /** Whether more than the fresh items of a pool may have become startable. */
+  #isFullPassDue (pool: PoolState): boolean {
+    return pool.exhaustedVersion !== pool.freedVersion || this.#nowMs - pool.fullPassAtMs >= this.#context.settings.fullPassIntervalMs
+  }
+
+  #finishFullPass (pass: PoolPass): void {
+    const { pool } = pass
+    pool.exhaustedVersion = pool.freedVersion
+    pool.fullPassAtMs = this.#nowMs
+    pool.cutOffClasses = pass.cutOffClasses
+    if (this.#isFull()) return
+    this.#decisions.push(...this.#rooms.preemptFor(pass, this.#maxDecisions - this.#decisions.length))
+    this.#rooms.reserveFor(pass)
+    // A reservation takes targets away but frees nothing.
+    pool.exhaustedVersion = pool.freedVersion
+  }
+
+  /** Tries only what was admitted since a full pass found that nothing else fits. */
+  #startFresh (pass: PoolPass): void {
+    const { pool } = pass
+    const fresh = pool.fresh.filter((entry) => !pool.cutOffClasses.has(entry.item.urgency))
+    fresh.sort((left, right) => compareUrgency(left, right) || left.sequence - right.sequence)
+    for (const entry of fresh) {
+      if (this.#isFull()) return
+      if (this.#context.queue.find(entry.item.requestId) !== entry) continue
+      const needed = computeNeed(pool, this.#context.profiles, entry.item)
+      if (pass.findLimit(entry, needed) === undefined) this.#startIfFitting(pool, entry, needed)
+    }
+  }
+
   #isFull (): boolean {
     return this.#decisions.length >= this.#maxDecisions
   }
@@ -79,12 +110,17 @@
       const entry = pass.chooseEntry(choice.urgency)
       if (entry === undefined) continue
       const needed = computeNeed(pass.pool, this.#context.profiles, entry.item)
-      if (!pass.isWithinLimits(entry, needed)) continue
-      if (this.#startIfFitting(pass.pool, entry, needed)) {
+      const limit = pass.findLimit(entry, needed)
+      if (limit !== undefined) {
+        pass.skipForLimit(entry, limit)
+      } else if (this.#startIfFitting(pass.pool, entry, needed)) {
         pass.pool.lastServed = ++served
+        pass.recordStart(entry)
       } else {
         pass.recordBlocked(entry)
-        pass.setAside(entry)
+        // Every other request of an executor pool needs a slot as well.
+        if (pass.pool.isExecutorPool && entry.item.taskCount === 1 && entry.item.excludedTargets.length === 0) pass.close()
+        else pass.skip(entry)
       }
     }
   }
@@ -112,7 +148,7 @@
         if (this.#isFull()) return
         const needed = computeNeed(pool, this.#context.profiles, holder.item)
         const hosts = targets.reduce((sum, target) => sum + countFits(needed, target.free), 0)
-        if (hosts >= holder.item.taskCount && pass.isWithinLimits(holder, needed)) this.#startIfFitting(pool, holder, needed)
+        if (hosts >= holder.item.taskCount && pass.findLimit(holder, needed) === undefined) this.#startIfFitting(pool, holder, needed)
       }
     }
   }
@@ -172,10 +208,11 @@
     const isProbe = item.isIdempotent && !item.isExclusive && !item.isService && item.taskCount === 1
     if (!isProbe || item.excludedTargets.includes(target.id)) return false
     const needed = computeNeed(pool, this.#context.profiles, item)
-    if (!pool.isFittingNow(target, needed) || !pass.isWithinLimits(entry, needed)) return false
+    if (!pool.isFittingNow(target, needed) || pass.findLimit(entry, needed) !== undefined) return false
     this.#context.ledger.addUse(pool, item, target, needed, 1)
     this.#context.failures.recordProbeStart(target)
     this.#commitStart(pool, entry, [target], needed, true)
+    pass.recordStart(entry)
     return true
   }
 }
