--- a/packages/stand-ins/src/target-stand-in.ts
+++ b/packages/stand-ins/src/target-stand-in.ts
@@ -73,6 +73,7 @@
   }
 
   async stop (): Promise<void> {
+    this.meter.stop()
     await this.#server.stop()
   }
 
--- a/packages/stand-ins/src/work-meter.ts
+++ b/packages/stand-ins/src/work-meter.ts
@@ -62,6 +62,12 @@
     }
   }
 
+  /** Ends all work without its end callbacks. */
+  stop (): void {
+    for (const work of this.#running) this.#pause(work)
+    this.#running.clear()
+  }
+
   setFrozen (isFrozen: boolean): void {
     this.#noteBusyTime()
     for (const work of this.#running) this.#pause(work)
--- a/packages/stand-ins/src/worker-stand-in.ts
+++ b/packages/stand-ins/src/worker-stand-in.ts
@@ -62,6 +62,11 @@
     this.#options = options
   }
 
+  override async stop (): Promise<void> {
+    for (const task of this.#tasks.values()) task.lease.cancel()
+    await super.stop()
+  }
+
   override async setFaults (change: TargetFaults): Promise<void> {
     await super.setFaults(change)
     if (change.leaving !== undefined) this.#notifyWaiting()
