Let the fault tests of the store adapter wait for the call to arrive

Cause: on a busy machine the 400 ms limit passed before the write was sent, so the test waited in vain for the effect of a slow store's write. The adapter's answer, effect unknown, was right. Ruled out: a longer limit, because it only makes the race rarer.

--- a/packages/platform/src/key-space.ts
+++ b/packages/platform/src/key-space.ts
@@ -50,15 +50,9 @@
     return this.#values.get(key)
   }
 
-  /** All values whose key lies in [from, end), ordered by key; without `end` every key from `from` on. */
-  listRange (from: string, end?: string): StoredValue[] {
-    return [...this.#values.values()]
-      .filter(({ key }) => key >= from && (end === undefined || key < end))
-      .sort((left, right) => left.key < right.key ? -1 : 1)
-  }
-
+  /** All values whose key has the prefix, ordered by key. */
   listPrefix (prefix: string): StoredValue[] {
-    return this.listRange(prefix).filter(({ key }) => key.startsWith(prefix))
+    return [...this.#values.values()].filter(({ key }) => key.startsWith(prefix)).sort((left, right) => left.key < right.key ? -1 : 1)
   }
 
   /** Changes with a revision of `fromRevision` or later, or undefined when some of them are compacted. */
--- a/packages/stand-ins/tests/etcd-gateway-store.test.ts
+++ b/packages/stand-ins/tests/etcd-gateway-store.test.ts
@@ -1,7 +1,7 @@
 import { EtcdGatewayStore, type EtcdGatewayStoreOptions } from '@hibiscusledge/platform/etcd-gateway-store.js'
 import type { KeyValueStore, TransactionOutcome, WatchHandler } from '@hibiscusledge/platform/key-value-store.js'
 import type { StoreError } from '@hibiscusledge/platform/store-error.js'
-import type { Timer } from '@hibiscusledge/runtime/clock.js'
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
 import { SystemClock } from '@hibiscusledge/runtime/system-clock.js'
 import test, { type ExecutionContext } from 'ava'
@@ -12,8 +12,8 @@
 
 const clock = new SystemClock()
 
-async function startStandIn (t: ExecutionContext): Promise<{ standIn: StoreStandIn, endpoint: string }> {
-  const standIn = new StoreStandIn({ clock, progressMs: 50 })
+async function startStandIn (t: ExecutionContext, itsClock: Clock = clock): Promise<{ standIn: StoreStandIn, endpoint: string }> {
+  const standIn = new StoreStandIn({ clock: itsClock, progressMs: 50 })
   const { store } = await standIn.start()
   t.teardown(async () => await standIn.stop())
   return { standIn, endpoint: `http://${store}` }
@@ -48,14 +48,26 @@
 
 for (const { name, faults, write, hasEffect, read } of FAULTS) {
   test(`a store that is ${name} never makes a write look harmless that took effect`, async (t) => {
-    const { standIn, endpoint } = await startStandIn(t)
-    // Only the cases that end in a timeout have a short limit, so that a busy machine changes no other outcome.
-    const store = createStore(t, { endpoints: [endpoint], requestTimeoutMs: write.code === 'timeout' ? 400 : 20_000 })
+    // The limit passes only after the call has arrived, so that a busy machine cannot time out a call that was never sent.
+    const storeClock = new FakeClock()
+    const standInClock = new FakeClock()
+    const { standIn, endpoint } = await startStandIn(t, standInClock)
+    const store = createStore(t, { endpoints: [endpoint], clock: storeClock, requestTimeoutMs: 400 })
+    const advancePastLimit = async (expected: Partial<StoreError> | undefined, kind: 'reads' | 'writes'): Promise<void> => {
+      if (expected?.code !== 'timeout') return
+      await waitFor('the call arrives', () => standIn.readCounters().totals[kind] === 1)
+      await storeClock.advanceBy(400)
+    }
     await standIn.setFaults(faults)
-    t.like((await putKey(store, 'key')).val, write)
-    const answer = await store.readKey('key', 'critical')
+    const writing = putKey(store, 'key')
+    await advancePastLimit(write, 'writes')
+    t.like((await writing).val, write)
+    const reading = store.readKey('key', 'critical')
+    await advancePastLimit(read, 'reads')
+    const answer = await reading
     if (read === undefined) t.true(answer.ok)
     else t.like(answer.val, read)
+    await standInClock.advanceBy(faults.slowMs ?? 0)
     if (hasEffect) await waitFor('the effect', () => standIn.keySpace.readKey('key') !== undefined)
     else t.is(standIn.keySpace.readKey('key'), undefined)
     await standIn.setFaults({ down: false, hang: false, slowMs: 0, loseReplyFraction: 0, rates: null })
