Add hibiscusledgectl with its six commands

Cause: operators had no way to check, apply or read tables, or to ask about requests. Ruled out: cac's own usage errors, which stop at the first one; cac's conversion of values that look like numbers, which would record the author 007 as 7; repeating a call that got no answer, as the first one may have taken effect. A 503 without the code notApplied counts as unknown, because a balancer may send it after the instance received the change.

--- /dev/null
+++ b/packages/ctl/src/command-definitions.ts
@@ -0,0 +1,103 @@
+import { DEFAULT_ADDRESS, TIMEOUT_MS } from './ctl-settings.js'
+
+/** An option as `--help` shows it. */
+export interface OptionDefinition {
+  readonly flag: string
+  /** Empty for a switch. */
+  readonly value: string
+  readonly description: string
+}
+
+export const OPTIONS = {
+  json: { flag: '--json', value: '', description: 'Print one JSON object instead of text (default: text)' },
+  address: {
+    flag: '--address',
+    value: '<host:port>',
+    description: `HTTP API of any instance (default: $HIBISCUSLEDGE_ADDRESS, else ${DEFAULT_ADDRESS})`
+  },
+  timeoutMs: {
+    flag: '--timeout-ms',
+    value: '<ms>',
+    description: 'Longest wait for each answer of the instance, in milliseconds, ' +
+      `${TIMEOUT_MS.minimum} to ${TIMEOUT_MS.maximum} (default: $HIBISCUSLEDGE_TIMEOUT_MS, else ${TIMEOUT_MS.default})`
+  },
+  author: {
+    flag: '--author',
+    value: '<name>',
+    description: 'Who makes the change, shown to whoever makes a conflicting one (default: $HIBISCUSLEDGE_AUTHOR, else $USER)'
+  },
+  expectedRevision: {
+    flag: '--expected-revision',
+    value: '<revision>',
+    description: 'Revision that the change was made from, 0 when there are no tables yet (default: the current one, read first)'
+  }
+} as const satisfies Record<string, OptionDefinition>
+export type OptionName = keyof typeof OPTIONS
+
+/** A command as `--help` shows it. */
+export interface CommandDefinition {
+  readonly name: string
+  /** Placeholders of the arguments; the last one may be repeated up to `greatestArguments`. */
+  readonly argumentName: string
+  readonly leastArguments: number
+  readonly greatestArguments: number
+  readonly description: string
+  readonly options: readonly OptionName[]
+}
+
+export const REQUEST_ID_ARGUMENT = '<request-id>'
+
+const CALL_OPTIONS = ['address', 'timeoutMs', 'json'] as const
+
+export const COMMANDS = {
+  tablesCheck: {
+    name: 'tables check',
+    argumentName: '<...files>',
+    leastArguments: 1,
+    greatestArguments: 2,
+    description: 'Check routes.csv, pools.csv or both together; needs no instance',
+    options: ['json']
+  },
+  tablesApply: {
+    name: 'tables apply',
+    argumentName: '<...files>',
+    leastArguments: 2,
+    greatestArguments: 2,
+    description: 'Put routes.csv and pools.csv into force together',
+    options: ['author', 'expectedRevision', ...CALL_OPTIONS]
+  },
+  tablesShow: {
+    name: 'tables show',
+    argumentName: '',
+    leastArguments: 0,
+    greatestArguments: 0,
+    description: 'Show the tables in force on the instance',
+    options: CALL_OPTIONS
+  },
+  status: {
+    name: 'status',
+    argumentName: '',
+    leastArguments: 0,
+    greatestArguments: 0,
+    description: 'Show members, units, loads and the store as the instance sees them',
+    options: CALL_OPTIONS
+  },
+  explain: {
+    name: 'explain',
+    argumentName: REQUEST_ID_ARGUMENT,
+    leastArguments: 1,
+    greatestArguments: 1,
+    description: 'Show why a request still waits',
+    options: CALL_OPTIONS
+  },
+  outcome: {
+    name: 'outcome',
+    argumentName: REQUEST_ID_ARGUMENT,
+    leastArguments: 1,
+    greatestArguments: 1,
+    description: 'Show what became of a request',
+    options: CALL_OPTIONS
+  }
+} as const satisfies Record<string, CommandDefinition>
+export type CommandName = keyof typeof COMMANDS
+export const COMMAND_NAMES = Object.keys(COMMANDS) as CommandName[]
--- /dev/null
+++ b/packages/ctl/src/outcome-command.ts
@@ -0,0 +1,30 @@
+import { outcomeAnswer, type OutcomeAnswer } from './answer-schemas.js'
+import type { ApiClient } from './api-client.js'
+import type { Command, CommandReport } from './command.js'
+import { EXIT_CODES, type ExitCode } from './exit-codes.js'
+import { formatOutcome } from './format-request.js'
+import { reportAnswer } from './reports.js'
+
+const OUTCOME_EXIT_CODES: Readonly<Record<OutcomeAnswer['outcome'], ExitCode>> = {
+  completed: EXIT_CODES.success,
+  notRun: EXIT_CODES.negative,
+  pending: EXIT_CODES.negative,
+  unknown: EXIT_CODES.unknown
+}
+
+/** `outcome REQUEST-ID`: what became of a request. */
+export class OutcomeCommand implements Command {
+  readonly #client: ApiClient
+  readonly #requestId: string
+
+  constructor (client: ApiClient, requestId: string) {
+    this.#client = client
+    this.#requestId = requestId
+  }
+
+  async execute (): Promise<CommandReport> {
+    return await reportAnswer(this.#client, `/v1/requests/${encodeURIComponent(this.#requestId)}`, outcomeAnswer, (answer) => ({
+      exitCode: OUTCOME_EXIT_CODES[answer.outcome], data: answer, lines: formatOutcome(answer)
+    }))
+  }
+}
--- /dev/null
+++ b/packages/ctl/src/tables-show-command.ts
@@ -0,0 +1,21 @@
+import { tablesAnswer } from './answer-schemas.js'
+import type { ApiClient } from './api-client.js'
+import type { Command, CommandReport } from './command.js'
+import { EXIT_CODES } from './exit-codes.js'
+import { formatTables } from './format-tables.js'
+import { reportAnswer } from './reports.js'
+
+/** `tables show`: the tables in force on the instance. */
+export class TablesShowCommand implements Command {
+  readonly #client: ApiClient
+
+  constructor (client: ApiClient) {
+    this.#client = client
+  }
+
+  async execute (): Promise<CommandReport> {
+    return await reportAnswer(this.#client, '/v1/tables', tablesAnswer, (answer) => ({
+      exitCode: EXIT_CODES.success, data: answer, lines: formatTables(answer)
+    }))
+  }
+}
--- a/packages/tables/src/table-store.ts
+++ b/packages/tables/src/table-store.ts
@@ -15,7 +15,7 @@
 const { Ok } = tsResults
 
 const NONCE_BYTES = 16
-const MAX_AUTHOR_LENGTH = 200
+const MAX_AUTHOR_LENGTH = 128
 /** Reads and repeated commits after a lost reply. With the backoff they cover a store outage of about 4 s. */
 const RESOLVE_ATTEMPTS = 6
 const RESOLVE_BACKOFF = { initialMs: 100, maximumMs: 2_000 } as const
