--- a/packages/tables/src/csv-table.ts
+++ b/packages/tables/src/csv-table.ts
@@ -73,7 +73,7 @@
 
 /** csv-parse reports the line on which a record ends. */
 function countLineBreaks (cells: readonly string[]): number {
-  return cells.reduce((count, cell) => count + cell.split('\n').length - 1, 0)
+  return cells.reduce((count, cell) => cell.includes('\n') ? count + cell.split('\n').length - 1 : count, 0)
 }
 
 function readHeader<Column extends string> (
--- a/packages/tables/src/read-pool.ts
+++ b/packages/tables/src/read-pool.ts
@@ -44,7 +44,7 @@
 function checkFloors (reader: RowReader<PoolColumn>, pool: PoolPolicy): void {
   const floorColumns = URGENCIES.map((urgency) => CLASS_COLUMNS[urgency].floorPercent)
   const unitsPerPercent = 10 ** FRACTION_DIGITS
-  // Summed in whole thousandths, as 33.4 + 33.3 + 33.3 is over 100 in binary fractions.
+  // Summed in whole thousandths, as 0.1 + 28.5 + 35.7 + 35.7 is over 100 in binary fractions.
   const units = URGENCIES.map((urgency) => Math.round(pool.classes[urgency].floorPercent * unitsPerPercent))
   const sum = units.reduce((total, unit) => total + unit, 0) / unitsPerPercent
   const isSumSound = reader.isSound(...floorColumns)
--- a/packages/tables/tests/parse-tables.test.ts
+++ b/packages/tables/tests/parse-tables.test.ts
@@ -85,16 +85,17 @@
 
 const POOL_CASES: readonly PoolCase[] = [
   {
-    title: 'all cells given',
+    title: 'all cells given, with floors whose sum is over 100 in binary fractions',
     cells: {
       failureDomains: 'a|b',
       racks: 'r1',
       labels: 'disk=ssd|image=team/x:1',
       slots: '8',
       connections: '64',
-      floorUrgentPercent: '33.4',
-      floorHighPercent: '33.3',
-      floorNormalPercent: '33.3',
+      floorUrgentPercent: '0.1',
+      floorHighPercent: '28.5',
+      floorNormalPercent: '35.7',
+      floorLowPercent: '35.7',
       limitLowPercent: '50',
       maxQueueMsLow: '0',
       teamQuotas: 'x=0.5|y=100'
@@ -148,9 +149,9 @@
     ]
   },
   {
-    title: 'the row number after a quoted line break with CRLF',
-    texts: { pools: `${POOL_COLUMNS.join(',')}\r\n"quick","executor\r\n"${EMPTY_CELLS}\r\n# comment\r\n\r\nheavy,worker-${EMPTY_CELLS}` },
-    expected: ['pools.csv:6:2 unknownName']
+    title: 'the row numbers of and after a row with a quoted CRLF',
+    texts: { pools: `${POOL_COLUMNS.join(',')}\r\nquick,"exec\r\nutor"${EMPTY_CELLS}\r\n# comment\r\n\r\nheavy,worker-${EMPTY_CELLS}` },
+    expected: ['pools.csv:2:2 unknownName', 'pools.csv:6:2 unknownName']
   },
   {
     title: 'rows shorter and longer than the header',
