Document the HTTP API and the operation of an instance

Operators and callers need every path, field, limit, code, setting, signal and log event on a page. A test compares the table of settings with the program's own and looks for each error code, finding, log event and metric; it found one event that the program never logs, which is removed.

--- a/packages/entry/src/api-server.ts
+++ b/packages/entry/src/api-server.ts
@@ -6,6 +6,7 @@
 import { createErrorResponse } from './api-response.js'
 import { ConnectionGuard } from './connection-guard.js'
 import { LOG_EVENTS } from './log-events.js'
+import { API_METRICS } from './metric-names.js'
 import { createOperationsService } from './operations-service.js'
 import { createRequestsService } from './requests-service.js'
 import { writeResponse } from './write-response.js'
@@ -94,9 +95,9 @@
       method: request.$alias === undefined ? 'none' : request.method ?? 'none',
       status: response.writableFinished ? String(response.statusCode) : 'disconnected'
     }
-    this.#parts.metrics.incrementCounter('api.requests', 1, tags)
-    this.#parts.metrics.recordTiming('api.duration', this.#parts.clock.readMonotonicMs() - startedAtMs, tags)
-    this.#parts.metrics.setGauge('api.pending', this.#parts.pendingCallers.readCount())
+    this.#parts.metrics.incrementCounter(API_METRICS.requests, 1, tags)
+    this.#parts.metrics.recordTiming(API_METRICS.duration, this.#parts.clock.readMonotonicMs() - startedAtMs, tags)
+    this.#parts.metrics.setGauge(API_METRICS.pending, this.#parts.pendingCallers.readCount())
   }
 }
 
--- a/packages/entry/src/log-events.ts
+++ b/packages/entry/src/log-events.ts
@@ -13,7 +13,6 @@
   terminatedAtOnce: 'process.terminatedAtOnce',
   startFailed: 'process.startFailed',
   internalFault: 'process.internalFault',
-  settingsInvalid: 'process.settingsInvalid',
   metricsFailed: 'metrics.failed',
   spansDropped: 'spans.dropped',
   span: 'span'
