--- a/packages/tables/src/parse-tables.ts
+++ b/packages/tables/src/parse-tables.ts
@@ -1,8 +1,26 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
-import { Err, type Result } from 'ts-results'
+import tsResults, { type Result } from 'ts-results'
+import { checkDuplicatePools, checkDuplicateRoutes, checkJoins } from './check-joins.js'
+import { hashTables } from './hash-tables.js'
+import { collectFindings, readTableRows } from './read-table-rows.js'
 import type { TableSet, TableTexts } from './table-set.js'
 
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err, Ok } = tsResults
+
 /** Parses and checks both tables. All findings are reported together. */
-export function parseTables (_texts: TableTexts, _revision: number): Result<TableSet, readonly Finding[]> {
-  return Err([{ code: 'notImplemented', place: 'tables', message: 'the parser is not implemented yet' }])
+export function parseTables (texts: TableTexts, revision: number): Result<TableSet, readonly Finding[]> {
+  const rows = readTableRows(texts)
+  checkDuplicateRoutes(rows.routes)
+  checkDuplicatePools(rows.pools)
+  if (rows.hasPoolNames) checkJoins(rows.routes, rows.pools)
+  const findings = collectFindings(rows)
+  if (findings.length > 0) return new Err(findings)
+  return new Ok({
+    revision,
+    hash: hashTables(texts),
+    texts,
+    routes: rows.routes.map(({ route }) => route),
+    pools: rows.pools.map(({ pool }) => pool)
+  })
 }
