Bind the peer port of the program's test to a free loopback port

Since the instance opens peer links, the test listened on all addresses at the default port 8081 and could meet another run on the same machine.

--- a/packages/entry/tests/hibiscusledge.test.ts
+++ b/packages/entry/tests/hibiscusledge.test.ts
@@ -6,7 +6,8 @@
 const PROGRAM = fileURLToPath(new URL('../src/hibiscusledge.js', import.meta.url))
 const FLAGS = [
   '--instance-id', 'entry-a', '--failure-domain', 'nairobi-a', '--store-endpoints', 'http://127.0.0.1:1',
-  '--instance-list-url', 'http://127.0.0.1:1/', '--api-host', '127.0.0.1', '--api-port', '0', '--drain-grace-ms', '100'
+  '--instance-list-url', 'http://127.0.0.1:1/', '--api-host', '127.0.0.1', '--api-port', '0', '--peer-host', '127.0.0.1',
+  '--peer-port', '0', '--drain-grace-ms', '100'
 ]
 
 interface Run {
