--- a/packages/peer/src/heartbeat-load-directory.ts
+++ b/packages/peer/src/heartbeat-load-directory.ts
@@ -25,18 +25,18 @@
 export class HeartbeatLoadDirectory implements LoadDirectory {
   readonly #clock: Clock
   readonly #reports = new Map<UnitId, Report>()
-  #provider: () => readonly ShardLoad[] = () => []
+  #listLoads: () => readonly ShardLoad[] = () => []
 
   constructor (clock: Clock) {
     this.#clock = clock
   }
 
   setLocalLoads (provider: () => readonly ShardLoad[]): void {
-    this.#provider = provider
+    this.#listLoads = provider
   }
 
   listLocalLoads (): readonly ShardLoad[] {
-    return this.#provider()
+    return this.#listLoads()
   }
 
   /** Records what a peer reports. A report of an outdated epoch does not replace that of a newer owner. */
@@ -50,7 +50,7 @@
 
   findLoad (unit: UnitId): ShardLoad | undefined {
     const reported = this.#findFresh(unit)
-    const local = this.#provider().find((load) => load.unit === unit)
+    const local = this.#listLoads().find((load) => load.unit === unit)
     return local !== undefined && local.epoch >= (reported?.epoch ?? 0) ? local : reported
   }
 
--- a/packages/peer/src/link-dialer.ts
+++ b/packages/peer/src/link-dialer.ts
@@ -35,8 +35,8 @@
   }
 
   start (): void {
-    this.#timer = this.#clock.startInterval(DIAL_PERIOD_MS, () => this.#dialDue())
-    this.#dialDue()
+    this.#timer = this.#clock.startInterval(DIAL_PERIOD_MS, () => this.#connectDue())
+    this.#connectDue()
   }
 
   stop (): void {
@@ -64,7 +64,7 @@
     state.notBeforeMs = this.#clock.readMonotonicMs() + computeBackoffMs(state.retry++, DIAL_BACKOFF, this.#random)
   }
 
-  #dialDue (): void {
+  #connectDue (): void {
     const nowMs = this.#clock.readMonotonicMs()
     const known = new Map([...this.#addresses].map(([instance, address]) => [address, instance]))
     for (const address of new Set([...this.#seeds, ...known.keys()])) {
--- a/packages/peer/src/membership-keeper.ts
+++ b/packages/peer/src/membership-keeper.ts
@@ -76,7 +76,7 @@
     return this.#isDraining
   }
 
-  /** The registration in force, or undefined while the alive key is not known to exist and the owner records have not been read under it. */
+  /** The registration in force; undefined until the alive key is known to exist and the owner records have been read under it. */
   readRegistration (): RegistrationState | undefined {
     return this.#registered
   }
@@ -96,7 +96,8 @@
     const lease = this.#registered?.lease
     const sentMs = clock.readMonotonicMs()
     // One renewal at a time, unless its reply is overdue.
-    if (this.#isStopped || lease === undefined || (this.#renewalSentMs !== undefined && sentMs - this.#renewalSentMs < timings.renewalPeriodMs * 1.5)) return
+    const isPending = this.#renewalSentMs !== undefined && sentMs - this.#renewalSentMs < timings.renewalPeriodMs * 1.5
+    if (this.#isStopped || lease === undefined || isPending) return
     this.#renewalSentMs = sentMs
     const renewal = await store.renewLease(lease.id)
     if (this.#renewalSentMs === sentMs) this.#renewalSentMs = undefined
--- a/packages/peer/src/owner-writer.ts
+++ b/packages/peer/src/owner-writer.ts
@@ -39,7 +39,8 @@
   ): Promise<OwnerWriteOutcome> {
     const key = formatOwnerKey(unit)
     const nonce = this.#random.drawHex(8)
-    const record: OwnerRecord = { owner: owner.instance as InstanceId, incarnation: owner.incarnation as Incarnation, epoch: current.epoch + 1, nonce }
+    const epoch = current.epoch + 1
+    const record: Record<keyof OwnerRecord, string | number> = { owner: owner.instance, incarnation: owner.incarnation, epoch, nonce }
     const value = JSON.stringify(record)
     const outcome = await this.#store.commitTransaction({
       comparisons: [{ key, modRevision: current.modRevision }, ...comparisons],
--- a/packages/peer/src/ownership-manager.ts
+++ b/packages/peer/src/ownership-manager.ts
@@ -69,7 +69,7 @@
     this.#isStopped = true
     this.#timer?.cancel()
     this.#step.stop()
-    for (const lifecycle of this.#lifecycles.values()) lifecycle.lose()
+    for (const lifecycle of this.#lifecycles.values()) lifecycle.drop()
   }
 
   /** Settles once no unit is held here any more; the members must already see this instance as draining. */
@@ -138,7 +138,7 @@
     const lifecycle = this.#ensureLifecycle(unit)
     const isOwn = owner !== undefined && owner.instance === self.instance && owner.incarnation === self.incarnation
     if (lifecycle.isHeld() && (!isOwn || lifecycle.readOwner()?.epoch !== owner.epoch)) {
-      lifecycle.lose()
+      lifecycle.drop()
       logger.logInfo(PEER_LOG_EVENTS.unitLost, { unit, epoch: owner?.epoch })
     }
     if (isOwn && !lifecycle.isHeld() && !this.#isStopped) {
--- a/packages/peer/src/ownership-planner.ts
+++ b/packages/peer/src/ownership-planner.ts
@@ -11,7 +11,9 @@
 }
 
 /** Ranks the instances that may take over from an owner soon; every live instance when there is none. */
-export function rankSuccessors (unit: UnitId, owner: InstanceId, view: ViewRecord | undefined, alive: readonly AliveRecord[]): InstanceId[] {
+export function rankSuccessors (
+  unit: UnitId, owner: InstanceId, view: ViewRecord | undefined, alive: readonly AliveRecord[]
+): InstanceId[] {
   const eligible = alive.filter((record) => computeStanding(record, true, owner, view) !== 'outsider')
   return rankOwners(unit, eligible.length > 0 ? eligible : alive)
 }
@@ -25,7 +27,9 @@
  * Chooses the successor for a planned hand-over: the first in rank that is this instance or connected to it.
  * Undefined when the unit stays here. An instance that can't be reached from here would get no requests either.
  */
-export function chooseSuccessor (unit: UnitId, self: InstanceId, alive: readonly AliveRecord[], isConnected: (record: AliveRecord) => boolean): AliveRecord | undefined {
+export function chooseSuccessor (
+  unit: UnitId, self: InstanceId, alive: readonly AliveRecord[], isConnected: (record: AliveRecord) => boolean
+): AliveRecord | undefined {
   const first = rankOwners(unit, alive).map((instance) => alive.find((record) => record.instance === instance))
     .find((record) => record !== undefined && (record.instance === self || isConnected(record)))
   return first === undefined || first.instance === self ? undefined : first
--- a/packages/peer/src/peer-node.ts
+++ b/packages/peer/src/peer-node.ts
@@ -70,13 +70,15 @@
     this.#options = options
     this.#timings = timings
     this.#record = {
-      instance: self, incarnation, address: options.advertisedAddress, failureDomain: options.failureDomain, isDraining: false, startedAt: clock.readWallMs()
+      ...{ instance: self, incarnation, address: options.advertisedAddress, failureDomain: options.failureDomain },
+      ...{ isDraining: false, startedAt: clock.readWallMs() }
     }
     this.#links = network !== undefined
       ? undefined
       : new WebSocketPeerNetwork({ ...options, self: { instance: self, incarnation }, startedAtMs: this.#record.startedAt, timings })
     this.network = (network ?? this.#links) as HeartbeatNetwork
-    this.#cache = new StoreCache(store, clock, logger, [ALIVE_PREFIX, VIEW_PREFIX, OWNER_PREFIX, LAYOUT_KEY, TABLES_KEY], timings.listingPeriodMs)
+    const prefixes = [ALIVE_PREFIX, VIEW_PREFIX, OWNER_PREFIX, LAYOUT_KEY, TABLES_KEY]
+    this.#cache = new StoreCache(store, clock, logger, prefixes, timings.listingPeriodMs)
     this.#views = new ViewKeeper(store, clock, random, logger, this.#record)
     this.#authority = new AuthorityKeeper(clock, logger, timings, () => this.#views.listRequired())
     this.#keeper = new MembershipKeeper({
--- a/packages/peer/src/promise-ledger.ts
+++ b/packages/peer/src/promise-ledger.ts
@@ -48,7 +48,8 @@
     let given = this.#given.get(owner)
     if (given === undefined) {
       this.#prune()
-      given = { lastPromiseMs: Number.NEGATIVE_INFINITY, lastDeniedRegistration: Number.NEGATIVE_INFINITY, lastDenialMs: Number.NEGATIVE_INFINITY }
+      const neverMs = Number.NEGATIVE_INFINITY
+      given = { lastPromiseMs: neverMs, lastDeniedRegistration: neverMs, lastDenialMs: neverMs }
       this.#given.set(owner, given)
     }
     return given
--- a/packages/peer/src/reconcile-step.ts
+++ b/packages/peer/src/reconcile-step.ts
@@ -58,7 +58,10 @@
     // Absence is judged, and owners denied, only on what the store said just now: during an outage nothing is known.
     const isFresh = cache.isComplete() && nowMs - cache.readLastContactMs() < 1.5 * timings.renewalPeriodMs
     if (registration === undefined || !isFresh || !alive.some((record) => record.incarnation === this.#options.self.incarnation)) return
-    if (this.#registry.readPartitionCount() === 0) return void this.#createLayout()
+    if (this.#registry.readPartitionCount() === 0) {
+      void this.#createLayout()
+      return
+    }
     const owners = new Set<string>()
     for (const unit of this.#registry.listUnits()) {
       const owner = this.#registry.findOwner(unit)
@@ -83,7 +86,9 @@
     void this.#takeUnit(unit, registration, [], PEER_LOG_EVENTS.unitAcquired)
   }
 
-  #reconcileForeign (unit: UnitId, owner: UnitOwner, alive: readonly AliveRecord[], registration: RegistrationState, nowMs: number): void {
+  #reconcileForeign (
+    unit: UnitId, owner: UnitOwner, alive: readonly AliveRecord[], registration: RegistrationState, nowMs: number
+  ): void {
     const { cache, self, promises, timings, logger, readListeningSinceMs } = this.#options
     const viewKey = formatViewKey(owner.instance, owner.incarnation)
     const storedView = cache.find(viewKey)
@@ -104,7 +109,7 @@
     }, timings)
     if (decision === 'deny' && view !== undefined) {
       promises.deny(ownerKey, view.registration)
-      logger.logWarning(PEER_LOG_EVENTS.ownerDenied, { owner: owner.instance, incarnation: owner.incarnation, registration: view.registration })
+      logger.logWarning(PEER_LOG_EVENTS.ownerDenied, { owner: ownerKey, registration: view.registration })
     }
     const rank = rankSuccessors(unit, owner.instance, view, alive).indexOf(self.instance)
     const waitedMs = nowMs - absentSinceMs - timings.absenceMs
--- a/packages/peer/src/store-records.ts
+++ b/packages/peer/src/store-records.ts
@@ -43,7 +43,7 @@
 export type OwnerRecord = z.output<typeof ownerSchema>
 
 export function formatAliveKey (instance: InstanceId): string { return ALIVE_PREFIX + instance }
-/** The view has a key for each incarnation: a restarted instance must not overwrite the view on which a takeover from its predecessor depends. */
+/** One key for each incarnation: a restarted instance must not overwrite the view that decides on a takeover from its predecessor. */
 export function formatViewKey (instance: InstanceId, incarnation: Incarnation): string { return `${VIEW_PREFIX}${instance}/${incarnation}` }
 export function formatOwnerKey (unit: UnitId): string { return OWNER_PREFIX + unit }
 export function parseOwnerKey (key: string): UnitId { return toUnitId(key.slice(OWNER_PREFIX.length)) }
--- a/packages/peer/src/table-replica.ts
+++ b/packages/peer/src/table-replica.ts
@@ -16,7 +16,11 @@
 const MAX_VALUE_BYTES = 2_097_152
 
 const fetchSchema = z.object({ revision: z.number().int(), offset: z.number().int().nonnegative() })
-const chunkSchema = z.object({ revision: z.number().int(), totalBytes: z.number().int().max(MAX_VALUE_BYTES), chunk: z.instanceof(Uint8Array) })
+const chunkSchema = z.object({
+  revision: z.number().int(),
+  totalBytes: z.number().int().max(MAX_VALUE_BYTES),
+  chunk: z.instanceof(Uint8Array)
+})
 
 type ParseTables = typeof parseTables
 
--- a/packages/peer/src/takeover-rule.ts
+++ b/packages/peer/src/takeover-rule.ts
@@ -26,7 +26,9 @@
 export type TakeoverDecision = 'wait' | 'deny' | 'take'
 
 /** Determines an instance's standing. The address proves the end of an earlier process only if its listener is exclusive. */
-export function computeStanding (self: ViewMember, isAddressExclusive: boolean, owner: InstanceId, view: ViewRecord | undefined): TakeoverStanding {
+export function computeStanding (
+  self: ViewMember, isAddressExclusive: boolean, owner: InstanceId, view: ViewRecord | undefined
+): TakeoverStanding {
   if (view === undefined) return 'outsider'
   const selfKey = formatMemberKey(self)
   if (isAddressExclusive && self.instance === owner && self.address === view.address && self.incarnation !== view.incarnation) return 'successor'
--- a/packages/peer/src/unit-lifecycle.ts
+++ b/packages/peer/src/unit-lifecycle.ts
@@ -64,7 +64,7 @@
   }
 
   /** Drops the unit. The role is told once. */
-  lose (): boolean {
+  drop (): boolean {
     if (!this.transition('LOSE')) return false
     this.#role?.stopUnit(this.unit)
     this.#owner = undefined
--- a/packages/peer/src/view-keeper.ts
+++ b/packages/peer/src/view-keeper.ts
@@ -80,7 +80,10 @@
     const record = this.#formatRecord(state.registration, members)
     this.#pending.push(members)
     const outcome = await this.#store.commitTransaction({
-      comparisons: [{ key: formatAliveKey(this.#self.instance), modRevision: state.aliveRevision }, { key: this.#key, modRevision: revision }],
+      comparisons: [
+        { key: formatAliveKey(this.#self.instance), modRevision: state.aliveRevision },
+        { key: this.#key, modRevision: revision }
+      ],
       mutations: [{ type: 'put', key: this.#key, value: JSON.stringify(record) }]
     }, 'critical')
     if (outcome.ok && outcome.val.isCommitted) {
@@ -118,6 +121,7 @@
   }
 
   #formatRecord (registration: number, members: readonly ViewMember[]): ViewRecord {
-    return { incarnation: this.#self.incarnation, registration, address: this.#self.address, members: [...members], nonce: this.#random.drawHex(8) }
+    const { incarnation, address } = this.#self
+    return { incarnation, registration, address, members: [...members], nonce: this.#random.drawHex(8) }
   }
 }
--- a/packages/peer/src/web-socket-peer-network.ts
+++ b/packages/peer/src/web-socket-peer-network.ts
@@ -57,7 +57,7 @@
     this.#options = options
     this.#pending = new PendingRequests(options.clock)
     this.#dialer = new LinkDialer(options.clock, options.random, options.self.instance, options.seeds,
-      (instance) => this.#links.has(instance), (address) => this.#dial(address))
+      (instance) => this.#links.has(instance), (address) => this.#connect(address))
   }
 
   /** Opens the listener and starts connecting. Rejects when the address can't be bound. */
@@ -95,7 +95,9 @@
     for (const link of this.#connections) link.terminate()
   }
 
-  async sendRequest (to: InstanceId, kind: string, body: unknown, timeoutMs: number, trace?: TraceContext): Promise<Result<unknown, PeerError>> {
+  async sendRequest (
+    to: InstanceId, kind: string, body: unknown, timeoutMs: number, trace?: TraceContext
+  ): Promise<Result<unknown, PeerError>> {
     if (to === this.self.instance) return await this.#requestLocally(kind, body, timeoutMs, trace)
     const link = this.#links.get(to)
     if (link === undefined) return Err({ code: PEER_ERROR_CODES.notConnected, message: `there is no open link to ${to}` })
@@ -131,18 +133,19 @@
   onHello (link: PeerLink, hello: Hello): void {
     const address = this.#dialedAddresses.get(link)
     if (address !== undefined) this.#dialer.recordInstance(address, hello.instance)
-    if (hello.protocol !== PROTOCOL_VERSION) return this.#refuseLink(link, LINK_CLOSE_CODES.protocolVersion, `protocol version ${hello.protocol} is not supported`)
-    if (hello.instance === this.self.instance) return this.#refuseLink(link, LINK_CLOSE_CODES.self, 'the peer has the same instance id')
+    if (hello.protocol !== PROTOCOL_VERSION) return this.#refuseLink(link, 'protocolVersion', `protocol ${hello.protocol} is not supported`)
+    if (hello.instance === this.self.instance) return this.#refuseLink(link, 'self', 'the peer has the same instance id')
     const existing = this.#links.get(hello.instance)
     if (existing !== undefined && !shouldReplaceLink(this.#readFacts(existing), this.#readFacts(link))) {
-      return this.#refuseLink(link, LINK_CLOSE_CODES.duplicate, 'another link to this instance is in use')
+      return this.#refuseLink(link, 'duplicate', 'another link to this instance is in use')
     }
     if (!link.isOutbound) this.#sendHello(link)
     link.accept()
     this.#links.set(hello.instance, link)
     if (existing !== undefined) this.#retireLink(existing)
     this.#options.metrics.setGauge('peer.links.open', this.#links.size)
-    this.#options.logger.logInfo(PEER_LOG_EVENTS.linkOpened, { peer: hello.instance, incarnation: hello.incarnation, isOutbound: link.isOutbound })
+    const { instance: peer, incarnation } = hello
+    this.#options.logger.logInfo(PEER_LOG_EVENTS.linkOpened, { peer, incarnation, isOutbound: link.isOutbound })
     link.send({ kind: PEER_MESSAGE_KINDS.heartbeat, body: this.#buildHeartbeat(hello) })
   }
 
@@ -154,10 +157,11 @@
   }
 
   onMalformed (link: PeerLink, error: PeerError): void {
-    this.#options.logger.logWarning(PEER_LOG_EVENTS.frameMalformed, { peer: link.readHello()?.instance, code: error.code, message: error.message })
+    const { code, message } = error
+    this.#options.logger.logWarning(PEER_LOG_EVENTS.frameMalformed, { peer: link.readHello()?.instance, code, message })
     this.#options.metrics.incrementCounter('peer.frames.malformed')
     link.send({ kind: PEER_MESSAGE_KINDS.hello, error, body: undefined })
-    link.close(LINK_CLOSE_CODES.malformed, error.code)
+    link.close(LINK_CLOSE_CODES.malformed, code)
   }
 
   onClosed (link: PeerLink, code: number): void {
@@ -173,7 +177,7 @@
     this.#options.logger.logInfo(PEER_LOG_EVENTS.linkClosed, { peer, code })
   }
 
-  #dial (address: string): void {
+  #connect (address: string): void {
     let socket: WebSocket
     try {
       socket = new WebSocket(`ws://${address}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, maxPayload: MAX_FRAME_BYTES, perMessageDeflate: false })
@@ -197,9 +201,9 @@
     link.sendHello({ instance: this.self.instance, incarnation: this.self.incarnation, startedAt: this.#options.startedAtMs })
   }
 
-  #refuseLink (link: PeerLink, code: number, reason: string): void {
-    this.#options.logger.logInfo(PEER_LOG_EVENTS.linkRefused, { peer: link.readHello()?.instance, code })
-    link.close(code, reason)
+  #refuseLink (link: PeerLink, cause: keyof typeof LINK_CLOSE_CODES, reason: string): void {
+    this.#options.logger.logInfo(PEER_LOG_EVENTS.linkRefused, { peer: link.readHello()?.instance, cause })
+    link.close(LINK_CLOSE_CODES[cause], reason)
   }
 
   // Frames that the peer has sent on the old link may still arrive, so it is closed with a handshake.
@@ -256,11 +260,14 @@
     }
   }
 
-  async #requestLocally (kind: string, body: unknown, timeoutMs: number, trace: TraceContext | undefined): Promise<Result<unknown, PeerError>> {
+  async #requestLocally (
+    kind: string, body: unknown, timeoutMs: number, trace: TraceContext | undefined
+  ): Promise<Result<unknown, PeerError>> {
     const copy = this.#copyLocally({ kind, body, trace })
     if (copy.err) return copy
     return await new Promise((resolve) => {
-      const timer = this.#options.clock.startTimer(timeoutMs, () => resolve(Err({ code: PEER_ERROR_CODES.timeout, message: `no reply within ${timeoutMs} ms` })))
+      const error = { code: PEER_ERROR_CODES.timeout, message: `no reply within ${timeoutMs} ms` }
+      const timer = this.#options.clock.startTimer(timeoutMs, () => resolve(Err(error)))
       setImmediate(() => {
         void this.#runHandler(copy.val, this.self).then((reply) => {
           timer.cancel()
--- a/packages/peer/tests/fake-cluster.ts
+++ b/packages/peer/tests/fake-cluster.ts
@@ -41,8 +41,10 @@
     const store = this.store.connect(gate)
     const self = { instance: toInstanceId(name), incarnation: toIncarnation(`run${++this.#startCount}`) }
     const node = new PeerNode({
-      ...{ self: self.instance, incarnation: self.incarnation, listenHost: '127.0.0.1', listenPort: 0, advertisedAddress: address, failureDomain: 'd1', seeds: [] },
-      ...{ store, clock: gate, random: this.#random, logger: new SilentEventLogger(), metrics: new SilentMetricSink(), timings: this.#timings },
+      ...{ self: self.instance, incarnation: self.incarnation, listenHost: '127.0.0.1', listenPort: 0, advertisedAddress: address },
+      ...{ failureDomain: 'd1', seeds: [] },
+      ...{ store, clock: gate, random: this.#random, logger: new SilentEventLogger(), metrics: new SilentMetricSink() },
+      timings: this.#timings,
       network: new FakeNetwork(this.fabric, self, gate)
     })
     const process = { name, node, gate, store }
--- a/packages/peer/tests/fake-network.ts
+++ b/packages/peer/tests/fake-network.ts
@@ -24,7 +24,7 @@
     this.clock = clock
   }
 
-  deliver (from: FakeNetwork, to: InstanceId, run: (target: FakeNetwork) => void): boolean {
+  send (from: FakeNetwork, to: InstanceId, run: (target: FakeNetwork) => void): boolean {
     const target = this.nodes.get(to)
     if (target === undefined || target.gate.isKilled()) return false
     if (this.cuts.has(`${from.self.instance}>${to}`)) return true
@@ -72,15 +72,17 @@
 
   sendNotice (to: InstanceId, kind: string, body: unknown): boolean {
     const copy = encodeFrame({ kind, body }).andThen((bytes) => decodeFrame(bytes)).unwrap().body
-    return this.#switch.deliver(this, to, (target) => { void target.#handlers.get(kind)?.(copy, this.self, undefined) })
+    return this.#switch.send(this, to, (target) => { void target.#handlers.get(kind)?.(copy, this.self, undefined) })
   }
 
-  async sendRequest (to: InstanceId, kind: string, body: unknown, timeoutMs: number, _trace?: TraceContext): Promise<Result<unknown, PeerError>> {
+  async sendRequest (
+    to: InstanceId, kind: string, body: unknown, timeoutMs: number, _trace?: TraceContext
+  ): Promise<Result<unknown, PeerError>> {
     return await new Promise((resolve) => {
       this.gate.startTimer(timeoutMs, () => resolve(Err({ code: 'timeout', message: kind })))
-      this.#switch.deliver(this, to, (target) => {
+      this.#switch.send(this, to, (target) => {
         void target.#handlers.get(kind)?.(body, this.self, undefined).then((reply) => {
-          target.#switch.deliver(target, this.self.instance, () => resolve(Ok(reply)))
+          target.#switch.send(target, this.self.instance, () => resolve(Ok(reply)))
         })
       })
     })
--- a/packages/peer/tests/fake-store.ts
+++ b/packages/peer/tests/fake-store.ts
@@ -120,27 +120,27 @@
   }
 
   async readKey (key: string): Promise<Result<StoredValue | undefined, StoreError>> {
-    return await this.#call(false, () => Ok(this.#store.values.get(key)))
+    return await this.#execute(false, () => Ok(this.#store.values.get(key)))
   }
 
   async listPrefix (prefix: string): Promise<Result<{ revision: number, values: StoredValue[] }, StoreError>> {
-    return await this.#call(false, () => Ok(this.#store.list(prefix)))
+    return await this.#execute(false, () => Ok(this.#store.list(prefix)))
   }
 
   async commitTransaction (transaction: Transaction): Promise<Result<TransactionOutcome, StoreError>> {
-    return await this.#call(true, () => this.#store.commit(transaction))
+    return await this.#execute(true, () => this.#store.commit(transaction))
   }
 
   async grantLease (ttlSeconds: number): Promise<Result<string, StoreError>> {
-    return await this.#call(false, () => Ok(this.#store.grant(ttlSeconds)))
+    return await this.#execute(false, () => Ok(this.#store.grant(ttlSeconds)))
   }
 
   async renewLease (leaseId: string): Promise<Result<number, StoreError>> {
-    return await this.#call(false, () => this.#store.renew(leaseId))
+    return await this.#execute(false, () => this.#store.renew(leaseId))
   }
 
   async revokeLease (leaseId: string): Promise<Result<void, StoreError>> {
-    return await this.#call(false, () => Ok(this.#store.revoke(leaseId)))
+    return await this.#execute(false, () => Ok(this.#store.revoke(leaseId)))
   }
 
   watchPrefix (prefix: string, _fromRevision: number, handler: WatchHandler): { close: () => void } {
@@ -149,7 +149,7 @@
     return { close: () => { this.#store.subscriptions.delete(subscription) } }
   }
 
-  async #call<Value> (isWrite: boolean, execute: () => Result<Value, StoreError>): Promise<Result<Value, StoreError>> {
+  async #execute<Value> (isWrite: boolean, run: () => Result<Value, StoreError>): Promise<Result<Value, StoreError>> {
     const { clock, random } = this.#store
     this.callCount++
     const fate = isWrite ? random.drawFraction() : 1
@@ -160,10 +160,10 @@
       clock.startTimer(LATENCY_MS, () => {
         if (this.isCut || this.#store.isDown) return reply(CALL_TIMEOUT_MS, Err(describeError('timeout', isWrite)))
         if (fate < this.lateWriteShare) {
-          clock.startTimer(random.drawInteger(6_000), () => { if (!this.#store.isDown) execute() })
+          clock.startTimer(random.drawInteger(6_000), () => { if (!this.#store.isDown) run() })
           return reply(CALL_TIMEOUT_MS, Err(describeError('timeout', true)))
         }
-        const result = execute()
+        const result = run()
         const isLost = fate < this.lateWriteShare + this.lostReplyShare
         reply(isLost ? CALL_TIMEOUT_MS : LATENCY_MS, isLost ? Err(describeError('timeout', true)) : result)
       })
