Test ownership under kills, pauses, outages, lost replies and cut links

Cause: the argument for the takeover rule needs a history checker that fails when the rule is broken.

--- a/packages/peer/tests/fake-cluster.ts
+++ b/packages/peer/tests/fake-cluster.ts
@@ -36,7 +36,7 @@
   }
 
   /** Starts a process. The same name on the same address stands for a restart on the same machine. */
-  start (name: string, address = `10.0.0.${name}:7000`): FakeProcess {
+  start (name: string, address = `10.0.0.${name}:7000`, timings: Partial<PeerTimings> = this.#timings): FakeProcess {
     const gate = new ProcessGate(this.clock)
     const store = this.store.connect(gate)
     const self = { instance: toInstanceId(name), incarnation: toIncarnation(`run${++this.#startCount}`) }
@@ -44,7 +44,7 @@
       ...{ self: self.instance, incarnation: self.incarnation, listenHost: '127.0.0.1', listenPort: 0, advertisedAddress: address },
       ...{ failureDomain: 'd1', seeds: [] },
       ...{ store, clock: gate, random: this.#random, logger: new SilentEventLogger(), metrics: new SilentMetricSink() },
-      timings: this.#timings,
+      timings,
       network: new FakeNetwork(this.fabric, self, gate)
     })
     const process = { name, node, gate, store }
--- /dev/null
+++ b/packages/peer/tests/ownership-manager.test.ts
@@ -0,0 +1,155 @@
+import { toInstanceId, toUnitId, type UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import test from 'ava'
+import type { UnitOwner, UnitRole } from '../src/ownership-directory.js'
+import { FakeCluster, type FakeProcess } from './fake-cluster.js'
+
+const NAMES = ['1', '2', '3']
+
+async function startCluster (seed: number, names = NAMES): Promise<{ cluster: FakeCluster, processes: FakeProcess[] }> {
+  const cluster = new FakeCluster(seed)
+  const processes = names.map((name) => cluster.start(name))
+  await cluster.run(4_000)
+  return { cluster, processes }
+}
+
+class RecordingRole implements UnitRole {
+  readonly calls: string[] = []
+  async startUnit (unit: UnitId, owner: UnitOwner): Promise<void> { this.calls.push(`start ${unit} ${owner.epoch}`) }
+  async prepareHandOver (unit: UnitId): Promise<void> { this.calls.push(`prepare ${unit}`) }
+  stopUnit (unit: UnitId): void { this.calls.push(`stop ${unit}`) }
+}
+
+test('the checker reports an instance that takes over before its own promise has expired', async (t) => {
+  const cluster = new FakeCluster(3)
+  const [first] = [cluster.start('1'), cluster.start('3')]
+  cluster.start('2', undefined, { absenceMs: 0, promiseMs: 0, promiseMarginMs: -2_000 })
+  await cluster.run(4_000)
+  if (first !== undefined) first.store.isCut = true
+  await cluster.run(6_000)
+  t.true(cluster.violations.length > 0)
+})
+
+test('owners keep authority through a store outage from the promises of all members', async (t) => {
+  const { cluster } = await startCluster(4)
+  cluster.store.isDown = true
+  for (let second = 0; second < 60; second++) {
+    await cluster.run(1_000)
+    t.true(cluster.isServedBy(NAMES), `after ${second + 1} s`)
+  }
+  cluster.store.isDown = false
+  const passedMs = await cluster.runUntil(() => cluster.isServedBy(NAMES), 8_000)
+  t.not(passedMs, undefined)
+  t.deepEqual(cluster.violations, [])
+})
+
+test('promise authority ends 600 s after the last renewal', async (t) => {
+  const { cluster, processes } = await startCluster(5, ['1', '2'])
+  cluster.store.isDown = true
+  await cluster.run(590_000)
+  t.true(cluster.isServedBy(['1', '2']))
+  await cluster.run(12_000)
+  t.true(processes.every(({ node }) => node.ownership.listHeld().every((unit) => !node.ownership.hasAuthority(unit))))
+})
+
+test('an owner that was paused past its lease has no authority when it resumes, and drops what was taken over', async (t) => {
+  const { cluster, processes: [first] } = await startCluster(6)
+  const held = first?.node.ownership.listHeld() ?? []
+  first?.gate.pause()
+  t.not(await cluster.runUntil(() => cluster.isServedBy(['2', '3']), 8_000), undefined)
+  first?.gate.resume(true)
+  t.true(held.every((unit) => first?.node.ownership.hasAuthority(unit) === false))
+  t.not(await cluster.runUntil(() => cluster.isServedBy(NAMES) && first?.node.ownership.listHeld().length === held.length, 12_000), undefined)
+  t.deepEqual(cluster.violations, [])
+})
+
+test('an owner that is cut off from the store loses its units to a member, although its links work', async (t) => {
+  const { cluster, processes: [first] } = await startCluster(7)
+  if (first !== undefined) first.store.isCut = true
+  t.not(await cluster.runUntil(() => cluster.isServedBy(['2', '3']), 12_000), undefined)
+  t.deepEqual(cluster.violations, [])
+})
+
+test('two owners that die at once are succeeded by the rest of their view', async (t) => {
+  const { cluster, processes } = await startCluster(8, ['1', '2', '3', '4', '5'])
+  for (const process of processes.slice(0, 2)) process.gate.kill()
+  t.not(await cluster.runUntil(() => cluster.isServedBy(['3', '4', '5']), 10_000), undefined)
+})
+
+test('a site that restarts as a whole on the same addresses does not wait for the limit of promise authority', async (t) => {
+  const { cluster, processes } = await startCluster(9)
+  for (const { gate } of processes) gate.kill()
+  await cluster.run(500)
+  for (const name of NAMES) cluster.start(name)
+  const passedMs = await cluster.runUntil(() => cluster.isServedBy(NAMES), 15_000)
+  t.log(`served after ${passedMs} ms`)
+  t.not(passedMs, undefined)
+})
+
+test('an instance outside the view of a dead owner takes over only after the limit of promise authority', async (t) => {
+  const { cluster, processes } = await startCluster(10, ['1'])
+  processes[0]?.gate.kill()
+  cluster.start('2')
+  await cluster.run(595_000)
+  t.false(cluster.isServedBy(['2']))
+  t.not(await cluster.runUntil(() => cluster.isServedBy(['2']), 20_000), undefined)
+})
+
+test('a rolling replacement of all instances leaves every unit served', async (t) => {
+  const { cluster, processes } = await startCluster(11)
+  for (const [index, { node }] of processes.entries()) {
+    cluster.start(String(index + 4))
+    await cluster.run(2_000)
+    let isDrained = false
+    void node.drain().then(async () => await node.stop()).then(() => { isDrained = true })
+    t.not(await cluster.runUntil(() => isDrained, 20_000), undefined)
+    processes[index]?.gate.kill()
+  }
+  t.not(await cluster.runUntil(() => cluster.isServedBy(['4', '5', '6']), 10_000), undefined)
+  t.deepEqual(cluster.violations, [])
+})
+
+test('a hand-over prepares the unit, moves it with the next epoch and stops it here', async (t) => {
+  const { cluster, processes: [first] } = await startCluster(12, ['1'])
+  const role = new RecordingRole()
+  first?.node.ownership.registerRole('partition/', role)
+  const second = cluster.start('2')
+  t.not(await cluster.runUntil(() => second.node.ownership.listHeld().length > 0 && cluster.isServedBy(['1', '2']), 8_000), undefined)
+  const [unit] = second.node.ownership.listHeld()
+  t.deepEqual(role.calls.filter((call) => call.includes(` ${unit}`)), [`start ${unit} 1`, `prepare ${unit}`, `stop ${unit}`])
+  t.is(first?.node.ownership.findOwner(unit ?? toUnitId(''))?.epoch, 2)
+  t.is(first?.node.ownership.findOwner(unit ?? toUnitId(''))?.instance, toInstanceId('2'))
+})
+
+test('replies that are lost after the write took effect leave every unit with one owner', async (t) => {
+  const cluster = new FakeCluster(13)
+  for (const name of NAMES) cluster.start(name).store.lostReplyShare = 0.5
+  t.not(await cluster.runUntil(() => cluster.isServedBy(NAMES), 20_000), undefined)
+  t.deepEqual(cluster.violations, [])
+})
+
+test('instances that create the layout at once agree on the one that was written first', async (t) => {
+  const { cluster, processes } = await startCluster(14, ['1', '2', '3', '4', '5'])
+  t.is(cluster.store.values.get('hl/layout')?.createRevision, cluster.store.values.get('hl/layout')?.modRevision)
+  for (const { node } of processes) t.is(node.ownership.listUnits().length, 16)
+})
+
+test('an instance that starts during an outage learns members and owners from peers and takes nothing', async (t) => {
+  const { cluster } = await startCluster(15)
+  cluster.store.isDown = true
+  const late = cluster.start('4')
+  await cluster.run(4_000)
+  t.is(late.node.readStoreState(), 'unreachable')
+  t.deepEqual(late.node.membership.listMembers().map(({ instance }) => String(instance)), ['1', '2', '3', '4'])
+  t.is(late.node.ownership.listUnits().filter((unit) => late.node.ownership.findOwner(unit) !== undefined).length, 16)
+  t.is(late.node.ownership.listHeld().length, 0)
+  cluster.store.isDown = false
+  t.not(await cluster.runUntil(() => late.node.ownership.listHeld().length > 0, 12_000), undefined)
+  t.deepEqual(cluster.violations, [])
+})
+
+test('announced shards are owned like partitions', async (t) => {
+  const { cluster, processes } = await startCluster(16)
+  const unit = toUnitId('worker/nairobi-a')
+  for (const { node } of processes) node.ownership.announceShards([unit])
+  t.not(await cluster.runUntil(() => processes.some(({ node }) => node.ownership.hasAuthority(unit)), 3_000), undefined)
+})
