--- a/packages/dispatch/tests/ledger-state.test.ts
+++ b/packages/dispatch/tests/ledger-state.test.ts
@@ -36,7 +36,7 @@
 
 const ACCEPTED: LedgerEntry = { type: 'accepted', facts: { ...FACTS, payload: { amount: 3 } }, deadlineWallMs: 1000 }
 
-const CASES: ReadonlyArray<{ title: string, entries: LedgerEntry[], accepted: boolean, intent?: number, outcome?: string }> = [
+const CASES: ReadonlyArray<{ title: string, entries: LedgerEntry[], accepted: boolean, intent?: number, outcome?: 'completed' | 'notRun' | 'unknown' }> = [
   { title: 'an accepted request waits', entries: [ACCEPTED], accepted: true },
   { title: 'an intent stays open until its end is known', entries: [ACCEPTED, createIntent(1)], accepted: true, intent: 1 },
   {
