--- a/packages/entry/tests/api-sessions.test.ts
+++ b/packages/entry/tests/api-sessions.test.ts
@@ -23,6 +23,7 @@
     { send: ['POST', '/v1/requests', { ...REQUEST, kind: 'fail' }] },
     { send: ['POST', '/v1/requests', { ...REQUEST, kind: 'unserializable' }] },
     { send: ['POST', '/v1/requests?wait=20', { ...REQUEST, kind: 'never' }] },
+    { send: ['POST', '/v1/requests?wait=20', { ...REQUEST, kind: 'leave' }] },
     { send: ['GET', '/v1/requests/0a-0001'] },
     { send: ['GET', '/v1/requests/0b-0001'] },
     { send: ['GET', '/v1/requests/0c-0001'] },
--- a/packages/entry/tests/fake-gateway.ts
+++ b/packages/entry/tests/fake-gateway.ts
@@ -31,6 +31,9 @@
       case 'reuse': return { type: 'conflict', requestId }
       case 'fail': throw new Error('fault in the gateway')
       case 'unserializable': return { type: 'outcome', outcome: { requestId, outcome: 'completed', result: 1n } }
+      case 'leave': return await new Promise<SubmissionAnswer>((resolve) => {
+        signal.addEventListener('abort', () => resolve({ type: 'outcome', outcome: { requestId, outcome: 'notRun', reason: 'left the queue' } }))
+      })
       case 'never': return await new Promise<SubmissionAnswer>(() => {})
       case 'hold': return await new Promise<SubmissionAnswer>((resolve) => {
         this.held.push({ submission, signal, requestId, settle: () => resolve(completed) })
