--- a/packages/dispatch/src/request-outcome.ts
+++ b/packages/dispatch/src/request-outcome.ts
@@ -7,7 +7,7 @@
 /** What became of a request. */
 export type RequestOutcome =
   /** Ran; `result` is the target's whole answer. */
-  | { readonly requestId: RequestId, readonly outcome: 'completed', readonly result: unknown }
+  | { readonly requestId: RequestId, readonly outcome: 'completed', readonly result?: unknown }
   /** Proved not to have run. */
   | { readonly requestId: RequestId, readonly outcome: 'notRun', readonly reason: string, readonly retryAfterMs?: number | undefined }
   /** May have run; asking again under the same identifier tells once it is known. */
@@ -17,7 +17,7 @@
 
 /** Checks an outcome that came from another instance or from the store. */
 export const requestOutcomeSchema = z.discriminatedUnion('outcome', [
-  z.object({ requestId: requestIdSchema, outcome: z.literal('completed'), result: z.unknown() }),
+  z.object({ requestId: requestIdSchema, outcome: z.literal('completed'), result: z.unknown().optional() }),
   z.object({ requestId: requestIdSchema, outcome: z.literal('notRun'), reason: z.string(), retryAfterMs: z.number().optional() }),
   z.object({ requestId: requestIdSchema, outcome: z.literal('unknown'), reason: z.string() })
 ])
--- a/packages/peer/src/peer-frame.ts
+++ b/packages/peer/src/peer-frame.ts
@@ -18,7 +18,7 @@
   replyTo: z.number().int().nonnegative().optional(),
   trace: z.string().max(64).optional(),
   error: z.object({ code: z.enum(PEER_ERROR_CODES), message: z.string() }).optional(),
-  body: z.unknown()
+  body: z.unknown().optional()
 })
 
 /** One message on a link. A request has `id`, its reply `replyTo`, a notice neither. */
--- /dev/null
+++ b/packages/stand-ins/tests/target-clients.test.ts
@@ -0,0 +1,145 @@
+import test, { type ExecutionContext } from 'ava'
+import { ExecutorClient } from '@hibiscusledge/dispatch/executor-client.js'
+import type { RunOrder, TargetAddress } from '@hibiscusledge/dispatch/target-client.js'
+import { WorkerClient } from '@hibiscusledge/dispatch/worker-client.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { toRequestId, toTargetId } from '@hibiscusledge/runtime/identifiers.js'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import { SystemClock } from '@hibiscusledge/runtime/system-clock.js'
+import { ExecutorStandIn } from '../src/executor-stand-in.js'
+import type { TargetStandIn } from '../src/target-stand-in.js'
+import { UseLog } from '../src/use-log.js'
+import { isWholeResult } from '../src/work-profile.js'
+import { WorkerStandIn } from '../src/worker-stand-in.js'
+
+const PAYLOAD = { amount: 12 }
+
+function createOrder (name: string, change: Partial<RunOrder> = {}): RunOrder {
+  return {
+    requestId: toRequestId(`00-${name}`),
+    attempt: 1,
+    taskIndex: 0,
+    kind: 'posting',
+    isIdempotent: false,
+    resources: { cores: 1, memoryMb: 64, accelerators: 0 },
+    payload: PAYLOAD,
+    checkpoint: undefined,
+    timeoutMs: 30_000,
+    trace: undefined,
+    ...change
+  }
+}
+
+function createOptions (clock: FakeClock | SystemClock): ConstructorParameters<typeof ExecutorStandIn>[0] {
+  return { id: 'target-1', clock, random: new SeededRandomSource(1), serviceTimes: new Map(), host: '127.0.0.1', maxConnections: 64, labels: {} }
+}
+
+async function startTarget (t: ExecutionContext, standIn: TargetStandIn): Promise<TargetAddress> {
+  const address = await standIn.start(0)
+  t.teardown(async () => { await standIn.stop() })
+  return { id: toTargetId('target-1'), address, connections: 64 }
+}
+
+interface ExecutorFixture { executor: ExecutorStandIn, client: ExecutorClient, target: TargetAddress }
+
+async function createExecutor (t: ExecutionContext): Promise<ExecutorFixture> {
+  const clock = new SystemClock()
+  const executor = new ExecutorStandIn(createOptions(clock), 8)
+  const client = new ExecutorClient(clock, '/hibiscusledge/test')
+  t.teardown(async () => { await client.close() })
+  // With two connections the client keeps one, so that the next run on it meets its silence.
+  return { executor, client, target: { ...await startTarget(t, executor), connections: 2 } }
+}
+
+test('an idempotent run on a connection that went silent ends long before its deadline, so that it can run elsewhere', async (t) => {
+  const { executor, client, target } = await createExecutor(t)
+  await client.run(target, createOrder('first', { isIdempotent: true }))
+  await executor.setFaults({ silence: true })
+  const report = await client.run(target, createOrder('second', { isIdempotent: true, timeoutMs: 3_600_000 }))
+  t.is(report.type, 'unknown')
+  t.is(executor.runs.length, 1)
+})
+
+test('a non-idempotent run does not use a connection that may have gone silent', async (t) => {
+  const { executor, client, target } = await createExecutor(t)
+  await client.run(target, createOrder('first', { isIdempotent: true }))
+  await executor.setFaults({ silence: true })
+  t.is((await client.run(target, createOrder('second'))).type, 'succeeded')
+})
+
+test('an answer that was lost after the run is fetched, and the run is not sent again', async (t) => {
+  const { executor, client, target } = await createExecutor(t)
+  await executor.setFaults({ loseNextAnswers: 1 })
+  const order = createOrder('lost')
+  t.is((await client.run(target, order)).type, 'unknown')
+  const report = await client.attach(target, order)
+  t.true(report.type === 'succeeded' && isWholeResult(report.result, order.requestId, PAYLOAD))
+  t.is(executor.runs.length, 1)
+})
+
+test('a run of another attempt is not taken for this one', async (t) => {
+  const { client, target } = await createExecutor(t)
+  await client.run(target, createOrder('again', { attempt: 1 }))
+  t.is((await client.attach(target, createOrder('again', { attempt: 2, timeoutMs: 1 }))).type, 'unknown')
+})
+
+test('a target that refuses proves that nothing was run', async (t) => {
+  const { executor, client, target } = await createExecutor(t)
+  await executor.setFaults({ leaving: true })
+  t.like(await client.run(target, createOrder('refused')), { type: 'notRun', isLeaving: true })
+  t.is(executor.runs.length, 0)
+})
+
+test('a target that is not there proves that nothing was run', async (t) => {
+  const { executor, client, target } = await createExecutor(t)
+  await executor.setFaults({ down: true })
+  t.like(await client.run(target, createOrder('down')), { type: 'notRun', isLeaving: false })
+  await executor.setFaults({ down: false })
+})
+
+test('work that failed on the target is told as failed', async (t) => {
+  const { executor, client, target } = await createExecutor(t)
+  await executor.setFaults({ failAll: true })
+  t.like(await client.run(target, createOrder('failing')), { type: 'failed', message: 'the run failed' })
+})
+
+interface WorkerFixture { clock: FakeClock, worker: WorkerStandIn, client: WorkerClient, target: TargetAddress, useLog: UseLog }
+
+async function createWorker (t: ExecutionContext): Promise<WorkerFixture> {
+  const clock = new FakeClock()
+  const useLog = new UseLog(clock)
+  const size = { cores: 16, memoryMb: 65_536, accelerators: 0 }
+  const worker = new WorkerStandIn({ ...createOptions(clock), size, useLog, usageLagMs: 0, usageFactors: new Map() })
+  const client = new WorkerClient(clock, () => {})
+  t.teardown(async () => { await client.close() })
+  return { clock, worker, client, useLog, target: await startTarget(t, worker) }
+}
+
+/** Moves the clock on in small steps, with time for loopback HTTP in between, until the promise settles. */
+async function advanceUntilSettled<Value> (clock: FakeClock, promise: Promise<Value>, limitMs: number): Promise<Value | 'timeout'> {
+  let settled: { value: Value } | undefined
+  void promise.then((value) => { settled = { value } })
+  for (let elapsedMs = 0; elapsedMs < limitMs && settled === undefined; elapsedMs += 100) {
+    await clock.advanceBy(100)
+    await new Promise<void>((resolve) => { setTimeout(resolve, 4) })
+  }
+  return settled === undefined ? 'timeout' : settled.value
+}
+
+test('a task that runs longer than its lease is renewed until it ends', async (t) => {
+  const { clock, client, target, useLog } = await createWorker(t)
+  const report = await advanceUntilSettled(clock, client.run(target, createOrder('long', { payload: { standIn: { runMs: 60_000 } } })), 120_000)
+  t.like(report, { type: 'succeeded' })
+  t.deepEqual(useLog.uses.map(({ outcome }) => outcome), ['completed'])
+})
+
+test('a task on a worker that can not be reached counts as lost only after the worker has ended it', async (t) => {
+  const { clock, client, target, worker, useLog } = await createWorker(t)
+  const running = client.run(target, createOrder('frozen', { payload: { standIn: { runMs: 600_000 } } }))
+  await advanceUntilSettled(clock, running, 2_000)
+  await worker.setFaults({ down: true })
+  const report = await advanceUntilSettled(clock, running, 60_000)
+  await worker.setFaults({ down: false })
+  t.like(report, { type: 'lost' })
+  t.is(useLog.uses[0]?.outcome, 'lost')
+})
