Delete views of gone incarnations and test a node without the store

Cause: each restart leaves a view record behind, and every instance lists them all every 2 s. Starting during an outage was tested only on the fake network. Ruled out: a lease on the view record; it must outlive its owner, as takeovers depend on it. Effect: a view goes 60 s after its incarnation is neither alive nor named by an owner record.

--- a/packages/peer/src/reconcile-step.ts
+++ b/packages/peer/src/reconcile-step.ts
@@ -12,6 +12,7 @@
 } from './store-records.js'
 import { computeStanding, decideTakeover } from './takeover-rule.js'
 import type { UnitLifecycle } from './unit-lifecycle.js'
+import { ViewCollector } from './view-collector.js'
 import type { RegistrationState } from './view-keeper.js'
 
 const PARTITION_COUNT = 16
@@ -31,6 +32,7 @@
   readonly #writer: OwnerWriter
   readonly #host: UnitHost
   readonly #handOver: HandOver
+  readonly #collector: ViewCollector
   readonly #absences = new AbsenceTracker()
   readonly #freeSinceMs = new Map<UnitId, number>()
   #membership = ''
@@ -42,6 +44,7 @@
     this.#registry = registry
     this.#writer = writer
     this.#host = host
+    this.#collector = new ViewCollector(options.store, options.cache, options.clock, options.self.instance)
     this.#handOver = new HandOver(options, registry, writer, host)
   }
 
@@ -73,6 +76,7 @@
       }
     }
     this.#absences.retain(owners)
+    this.#collector.run(alive, owners)
     if (this.#isSettled(nowMs)) this.#reconcileHeld(alive)
   }
 
--- /dev/null
+++ b/packages/peer/src/view-collector.ts
@@ -0,0 +1,50 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import { toUnitId, type InstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import { rankOwners } from './ownership-planner.js'
+import type { StoreCache } from './store-cache.js'
+import { formatMemberKey, parseRecord, VIEW_PREFIX, viewSchema, type AliveRecord } from './store-records.js'
+
+/** A view is deleted only long after its incarnation has gone. */
+export const VIEW_EXPIRY_MS = 60_000
+
+/**
+ * Deletes the views of incarnations that are not alive and that no owner record names: each restart leaves one behind.
+ * An incarnation that comes back writes its view again when it registers.
+ */
+export class ViewCollector {
+  readonly #store: KeyValueStore
+  readonly #cache: StoreCache
+  readonly #clock: Clock
+  readonly #self: InstanceId
+  readonly #unusedSinceMs = new Map<string, number>()
+  #isDeleting = false
+
+  constructor (store: KeyValueStore, cache: StoreCache, clock: Clock, self: InstanceId) {
+    this.#store = store
+    this.#cache = cache
+    this.#clock = clock
+    this.#self = self
+  }
+
+  /** Deletes at most one expired view, if this instance is the one to do it. */
+  run (alive: readonly AliveRecord[], owners: ReadonlySet<string>): void {
+    const nowMs = this.#clock.readMonotonicMs()
+    const used = new Set([...owners, ...alive.map(formatMemberKey)].map((member) => VIEW_PREFIX + member))
+    const views = this.#cache.list(VIEW_PREFIX)
+    for (const key of this.#unusedSinceMs.keys()) if (used.has(key) || this.#cache.find(key) === undefined) this.#unusedSinceMs.delete(key)
+    for (const { key, modRevision, value } of views) {
+      if (used.has(key)) continue
+      const sinceMs = this.#unusedSinceMs.get(key) ?? nowMs
+      this.#unusedSinceMs.set(key, sinceMs)
+      const isDue = nowMs - sinceMs >= VIEW_EXPIRY_MS && rankOwners(toUnitId(key), alive)[0] === this.#self
+      if (isDue && !this.#isDeleting && parseRecord(viewSchema, value) !== undefined) void this.#deleteView(key, modRevision)
+    }
+  }
+
+  async #deleteView (key: string, modRevision: number): Promise<void> {
+    this.#isDeleting = true
+    await this.#store.commitTransaction({ comparisons: [{ key, modRevision }], mutations: [{ type: 'delete', key }] }, 'background')
+    this.#isDeleting = false
+  }
+}
--- a/packages/peer/tests/fake-store.ts
+++ b/packages/peer/tests/fake-store.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
 import type { KeyValueStore, StoredValue, Transaction, TransactionOutcome, WatchEvent, WatchHandler } from '@hibiscusledge/platform/key-value-store.js'
 import type { StoreError } from '@hibiscusledge/platform/store-error.js'
@@ -20,6 +20,7 @@
   readonly values = new Map<string, StoredValue>()
   readonly subscriptions = new Set<Subscription>()
   readonly #leases = new Map<string, { ttlMs: number, expiresMs: number }>()
+  readonly #timer: Timer
   #revision = 1
   isDown = false
   /** Whether leases lapse while the store is down. */
@@ -28,7 +29,11 @@
   constructor (clock: Clock, random: RandomSource) {
     this.clock = clock
     this.random = random
-    clock.startInterval(100, () => this.#expireLeases())
+    this.#timer = clock.startInterval(100, () => this.#expireLeases())
+  }
+
+  stop (): void {
+    this.#timer.cancel()
   }
 
   connect (gate: ProcessGate = new ProcessGate(this.clock)): FakeStoreClient {
@@ -50,6 +55,9 @@
       this.values.set(key, stored)
       return { type: 'put', value: stored }
     })
+    for (const mutation of transaction.mutations) {
+      if (mutation.type === 'delete' && this.values.delete(mutation.key)) events.push({ type: 'delete', key: mutation.key, modRevision: revision })
+    }
     this.#publish(events, revision)
     return Ok({ isCommitted: true, revision })
   }
--- a/packages/peer/tests/ownership-manager.test.ts
+++ b/packages/peer/tests/ownership-manager.test.ts
@@ -154,3 +154,21 @@
   for (const { node } of processes) node.ownership.announceShards([unit])
   t.not(await cluster.runUntil(() => processes.some(({ node }) => node.ownership.hasAuthority(unit)), 3_000), undefined)
 })
+
+test('a site whose instances all start during an outage is served once the store is back', async (t) => {
+  const cluster = new FakeCluster(17)
+  cluster.store.isDown = true
+  for (const name of NAMES) cluster.start(name)
+  await cluster.run(30_000)
+  t.true(cluster.processes.every(({ node }) => node.ownership.listHeld().length === 0))
+  cluster.store.isDown = false
+  t.not(await cluster.runUntil(() => cluster.isServedBy(NAMES), 10_000), undefined)
+})
+
+test('views of incarnations that own nothing are deleted, others stay', async (t) => {
+  const { cluster, processes } = await startCluster(18)
+  processes[0]?.gate.kill()
+  await cluster.run(80_000)
+  const views = [...cluster.store.values.keys()].filter((key) => key.startsWith('hl/view/'))
+  t.deepEqual(views.sort(), ['hl/view/2/run2', 'hl/view/3/run3'])
+})
