--- /dev/null
+++ b/packages/peer/tests/view-keeper.test.ts
@@ -0,0 +1,41 @@
+import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { toIncarnation, toInstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import test from 'ava'
+import type { AliveRecord } from '../src/store-records.js'
+import { ViewKeeper } from '../src/view-keeper.js'
+import { FakeStore } from './fake-store.js'
+
+const createRecord = (name: string): AliveRecord => ({
+  instance: toInstanceId(name), incarnation: toIncarnation('1'), address: `${name}:1`, failureDomain: 'd', isDraining: false, startedAt: 1
+})
+
+test('a member stays required until the view without it is confirmed, also after a lost reply', async (t) => {
+  const clock = new FakeClock()
+  const random = new SeededRandomSource(1)
+  const store = new FakeStore(clock, random)
+  const client = store.connect()
+  const views = new ViewKeeper(client, clock, random, new SilentEventLogger(), createRecord('o'))
+  store.put('hl/alive/o', '')
+  const state = { registration: 1, aliveRevision: store.values.get('hl/alive/o')?.modRevision ?? 0 }
+  const all = ['o', 'm', 'n'].map(createRecord)
+  void views.updateView(state, all, () => true)
+  await clock.advanceBy(1)
+  t.false(store.values.has('hl/view/o/1'))
+  t.deepEqual([...views.listRequired()].sort(), ['m/1', 'n/1'], 'required before the grown view is written')
+  await clock.advanceBy(50)
+  t.deepEqual(views.listConfirmed().map(({ instance }) => String(instance)), ['m', 'n', 'o'])
+  client.lostReplyShare = 1
+  const withoutM = all.filter(({ instance }) => instance !== 'm')
+  void views.updateView(state, withoutM, () => true)
+  await clock.advanceBy(6_000)
+  void views.updateView(state, withoutM, () => true)
+  await clock.advanceBy(2_000)
+  t.false(store.values.get('hl/view/o/1')?.value.includes('"m"'), 'the shrunk view is stored')
+  t.true(views.listRequired().includes('m/1'), 'its write is not confirmed')
+  client.lostReplyShare = 0
+  void views.updateView(state, withoutM, () => true)
+  await clock.advanceBy(50)
+  t.deepEqual(views.listRequired(), ['n/1'])
+})
