--- a/packages/dispatch/src/executor-client.ts
+++ b/packages/dispatch/src/executor-client.ts
@@ -84,11 +84,12 @@
 
   async #send (target: TargetAddress, order: RunOrder, signal: AbortSignal): Promise<RunReport> {
     try {
-      const response = await this.#pools.findPool(target).request({
+      const response = await this.#pools.findDispatcher(target, order.isIdempotent).request({
         method: 'POST',
         path: '/run',
         headers: this.#buildHeaders(order),
         body: JSON.stringify(order.payload ?? null),
+        reset: !order.isIdempotent,
         headersTimeout: order.timeoutMs,
         bodyTimeout: order.timeoutMs,
         signal
@@ -130,6 +131,11 @@
         this.#pools.replacePool(target)
         return found.report
       }
+      // The target answers and knows nothing of the run: the connection that carried it is dead.
+      if (found.type === 'absent' && order.isIdempotent) {
+        this.#pools.replacePool(target)
+        return { type: 'unknown', message: 'the target has no record of the run on a new connection' }
+      }
       await this.#wait(MAXIMUM_LOOKUP_DELAY_MS, signal)
     }
     return { type: 'unknown', message: `no answer within ${order.timeoutMs} ms` }
--- a/packages/dispatch/src/shard-attempt.ts
+++ b/packages/dispatch/src/shard-attempt.ts
@@ -66,6 +66,7 @@
     attempt: attempt.attempt,
     taskIndex,
     kind: attempt.item.kind,
+    isIdempotent: attempt.item.isIdempotent,
     resources: attempt.item.resources,
     payload: attempt.payload,
     checkpoint: attempt.checkpoint,
--- a/packages/dispatch/src/target-client.ts
+++ b/packages/dispatch/src/target-client.ts
@@ -18,6 +18,8 @@
   /** Index of the task within a gang; 0 otherwise. */
   readonly taskIndex: number
   readonly kind: string
+  /** Non-idempotent orders go over a connection of their own. */
+  readonly isIdempotent: boolean
   readonly resources: Resources
   readonly payload: unknown
   /** What a checkpoint of an earlier attempt left, to resume from. */
--- a/packages/dispatch/src/target-pool-map.ts
+++ b/packages/dispatch/src/target-pool-map.ts
@@ -1,4 +1,4 @@
-import { Pool } from 'undici'
+import { Client, Pool, type Dispatcher } from 'undici'
 import type { TargetAddress } from './target-client.js'
 
 const CONNECT_TIMEOUT_MS = 1000
@@ -24,6 +24,15 @@
     return pool
   }
 
+  /**
+   * Where to send an order. A non-idempotent one gets a new connection: an open one may have gone silent, and after a send
+   * into it the outcome would stay unknown, because what was sent may still arrive.
+   */
+  findDispatcher (target: TargetAddress, isReusable: boolean): Dispatcher {
+    if (isReusable) return this.findPool(target)
+    return new Client(`http://${target.address}`, { connect: { timeout: CONNECT_TIMEOUT_MS } })
+  }
+
   /** Drops the target's idle connections and lets requests in flight end, so that the next request opens a new connection. */
   replacePool (target: TargetAddress): void {
     const pool = this.#pools.get(target.address)
