--- a/packages/platform/src/key-space.ts
+++ b/packages/platform/src/key-space.ts
@@ -16,7 +16,7 @@
   readonly revision: number
 }
 
-export type KeySpaceRefusal = 'duplicateKey' | 'leaseNotFound' | 'tooManyOperations'
+export type KeySpaceRefusal = 'duplicateKey' | 'leaseNotFound' | 'tooLarge' | 'tooManyOperations'
 
 interface Lease {
   readonly ttlMs: number
@@ -25,6 +25,8 @@
 
 // etcd's default of `--max-txn-ops`.
 const MAX_TRANSACTION_OPERATIONS = 128
+// The platform's limit of a value.
+const MAX_VALUE_BYTES = 1024 * 1024
 // Bounds the memory of a long run; a watch that starts before the oldest kept change is refused as compacted.
 const MAX_HISTORY_CHANGES = 20_000
 
@@ -50,15 +52,9 @@
     return this.#values.get(key)
   }
 
-  /** All values whose key lies in [from, end), ordered by key; without `end` every key from `from` on. */
-  listRange (from: string, end?: string): StoredValue[] {
-    return [...this.#values.values()]
-      .filter(({ key }) => key >= from && (end === undefined || key < end))
-      .sort((left, right) => left.key < right.key ? -1 : 1)
-  }
-
+  /** All values whose key has the prefix, ordered by key. */
   listPrefix (prefix: string): StoredValue[] {
-    return this.listRange(prefix).filter(({ key }) => key.startsWith(prefix))
+    return [...this.#values.values()].filter(({ key }) => key.startsWith(prefix)).sort((left, right) => left.key < right.key ? -1 : 1)
   }
 
   /** Changes with a revision of `fromRevision` or later, or undefined when some of them are compacted. */
@@ -75,6 +71,7 @@
 
   commit (conditions: readonly KeyCondition[], mutations: readonly Mutation[]): KeySpaceOutcome | KeySpaceRefusal {
     if (Math.max(conditions.length, mutations.length) > MAX_TRANSACTION_OPERATIONS) return 'tooManyOperations'
+    if (mutations.some((mutation) => mutation.type === 'put' && Buffer.byteLength(mutation.value) > MAX_VALUE_BYTES)) return 'tooLarge'
     if (hasOverlap(mutations)) return 'duplicateKey'
     if (!conditions.every((condition) => this.#isMet(condition))) return { isCommitted: false, revision: this.#revision }
     for (const mutation of mutations) {
--- a/packages/scheduling/src/scheduler-settings.ts
+++ b/packages/scheduling/src/scheduler-settings.ts
@@ -38,10 +38,18 @@
   readonly hungCheckIntervalMs: number
   /** Wait of an urgent item from which preemption is considered. */
   readonly preemptionWaitMs: number
+  /** Urgent items for which one pass considers preemption. */
+  readonly preemptionTriesPerPass: number
+  /** Shortest time between two considerations of preemption in a pool. */
+  readonly preemptionIntervalMs: number
+  /** Longest time between two full passes over a pool with a backlog, for what changes with time alone. */
+  readonly fullPassIntervalMs: number
   /** Time that a checkpoint takes before the capacity is free. */
   readonly checkpointCostMs: number
   /** Most preemptions under way in one pool. */
   readonly maxPreemptionsPerPool: number
+  /** How long a single task is the blocked head of its pool before targets are reserved for it. */
+  readonly reservationDelayMs: number
   /** Period after which the start of a reservation is estimated again. */
   readonly reservationRefreshMs: number
   /** Overrun of a reservation's first estimate after which other targets are chosen. */
@@ -69,8 +77,12 @@
   retryMinimumRefillMs: 10_000,
   hungCheckIntervalMs: 3_000,
   preemptionWaitMs: 1_000,
+  preemptionTriesPerPass: 4,
+  preemptionIntervalMs: 100,
+  fullPassIntervalMs: 100,
   checkpointCostMs: 500,
   maxPreemptionsPerPool: 32,
+  reservationDelayMs: 500,
   reservationRefreshMs: 1_000,
   reservationPatienceMs: 30_000
 }
