Move local delivery and handlers out of the WebSocket network

Ruled out: splitting by direction, as both need the links. Effect: handler-registry.ts runs handlers and delivers local messages; behaviour is unchanged and its tests pass.

--- /dev/null
+++ b/packages/peer/src/handler-registry.ts
@@ -0,0 +1,67 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import tsResults, { type Result } from 'ts-results'
+import { decodeFrame, encodeFrame, type PeerFrame } from './peer-frame.js'
+import { PEER_LOG_EVENTS } from './peer-log-events.js'
+import { PEER_ERROR_CODES, type PeerError, type PeerHandler, type PeerIdentity } from './peer-network.js'
+
+// ts-results is a CommonJS module whose exports Node.js cannot name.
+const { Err, Ok } = tsResults
+
+/** Handlers by kind, and delivery to them without a link. */
+export class HandlerRegistry {
+  readonly #self: PeerIdentity
+  readonly #clock: Clock
+  readonly #logger: EventLogger
+  readonly #handlers = new Map<string, PeerHandler>()
+
+  constructor (self: PeerIdentity, clock: Clock, logger: EventLogger) {
+    this.#self = self
+    this.#clock = clock
+    this.#logger = logger
+  }
+
+  register (kind: string, handler: PeerHandler): void {
+    this.#handlers.set(kind, handler)
+  }
+
+  /** Runs the handler of a frame; a failure becomes a typed error. */
+  async run (frame: PeerFrame, from: PeerIdentity): Promise<Result<unknown, PeerError>> {
+    const { kind, body, trace } = frame
+    const handler = this.#handlers.get(kind)
+    if (handler === undefined) return Err({ code: PEER_ERROR_CODES.unknownKind, message: `messages of kind ${kind} are not known here` })
+    try {
+      return Ok(await handler(body, from, trace))
+    } catch (error) {
+      this.#logger.logWarning(PEER_LOG_EVENTS.handlerFailed, { kind, peer: from.instance, error: String(error) })
+      return Err({ code: PEER_ERROR_CODES.handlerFailed, message: `the handler of ${kind} failed` })
+    }
+  }
+
+  /** Delivers a notice to the own handlers in a later turn of the event loop. */
+  sendNotice (frame: PeerFrame): boolean {
+    const copy = this.#copy(frame)
+    if (copy.ok) setImmediate(() => { void this.run(copy.val, this.#self) })
+    return copy.ok
+  }
+
+  async sendRequest (frame: PeerFrame, timeoutMs: number): Promise<Result<unknown, PeerError>> {
+    const copy = this.#copy(frame)
+    if (copy.err) return copy
+    return await new Promise((resolve) => {
+      const error = { code: PEER_ERROR_CODES.timeout, message: `no reply within ${timeoutMs} ms` }
+      const timer = this.#clock.startTimer(timeoutMs, () => resolve(Err(error)))
+      setImmediate(() => {
+        void this.run(copy.val, this.#self).then((reply) => {
+          timer.cancel()
+          resolve(reply.err ? reply : this.#copy({ kind: frame.kind, body: reply.val }).map((copied) => copied.body))
+        })
+      })
+    })
+  }
+
+  /** A local message passes the same encoding as one on a link, so that no object is shared and the same limits hold. */
+  #copy (frame: PeerFrame): Result<PeerFrame, PeerError> {
+    return encodeFrame(frame).andThen((bytes) => decodeFrame(bytes))
+  }
+}
--- a/packages/peer/src/web-socket-peer-network.ts
+++ b/packages/peer/src/web-socket-peer-network.ts
@@ -7,10 +7,11 @@
 import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
 import tsResults, { type Result } from 'ts-results'
 import { WebSocket, WebSocketServer } from 'ws'
+import { HandlerRegistry } from './handler-registry.js'
 import type { HeartbeatNetwork } from './heartbeat-network.js'
 import { shouldReplaceLink, type LinkFacts } from './link-choice.js'
 import { LinkDialer } from './link-dialer.js'
-import { decodeFrame, encodeFrame, MAX_FRAME_BYTES, PROTOCOL_VERSION, type PeerFrame } from './peer-frame.js'
+import { MAX_FRAME_BYTES, PROTOCOL_VERSION, type PeerFrame } from './peer-frame.js'
 import { LINK_CLOSE_CODES, PeerLink, type Hello, type PeerLinkHandler } from './peer-link.js'
 import { PEER_LOG_EVENTS } from './peer-log-events.js'
 import { PEER_MESSAGE_KINDS } from './peer-message-kinds.js'
@@ -19,7 +20,7 @@
 import { PendingRequests } from './pending-requests.js'
 
 // ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
+const { Err } = tsResults
 
 const CONNECT_TIMEOUT_MS = 2_000
 
@@ -40,7 +41,7 @@
 export class WebSocketPeerNetwork implements HeartbeatNetwork, PeerLinkHandler {
   readonly self: PeerIdentity
   readonly #options: WebSocketPeerNetworkOptions
-  readonly #handlers = new Map<string, PeerHandler>()
+  readonly #handlers: HandlerRegistry
   readonly #links = new Map<InstanceId, PeerLink>()
   readonly #connections = new Set<PeerLink>()
   readonly #dialedAddresses = new Map<PeerLink, string>()
@@ -55,6 +56,7 @@
   constructor (options: WebSocketPeerNetworkOptions) {
     this.self = options.self
     this.#options = options
+    this.#handlers = new HandlerRegistry(options.self, options.clock, options.logger)
     this.#pending = new PendingRequests(options.clock)
     this.#dialer = new LinkDialer(options.clock, options.random, options.self.instance, options.seeds,
       (instance) => this.#links.has(instance), (address) => this.#connect(address))
@@ -98,23 +100,19 @@
   async sendRequest (
     to: InstanceId, kind: string, body: unknown, timeoutMs: number, trace?: TraceContext
   ): Promise<Result<unknown, PeerError>> {
-    if (to === this.self.instance) return await this.#requestLocally(kind, body, timeoutMs, trace)
+    if (to === this.self.instance) return await this.#handlers.sendRequest({ kind, body, trace }, timeoutMs)
     const link = this.#links.get(to)
     if (link === undefined) return Err({ code: PEER_ERROR_CODES.notConnected, message: `there is no open link to ${to}` })
     return await this.#pending.add(link, timeoutMs, (id) => link.send({ kind, id, body, trace }))
   }
 
   sendNotice (to: InstanceId, kind: string, body: unknown, trace?: TraceContext): boolean {
-    if (to === this.self.instance) {
-      const copy = this.#copyLocally({ kind, body, trace })
-      if (copy.ok) setImmediate(() => { void this.#runHandler(copy.val, this.self) })
-      return copy.ok
-    }
+    if (to === this.self.instance) return this.#handlers.sendNotice({ kind, body, trace })
     return this.#links.get(to)?.send({ kind, body, trace }) === undefined && this.#links.has(to)
   }
 
   registerHandler (kind: string, handler: PeerHandler): void {
-    this.#handlers.set(kind, handler)
+    this.#handlers.register(kind, handler)
   }
 
   listConnected (): readonly PeerIdentity[] {
@@ -241,44 +239,10 @@
   }
 
   async #serveFrame (link: PeerLink, frame: PeerFrame, from: PeerIdentity): Promise<void> {
-    const reply = await this.#runHandler(frame, from)
+    const reply = await this.#handlers.run(frame, from)
     if (frame.id === undefined) return
     const { kind, id } = frame
     const error = link.send(reply.ok ? { kind, replyTo: id, body: reply.val } : { kind, replyTo: id, error: reply.val, body: undefined })
     if (error !== undefined) link.send({ kind, replyTo: id, error, body: undefined })
   }
-
-  async #runHandler (frame: PeerFrame, from: PeerIdentity): Promise<Result<unknown, PeerError>> {
-    const { kind, body, trace } = frame
-    const handler = this.#handlers.get(kind)
-    if (handler === undefined) return Err({ code: PEER_ERROR_CODES.unknownKind, message: `messages of kind ${kind} are not known here` })
-    try {
-      return Ok(await handler(body, from, trace))
-    } catch (error) {
-      this.#options.logger.logWarning(PEER_LOG_EVENTS.handlerFailed, { kind, peer: from.instance, error: String(error) })
-      return Err({ code: PEER_ERROR_CODES.handlerFailed, message: `the handler of ${kind} failed` })
-    }
-  }
-
-  async #requestLocally (
-    kind: string, body: unknown, timeoutMs: number, trace: TraceContext | undefined
-  ): Promise<Result<unknown, PeerError>> {
-    const copy = this.#copyLocally({ kind, body, trace })
-    if (copy.err) return copy
-    return await new Promise((resolve) => {
-      const error = { code: PEER_ERROR_CODES.timeout, message: `no reply within ${timeoutMs} ms` }
-      const timer = this.#options.clock.startTimer(timeoutMs, () => resolve(Err(error)))
-      setImmediate(() => {
-        void this.#runHandler(copy.val, this.self).then((reply) => {
-          timer.cancel()
-          resolve(reply.err ? reply : this.#copyLocally({ kind, body: reply.val }).map((frame) => frame.body))
-        })
-      })
-    })
-  }
-
-  /** A local message passes the same encoding as one on a link, so that no object is shared and the same limits hold. */
-  #copyLocally (frame: PeerFrame): Result<PeerFrame, PeerError> {
-    return encodeFrame(frame).andThen((bytes) => decodeFrame(bytes))
-  }
 }
