--- a/packages/peer/tests/ownership-manager.test.ts
+++ b/packages/peer/tests/ownership-manager.test.ts
@@ -1,8 +1,11 @@
 import { toInstanceId, toUnitId, type UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { Transaction } from '@hibiscusledge/platform/key-value-store.js'
 import test from 'ava'
+import tsResults from 'ts-results'
 import type { UnitOwner, UnitRole } from '../src/ownership-directory.js'
 import { FakeCluster, type FakeProcess } from './fake-cluster.js'
 
+const { Err } = tsResults
 const NAMES = ['1', '2', '3']
 
 async function startCluster (seed: number, names = NAMES): Promise<{ cluster: FakeCluster, processes: FakeProcess[] }> {
@@ -172,3 +175,27 @@
   const views = [...cluster.store.values.keys()].filter((key) => key.startsWith('hl/view/'))
   t.deepEqual(views.sort(), ['hl/view/2/run2', 'hl/view/3/run3'])
 })
+
+test('a takeover that reaches the store after its owner has come back and lapsed again is refused', async (t) => {
+  const { cluster, processes: [first, ...others] } = await startCluster(19)
+  const late: Transaction[] = []
+  for (const { store } of others) {
+    store.commitTransaction = async (transaction) => {
+      if (transaction.mutations.some((mutation) => mutation.type === 'put' && mutation.key.startsWith('hl/owner/'))) late.push(transaction)
+      return new Err({ code: 'timeout', message: 'held back', isEffectUnknown: true })
+    }
+  }
+  const cut = (isCut: boolean): void => { if (first !== undefined) first.store.isCut = isCut }
+  const hasAuthority = (): boolean => first?.node.ownership.listHeld().every((unit) => first.node.ownership.hasAuthority(unit)) === true
+  cut(true)
+  t.not(await cluster.runUntil(() => late.length > 0, 12_000), undefined)
+  cut(false)
+  t.not(await cluster.runUntil(hasAuthority, 8_000), undefined)
+  await cluster.run(3_000)
+  cut(true)
+  t.not(await cluster.runUntil(() => !cluster.store.values.has('hl/alive/1'), 4_000), undefined)
+  t.true(hasAuthority(), 'the promises to the new registration still hold')
+  for (const transaction of late) t.false(cluster.store.commit(transaction).unwrap().isCommitted)
+  await cluster.run(500)
+  t.deepEqual(cluster.violations, [])
+})
