Bound the wait for the store when an instance stops

Cause: stop() waited for the reply to the lease's revocation, which takes the store's full timeout during an outage. Ruled out: not waiting at all, as a revocation that is not sent delays the takeover by up to 3 s. Effect: the wait ends after 1 s at most; the lease lapses by itself.

--- a/packages/peer/src/membership-keeper.ts
+++ b/packages/peer/src/membership-keeper.ts
@@ -13,6 +13,7 @@
 import type { RegistrationState, ViewKeeper } from './view-keeper.js'
 
 const ADVANCE_PERIOD_MS = 100
+const REVOKE_LIMIT_MS = 1_000
 const REGISTRATION_BACKOFF = { initialMs: 200, maximumMs: 2_000 }
 
 export interface MembershipKeeperOptions {
@@ -64,7 +65,10 @@
     for (const timer of this.#timers) timer.cancel()
     const lease = this.#registered?.lease
     this.#registered = undefined
-    if (lease !== undefined) await this.#options.store.revokeLease(lease.id)
+    if (lease === undefined) return
+    // A store that does not answer must not hold up the stop: the lease lapses by itself.
+    const limit = new Promise<void>((resolve) => { this.#options.clock.startTimer(REVOKE_LIMIT_MS, resolve) })
+    await Promise.race([this.#options.store.revokeLease(lease.id), limit])
   }
 
   markDraining (): void {
