--- a/packages/peer/src/peer-node.ts
+++ b/packages/peer/src/peer-node.ts
@@ -120,7 +120,7 @@
     this.#cache.subscribe((keys) => { if (keys.some((key) => key.startsWith(ALIVE_PREFIX))) this.#updateAddresses() })
   }
 
-  /** Marks this instance as draining and hands all units over. Settles when none is held, which a store outage delays: callers bound the wait. */
+  /** Marks this instance as draining and hands all units over. Settles when none is held; an outage delays that. */
   async drain (): Promise<void> {
     this.#keeper.markDraining()
     await this.ownership.drain()
