Estimate waits by the part of the class's starts that a team gets

Cause: the estimate assumed that backlogged teams take even turns. A team that floods gets nearly all starts, one that holds other work gets few, so waits of admitted urgent work passed the class's limit of 1.5 s by half. Ruled out: the class's own rate, whose measured and modelled parts agree, and the order within a team, which is that of arrival here.

--- a/packages/scheduling/src/bench/bench-core.ts
+++ b/packages/scheduling/src/bench/bench-core.ts
@@ -12,7 +12,9 @@
     /** Comma-separated parts to run: flood, packing, decision, hung. */
     parts: { type: 'string', default: 'flood,packing,decision,hung' },
     /** Runs the floods only for pools whose name contains the text. */
-    site: { type: 'string', default: '' }
+    site: { type: 'string', default: '' },
+    /** Runs only the floods whose name contains the text. */
+    flood: { type: 'string', default: '' }
   }
 })
 const seed = Number(values.seed)
@@ -22,7 +24,7 @@
 }
 const parts = values.parts.split(',')
 
-if (parts.includes('flood')) console.log(`Floods, seed ${seed}\n\n${formatTable(FLOOD_COLUMNS, measureFloods(seed, values.site))}\n`)
+if (parts.includes('flood')) console.log(`Floods, seed ${seed}\n\n${formatTable(FLOOD_COLUMNS, measureFloods(seed, values.site, values.flood))}\n`)
 if (parts.includes('packing')) console.log(`Packing at saturation, seed ${seed}\n\n${formatTable(PACKING_COLUMNS, measurePacking(seed))}\n`)
 if (parts.includes('hung')) console.log(`Saturated or hung, seed ${seed}\n\n${formatTable(HUNG_COLUMNS, measureHungRules(seed))}\n`)
 if (parts.includes('decision')) {
--- a/packages/scheduling/src/bench/flood-bench.ts
+++ b/packages/scheduling/src/bench/flood-bench.ts
@@ -37,13 +37,14 @@
 }
 
 /** Waits, service kept and use by class in floods, for the core and for the baseline. */
-export function measureFloods (seed: number, siteFilter: string): TableRow[] {
+export function measureFloods (seed: number, siteFilter: string, floodFilter: string): TableRow[] {
   const rows: TableRow[] = []
   for (const site of BENCH_SITES.filter((candidate) => candidate.name.includes(siteFilter))) {
     const measureMs = site.targetKind === 'executor' ? EXECUTOR_MEASURE_MS : WORKER_MEASURE_MS
     for (const { name: schedulerName, build } of SCHEDULERS) {
       let unflooded: ClassReports | undefined
       for (const { name, flood } of FLOODS) {
+        if (name !== 'none' && !name.includes(floodFilter)) continue
         const reports = new FloodRun(site, build(site), seed, measureMs).run(flood)
         unflooded ??= reports
         const kept = computeKept(reports, unflooded)
--- a/packages/scheduling/src/bench/flood-run.ts
+++ b/packages/scheduling/src/bench/flood-run.ts
@@ -95,7 +95,7 @@
     const { nowMs } = this.#loop
     const item = buildBenchItem(`r${this.#nextId++}`, {
       kind: kind.kind,
-      team: isFlood ? 'flood' : 'ordinary',
+      team: isFlood ? 'flood' : kind.kind,
       urgency: kind.urgency,
       resources: kind.resources,
       isResumable: kind.isResumable,
--- a/packages/scheduling/src/scheduling-round.ts
+++ b/packages/scheduling/src/scheduling-round.ts
@@ -191,7 +191,7 @@
   #commitStart (pool: PoolState, entry: QueuedItem, targets: readonly TargetState[], needed: Amounts, isProbe: boolean): void {
     const { ledger, queue, reservations } = this.#context
     const { item } = entry
-    pool.rates[item.urgency].recordStart()
+    pool.rates[item.urgency].recordStart(item.team)
     queue.remove(pool, entry)
     reservations.drop(pool, item.requestId)
     ledger.register(pool, item, targets, needed, isProbe, this.#nowMs)
--- a/packages/scheduling/src/service-rate.ts
+++ b/packages/scheduling/src/service-rate.ts
@@ -1,6 +1,16 @@
 import type { SchedulerSettings } from './scheduler-settings.js'
 
 const WORK_GAIN = 0.05
+/** Weight of an even split among teams against measured starts of each. */
+const TEAM_PRIOR_STARTS = 10
+// A team that was dropped is measured again from an even split.
+const MAX_TEAMS = 1_000
+
+interface TeamStarts {
+  starts: number
+  /** Backlog time of the class at the last start. */
+  atBacklogMs: number
+}
 
 /**
  * Service rate of one class. Starts count only while scheduling leaves a backlog behind, since otherwise they would show
@@ -10,6 +20,8 @@
   readonly #settings: SchedulerSettings
   #starts = 0
   #backlogSeconds = 0
+  #backlogMs = 0
+  readonly #teams = new Map<string, TeamStarts>()
   #isBacklogged = false
   #updatedAtMs: number | undefined
   #meanWork: number | undefined
@@ -25,6 +37,7 @@
     if (!this.#isBacklogged || elapsedMs === 0) return
     const kept = Math.exp(-elapsedMs / this.#settings.rateWindowMs)
     this.#starts *= kept
+    this.#backlogMs += elapsedMs
     this.#backlogSeconds = this.#backlogSeconds * kept + elapsedMs / 1_000
   }
 
@@ -33,8 +46,23 @@
     this.#isBacklogged = isBacklogged
   }
 
-  recordStart (): void {
-    if (this.#isBacklogged) this.#starts++
+  recordStart (team: string): void {
+    if (!this.#isBacklogged) return
+    this.#starts++
+    const starts = this.#readTeamStarts(team) + 1
+    const [oldest] = this.#teams.keys()
+    if (this.#teams.size >= MAX_TEAMS && oldest !== undefined && !this.#teams.has(team)) this.#teams.delete(oldest)
+    this.#teams.set(team, { starts, atBacklogMs: this.#backlogMs })
+  }
+
+  /** The part of the class's starts that a team gets while `teamCount` teams have a backlog. */
+  computeTeamPart (team: string, teamCount: number): number {
+    return (this.#readTeamStarts(team) + TEAM_PRIOR_STARTS / teamCount) / (this.#starts + TEAM_PRIOR_STARTS)
+  }
+
+  #readTeamStarts (team: string): number {
+    const known = this.#teams.get(team)
+    return known === undefined ? 0 : known.starts * Math.exp((known.atBacklogMs - this.#backlogMs) / this.#settings.rateWindowMs)
   }
 
   /** Records the work of one finished item: its share of the pool's capacity times its run time in seconds. */
--- a/packages/scheduling/src/wait-estimator.ts
+++ b/packages/scheduling/src/wait-estimator.ts
@@ -28,15 +28,7 @@
   return Math.max(MIN_AVAILABLE_SHARE, Math.min(own.limitPercent / 100, Math.max(own.floorPercent / 100, available)))
 }
 
-/** Items of the class that go before a new one of `team`, when backlogged teams take turns. */
-function countAhead (pool: PoolState, query: WaitQuery): number {
-  const queue = pool.queues[query.urgency]
-  const own = queue.countTeam(query.team)
-  const teamCount = queue.teamCount + (own === 0 ? 1 : 0)
-  return Math.min(queue.size, (own + 1) * teamCount - 1)
-}
-
-/** Estimated wait of a new item by Little's law: the items ahead of it over the class's service rate. */
+/** Estimated wait of a new item by Little's law: its team's queue over the part of the class's service rate that the team gets. */
 export function estimateWaitMs (pool: PoolState, query: WaitQuery): number {
   const { urgency, team, share } = query
   const rank = URGENCIES.indexOf(urgency)
@@ -48,7 +40,10 @@
   const freeShare = Math.min(1 - pool.computeOccupiedShare(), pool.readClassPolicy(urgency).limitPercent / 100 - classShare)
   if (isWithinQuota && shareAhead + share <= freeShare) return 0
   const available = Math.min(computeAvailableShare(pool, urgency), isWithinQuota ? 1 : Math.max(quota, MIN_AVAILABLE_SHARE))
-  const rate = pool.rates[urgency].computeRate(available, query.assumedWork)
-  const ahead = Math.max(0, countAhead(pool, query) + 1 - Math.max(0, freeShare) / Math.max(share, 1e-9))
-  return 1_000 * ahead / rate
+  const rates = pool.rates[urgency]
+  const queue = pool.queues[urgency]
+  const teamQueued = queue.countTeam(team)
+  const teamRate = rates.computeRate(available, query.assumedWork) * rates.computeTeamPart(team, queue.teamCount + (teamQueued === 0 ? 1 : 0))
+  const ahead = Math.max(0, teamQueued + 1 - Math.max(0, freeShare) / Math.max(share, 1e-9))
+  return 1_000 * ahead / teamRate
 }
