Reserve capacity for classes under their floor

Cause: under an urgent flood of one-core tasks, the four-core tasks of the high class were first in line but fitted nowhere, since each core that came free was taken at once. Only one blocked head per pool had a reservation, after 500 ms. Ruled out: the wait estimate, as nothing of the class was rejected, and the choice of class. Now up to 16 blocked items of classes under their floor get reservations at once, as far as the floor reaches.

The new tests found two faults, fixed here: a limit or quota of 100 % counted as reached in a full pool, which kept blocked items from reservations and preemption; and an item admitted between two full passes got neither until the next one.

--- a/packages/scheduling/src/bench/bench-site.ts
+++ b/packages/scheduling/src/bench/bench-site.ts
@@ -26,7 +26,8 @@
 const NONE: Resources = { cores: 0, memoryMb: 0, accelerators: 0 }
 
 function buildKind (
-  kind: string, urgency: Urgency, meanRuntimeMs: number, deadlineMs: number, loadShare: number, resources: Resources = NONE, isResumable = false
+  kind: string, urgency: Urgency, meanRuntimeMs: number, deadlineMs: number, loadShare: number,
+  resources: Resources = NONE, isResumable = false
 ): BenchKind {
   return { kind, urgency, resources, meanRuntimeMs, deadlineMs, loadShare, isResumable }
 }
--- a/packages/scheduling/src/class-chooser.ts
+++ b/packages/scheduling/src/class-chooser.ts
@@ -20,7 +20,8 @@
   let deficient: ClassCandidate | undefined
   let largestDeficit = 0
   for (const candidate of candidates) {
-    if (candidate.share >= candidate.policy.limitPercent / 100) continue
+    const { limitPercent } = candidate.policy
+    if (limitPercent < 100 && candidate.share >= limitPercent / 100) continue
     const deficit = candidate.policy.floorPercent / 100 - candidate.share
     if (deficit > largestDeficit) {
       deficient = candidate
--- a/packages/scheduling/src/indexed-heap.ts
+++ b/packages/scheduling/src/indexed-heap.ts
@@ -31,7 +31,8 @@
     while (found.length < count && frontier.length > 0) {
       let bestIndex = 0
       for (let index = 1; index < frontier.length; index++) {
-        if (this.#compare(this.#entries[frontier[index] as number] as T, this.#entries[frontier[bestIndex] as number] as T) < 0) bestIndex = index
+        const entry = this.#entries[frontier[index] as number] as T
+        if (this.#compare(entry, this.#entries[frontier[bestIndex] as number] as T) < 0) bestIndex = index
       }
       const position = frontier[bestIndex] as number
       frontier[bestIndex] = frontier[frontier.length - 1] as number
--- a/packages/scheduling/src/pool-pass.ts
+++ b/packages/scheduling/src/pool-pass.ts
@@ -26,6 +26,8 @@
   readonly #closedClasses = new Set<Urgency>()
   /** First item that did not fit, in the order of entitlement. */
   firstBlocked: QueuedItem | undefined
+  /** The first items of classes under their floor that did not fit. */
+  readonly blockedUnderFloor: QueuedItem[] = []
   /** The first urgent items that did not fit. */
   readonly blockedUrgent: QueuedItem[] = []
   /** Classes that were left with untried work. */
@@ -64,9 +66,9 @@
     const { pool } = this
     const { urgency, team, taskCount } = entry.item
     const total = addAmounts(pool.classUse.read(urgency), needed, taskCount)
-    if (computeDominantShare(total, pool.capacity) > pool.readClassPolicy(urgency).limitPercent / 100 + TOLERANCE) return 'class'
+    if (computeDominantShare(total, pool.capacity) > pool.readClassLimit(urgency) + TOLERANCE) return 'class'
     const teamTotal = addAmounts(pool.teamUse.read(team), needed, taskCount)
-    return computeDominantShare(teamTotal, pool.capacity) > pool.readQuotaShare(team) + TOLERANCE ? 'team' : undefined
+    return computeDominantShare(teamTotal, pool.capacity) > pool.readTeamLimit(team) + TOLERANCE ? 'team' : undefined
   }
 
   /** Passes over an item at a limit, and over all that would meet the same limit. */
@@ -109,8 +111,9 @@
   }
 
   /** Notes that an item within its limits did not fit. */
-  recordBlocked (entry: QueuedItem): void {
+  recordBlocked (entry: QueuedItem, isUnderFloor: boolean): void {
     this.firstBlocked ??= entry
+    if (isUnderFloor && this.blockedUnderFloor.length < this.#settings.maxFloorReservations) this.blockedUnderFloor.push(entry)
     if (entry.item.urgency === 'urgent' && this.blockedUrgent.length < this.#settings.preemptionTriesPerPass) this.blockedUrgent.push(entry)
   }
 
--- a/packages/scheduling/src/pool-state.ts
+++ b/packages/scheduling/src/pool-state.ts
@@ -85,6 +85,18 @@
     return (this.policy?.teamQuotas[team] ?? 100) / 100
   }
 
+  /** Share of the pool that a class may use; unbounded at 100 %, where the targets themselves are the limit. */
+  readClassLimit (urgency: Urgency): number {
+    const { limitPercent } = this.readClassPolicy(urgency)
+    return limitPercent >= 100 ? Infinity : limitPercent / 100
+  }
+
+  /** Share of the pool that a team may use; unbounded at 100 %. */
+  readTeamLimit (team: string): number {
+    const quota = this.readQuotaShare(team)
+    return quota >= 1 ? Infinity : quota
+  }
+
   computeClassShare (urgency: Urgency): number {
     return this.classUse.computeShare(urgency, this.capacity)
   }
--- a/packages/scheduling/src/reservation-book.ts
+++ b/packages/scheduling/src/reservation-book.ts
@@ -35,9 +35,9 @@
     }
   }
 
-  countPreemptions (pool: PoolState): number {
+  countByCause (pool: PoolState, cause: ReservationCause): number {
     let count = 0
-    for (const reservation of pool.reservations.values()) if (reservation.cause === RESERVATION_CAUSES.preemption) count++
+    for (const reservation of pool.reservations.values()) if (reservation.cause === cause) count++
     return count
   }
 
--- a/packages/scheduling/src/reservation.ts
+++ b/packages/scheduling/src/reservation.ts
@@ -1,7 +1,7 @@
 import type { QueuedItem } from './queued-item.js'
 import type { TargetState } from './target-state.js'
 
-export const RESERVATION_CAUSES = { blockedHead: 'blockedHead', preemption: 'preemption' } as const
+export const RESERVATION_CAUSES = { blockedHead: 'blockedHead', floor: 'floor', preemption: 'preemption' } as const
 export type ReservationCause = typeof RESERVATION_CAUSES[keyof typeof RESERVATION_CAUSES]
 
 /** Targets kept for an item that does not fit yet. Other work uses them only where it ends before `startAtMs`. */
--- a/packages/scheduling/src/room-maker.ts
+++ b/packages/scheduling/src/room-maker.ts
@@ -9,6 +9,7 @@
 import { planOn, planReservation } from './reservation-planner.js'
 import { RunEstimator } from './run-estimator.js'
 import type { SchedulerContext } from './scheduler-context.js'
+import { URGENCIES, type Urgency } from './urgency.js'
 
 /** Makes room for items that do not fit: reservations for the blocked head of a pool, preemption for urgent items. */
 export class RoomMaker {
@@ -26,6 +27,10 @@
   refreshReservations (pool: PoolState): void {
     const { reservationRefreshMs, reservationPatienceMs } = this.#context.settings
     for (const [requestId, reservation] of pool.reservations) {
+      if (reservation.cause === RESERVATION_CAUSES.floor && !pool.isUnderFloor(reservation.holder.item.urgency)) {
+        this.#context.reservations.drop(pool, requestId)
+        continue
+      }
       if (this.#nowMs - reservation.refreshedAtMs < reservationRefreshMs) continue
       reservation.refreshedAtMs = this.#nowMs
       const { item } = reservation.holder
@@ -36,15 +41,36 @@
     }
   }
 
+  /**
+   * Reserves targets for items of classes under their floor, as far as the floors reach. Otherwise smaller work of other
+   * classes takes each piece of capacity that comes free before a larger task fits.
+   */
+  reserveForFloors (pass: PoolPass): void {
+    const { pool } = pass
+    const { reservations, queue, settings } = this.#context
+    if (pool.isExecutorPool || pass.blockedUnderFloor.length === 0) return
+    const owed = new Map<Urgency, number>()
+    for (const urgency of URGENCIES) owed.set(urgency, pool.readClassPolicy(urgency).floorPercent / 100 - pool.computeClassShare(urgency))
+    for (const { holder } of pool.reservations.values()) owed.set(holder.item.urgency, (owed.get(holder.item.urgency) ?? 0) - holder.share)
+    for (const entry of pass.blockedUnderFloor) {
+      const { item, share } = entry
+      const classOwed = owed.get(item.urgency) ?? 0
+      if (classOwed <= 0 || pool.reservations.has(item.requestId) || queue.find(item.requestId) !== entry) continue
+      if (reservations.countByCause(pool, RESERVATION_CAUSES.floor) >= settings.maxFloorReservations) return
+      const plan = planReservation(pool, item, this.#computeNeed(pool, entry), this.#estimator)
+      if (plan === undefined) continue
+      reservations.create(pool, entry, RESERVATION_CAUSES.floor, plan, this.#nowMs)
+      owed.set(item.urgency, classOwed - share)
+    }
+  }
+
   /** Reserves targets for the first item that did not fit, so that smaller work doesn't keep it waiting for ever. */
   reserveFor (pass: PoolPass): void {
     const { pool, firstBlocked: entry } = pass
     const { queue, reservations, settings } = this.#context
-    if (entry === undefined || queue.find(entry.item.requestId) !== entry) {
-      pool.blockedHead = undefined
-      return
-    }
-    if (pool.blockedHead?.entry !== entry) pool.blockedHead = { entry, sinceMs: this.#nowMs }
+    if (entry === undefined || queue.find(entry.item.requestId) !== entry) return
+    pool.blockedHead ??= { entry, sinceMs: this.#nowMs }
+    if (pool.blockedHead.entry !== entry) return
     if (pool.reservations.has(entry.item.requestId)) return
     // A single task usually gets the next capacity that comes free, which needs no plan.
     if (entry.item.taskCount === 1 && (pool.isExecutorPool || this.#nowMs - pool.blockedHead.sinceMs < settings.reservationDelayMs)) return
@@ -68,7 +94,7 @@
     for (const entry of pass.blockedUrgent) {
       const { item } = entry
       if (item.taskCount > 1 || pool.reservations.get(item.requestId)?.cause === RESERVATION_CAUSES.preemption) continue
-      if (reservations.countPreemptions(pool) >= settings.maxPreemptionsPerPool) break
+      if (reservations.countByCause(pool, RESERVATION_CAUSES.preemption) >= settings.maxPreemptionsPerPool) break
       const needed = this.#computeNeed(pool, entry)
       const natural = planReservation(pool, item, needed, this.#estimator)
       const naturalWaitMs = (natural?.startAtMs ?? item.deadlineAtMs) - this.#nowMs
--- a/packages/scheduling/src/scheduler-settings.ts
+++ b/packages/scheduling/src/scheduler-settings.ts
@@ -50,6 +50,8 @@
   readonly maxPreemptionsPerPool: number
   /** How long a single task is the blocked head of its pool before targets are reserved for it. */
   readonly reservationDelayMs: number
+  /** Most reservations of one pool for items of classes under their floor. */
+  readonly maxFloorReservations: number
   /** Period after which the start of a reservation is estimated again. */
   readonly reservationRefreshMs: number
   /** Overrun of a reservation's first estimate after which other targets are chosen. */
@@ -83,6 +85,7 @@
   checkpointCostMs: 500,
   maxPreemptionsPerPool: 32,
   reservationDelayMs: 500,
+  maxFloorReservations: 16,
   reservationRefreshMs: 1_000,
   reservationPatienceMs: 30_000
 }
--- a/packages/scheduling/src/scheduling-round.ts
+++ b/packages/scheduling/src/scheduling-round.ts
@@ -64,9 +64,8 @@
     pool.exhaustedVersion = pool.freedVersion
     pool.fullPassAtMs = this.#nowMs
     pool.cutOffClasses = pass.cutOffClasses
-    if (this.#isFull()) return
-    this.#decisions.push(...this.#rooms.preemptFor(pass, this.#maxDecisions - this.#decisions.length))
-    this.#rooms.reserveFor(pass)
+    pool.blockedHead = pool.blockedHead?.entry === pass.firstBlocked ? pool.blockedHead : undefined
+    this.#makeRoom(pass)
     // A reservation takes targets away but frees nothing.
     pool.exhaustedVersion = pool.freedVersion
   }
@@ -80,8 +79,17 @@
       if (this.#isFull()) return
       if (this.#context.queue.find(entry.item.requestId) !== entry) continue
       const needed = computeNeed(pool, this.#context.profiles, entry.item)
-      if (pass.findLimit(entry, needed) === undefined) this.#startIfFitting(pool, entry, needed)
+      if (pass.findLimit(entry, needed) !== undefined || this.#startIfFitting(pool, entry, needed)) continue
+      pass.recordBlocked(entry, pool.isUnderFloor(entry.item.urgency))
     }
+    this.#makeRoom(pass)
+  }
+
+  #makeRoom (pass: PoolPass): void {
+    if (this.#isFull()) return
+    this.#decisions.push(...this.#rooms.preemptFor(pass, this.#maxDecisions - this.#decisions.length))
+    this.#rooms.reserveForFloors(pass)
+    this.#rooms.reserveFor(pass)
   }
 
   #isFull (): boolean {
@@ -117,7 +125,7 @@
         pass.pool.lastServed = ++served
         pass.recordStart(entry)
       } else {
-        pass.recordBlocked(entry)
+        pass.recordBlocked(entry, choice.isUnderFloor)
         // Every other request of an executor pool needs a slot as well.
         if (pass.pool.isExecutorPool && entry.item.taskCount === 1 && entry.item.excludedTargets.length === 0) pass.close()
         else pass.skip(entry)
--- a/packages/scheduling/src/wait-estimator.ts
+++ b/packages/scheduling/src/wait-estimator.ts
@@ -43,7 +43,8 @@
   const rates = pool.rates[urgency]
   const queue = pool.queues[urgency]
   const teamQueued = queue.countTeam(team)
-  const teamRate = rates.computeRate(available, query.assumedWork) * rates.computeTeamPart(team, queue.teamCount + (teamQueued === 0 ? 1 : 0))
+  const teamCount = queue.teamCount + (teamQueued === 0 ? 1 : 0)
+  const teamRate = rates.computeRate(available, query.assumedWork) * rates.computeTeamPart(team, teamCount)
   const ahead = Math.max(0, teamQueued + 1 - Math.max(0, freeShare) / Math.max(share, 1e-9))
   return 1_000 * ahead / teamRate
 }
--- a/packages/scheduling/src/wait-explainer.ts
+++ b/packages/scheduling/src/wait-explainer.ts
@@ -9,11 +9,9 @@
   if (pool.policy === undefined) return WAIT_MESSAGES.poolMissing
   if (pool.targets.length === 0) return WAIT_MESSAGES.noTargets
   const classShare = computeDominantShare(addAmounts(pool.classUse.read(urgency), needed, taskCount), pool.capacity)
-  const { limitPercent } = pool.readClassPolicy(urgency)
-  if (classShare > limitPercent / 100) return WAIT_MESSAGES.classLimit(urgency, limitPercent)
+  if (classShare > pool.readClassLimit(urgency)) return WAIT_MESSAGES.classLimit(urgency, pool.readClassPolicy(urgency).limitPercent)
   const teamShare = computeDominantShare(addAmounts(pool.teamUse.read(team), needed, taskCount), pool.capacity)
-  const quota = pool.readQuotaShare(team)
-  if (teamShare > quota) return WAIT_MESSAGES.teamQuota(team, (100 * quota).toFixed(1))
+  if (teamShare > pool.readTeamLimit(team)) return WAIT_MESSAGES.teamQuota(team, (100 * pool.readQuotaShare(team)).toFixed(1))
   const reservation = pool.reservations.get(requestId)
   if (reservation !== undefined) return WAIT_MESSAGES.reserved(Math.max(0, reservation.startAtMs - nowMs))
   if (position > 1) return WAIT_MESSAGES.othersFirst
