Build the placement search without an object spread

Cause: the profile of 4,800 workers gave 20 % of the time to findTarget itself, which spread its query into a new object for each try. Ruled out: the searches that it calls, 8 % together.

--- a/packages/scheduling/src/placer.ts
+++ b/packages/scheduling/src/placer.ts
@@ -24,6 +24,8 @@
   readonly score: (state: TargetState) => number
 }
 
+const excludeNone = (): boolean => false
+
 const SCARCE_WEIGHT = 1
 const OTHER_WEIGHT = 0.25
 
@@ -103,9 +105,13 @@
 export function findTarget (pool: PoolState, query: PlacementQuery): TargetState | undefined {
   const { excludedTargets, requestId } = query.entry.item
   const search: Search = {
-    ...query,
+    entry: query.entry,
+    needed: query.needed,
+    endsAtMs: query.endsAtMs,
+    servicesByRack: query.servicesByRack,
+    isOpenKnownToFail: query.isOpenKnownToFail,
     pool,
-    isExcluded: excludedTargets.length === 0 ? () => false : (state) => excludedTargets.includes(state.id),
+    isExcluded: excludedTargets.length === 0 ? excludeNone : (state) => excludedTargets.includes(state.id),
     score: pool.isExecutorPool ? (state) => -pool.computeFreeSlots(state) : buildScore(pool, query.needed)
   }
   const isHolder = pool.reservations.has(requestId)
