--- /dev/null
+++ b/packages/scheduling/src/probe-starter.ts
@@ -0,0 +1,56 @@
+import type { StartDecision } from './decision.js'
+import { computeNeed } from './item-need.js'
+import type { PoolPass } from './pool-pass.js'
+import type { SchedulerContext } from './scheduler-context.js'
+import { commitStart } from './start-committer.js'
+import type { TargetState } from './target-state.js'
+import { URGENCIES, type Urgency } from './urgency.js'
+import type { WorkItem } from './work-item.js'
+
+const LEAST_URGENT_FIRST: readonly Urgency[] = [...URGENCIES].reverse()
+
+/** Whether a failed run of the item harms nobody. */
+function isProbeItem (item: WorkItem): boolean {
+  return item.isIdempotent && !item.isExclusive && !item.isService && item.taskCount === 1
+}
+
+function startProbe (
+  context: SchedulerContext, pass: PoolPass, target: TargetState, urgency: Urgency, nowMs: number
+): StartDecision | undefined {
+  const { pool } = pass
+  const entry = pass.chooseEntry(urgency)
+  if (entry === undefined) return undefined
+  const { item } = entry
+  if (!isProbeItem(item) || item.excludedTargets.includes(target.id)) return undefined
+  const needed = computeNeed(pool, context.profiles, item)
+  if (!pool.isFittingNow(target, needed) || pass.findLimit(entry, needed) !== undefined) return undefined
+  context.ledger.addUse(pool, item, target, needed, 1)
+  context.failures.recordProbeStart(target)
+  const decision = commitStart(context, pool, entry, { targets: [target], needed, isProbe: true }, nowMs)
+  pass.recordStart(entry)
+  return decision
+}
+
+function startAnyProbe (
+  context: SchedulerContext, passes: readonly PoolPass[], target: TargetState, nowMs: number
+): StartDecision | undefined {
+  for (const pass of passes) {
+    if (!target.pools.includes(pass.pool)) continue
+    for (const urgency of LEAST_URGENT_FIRST) {
+      const decision = startProbe(context, pass, target, urgency, nowMs)
+      if (decision !== undefined) return decision
+    }
+  }
+  return undefined
+}
+
+/** Gives each quarantined target that is due one idempotent task of the least urgent class that has one. */
+export function startProbes (context: SchedulerContext, passes: readonly PoolPass[], nowMs: number, maxDecisions: number): StartDecision[] {
+  const decisions: StartDecision[] = []
+  for (const target of context.failures.listProbeable(nowMs)) {
+    if (decisions.length >= maxDecisions) break
+    const decision = startAnyProbe(context, passes, target, nowMs)
+    if (decision !== undefined) decisions.push(decision)
+  }
+  return decisions
+}
--- a/packages/scheduling/src/scheduling-round.ts
+++ b/packages/scheduling/src/scheduling-round.ts
@@ -2,6 +2,8 @@
 import type { ClassChoice } from './class-chooser.js'
 import type { Decision } from './decision.js'
 import { computeNeed } from './item-need.js'
+import { startProbes } from './probe-starter.js'
+import { commitStart } from './start-committer.js'
 import { findTarget, type PlacementQuery } from './placer.js'
 import { PoolPass } from './pool-pass.js'
 import type { PoolState } from './pool-state.js'
@@ -38,7 +40,7 @@
       this.#rooms.refreshReservations(pool)
       passes.push(new PoolPass(pool, this.#context.settings))
     }
-    this.#startProbes(passes)
+    this.#decisions.push(...startProbes(this.#context, passes, this.#nowMs, this.#maxDecisions - this.#decisions.length))
     this.#startReserved(passes)
     const fullPasses = passes.filter((pass) => this.#isFullPassDue(pass.pool))
     this.#startInOrder(fullPasses)
@@ -183,7 +185,7 @@
       targets.push(target)
     }
     if (targets.length === item.taskCount) {
-      this.#commitStart(pool, entry, targets, needed, false)
+      this.#decisions.push(commitStart(this.#context, pool, entry, { targets, needed, isProbe: false }, this.#nowMs))
       return true
     }
     const version = pool.freedVersion
@@ -195,40 +197,4 @@
     if (isComparable && !isOpenKnownToFail) pool.failedNeeds.record(needed, item.taskCount, version)
     return false
   }
-
-  #commitStart (pool: PoolState, entry: QueuedItem, targets: readonly TargetState[], needed: Amounts, isProbe: boolean): void {
-    const { ledger, queue, reservations } = this.#context
-    const { item } = entry
-    pool.rates[item.urgency].recordStart(item.team)
-    queue.remove(pool, entry)
-    reservations.drop(pool, item.requestId)
-    ledger.register(pool, item, targets, needed, isProbe, this.#nowMs)
-    this.#decisions.push({ type: 'start', item, targets: targets.map((target) => target.id), isProbe })
-  }
-
-  /** Gives each quarantined target that is due one idempotent task of the least urgent class that has one. */
-  #startProbes (passes: readonly PoolPass[]): void {
-    for (const target of this.#context.failures.listProbeable(this.#nowMs)) {
-      for (const pass of passes) {
-        if (this.#isFull()) return
-        if (target.pools.includes(pass.pool) && [...URGENCIES].reverse().some((urgency) => this.#startProbe(pass, target, urgency))) break
-      }
-    }
-  }
-
-  #startProbe (pass: PoolPass, target: TargetState, urgency: typeof URGENCIES[number]): boolean {
-    const { pool } = pass
-    const entry = pass.chooseEntry(urgency)
-    if (entry === undefined) return false
-    const { item } = entry
-    const isProbe = item.isIdempotent && !item.isExclusive && !item.isService && item.taskCount === 1
-    if (!isProbe || item.excludedTargets.includes(target.id)) return false
-    const needed = computeNeed(pool, this.#context.profiles, item)
-    if (!pool.isFittingNow(target, needed) || pass.findLimit(entry, needed) !== undefined) return false
-    this.#context.ledger.addUse(pool, item, target, needed, 1)
-    this.#context.failures.recordProbeStart(target)
-    this.#commitStart(pool, entry, [target], needed, true)
-    pass.recordStart(entry)
-    return true
-  }
 }
--- /dev/null
+++ b/packages/scheduling/src/start-committer.ts
@@ -0,0 +1,27 @@
+import type { Amounts } from './amounts.js'
+import type { StartDecision } from './decision.js'
+import type { PoolState } from './pool-state.js'
+import type { QueuedItem } from './queued-item.js'
+import type { SchedulerContext } from './scheduler-context.js'
+import type { TargetState } from './target-state.js'
+
+/** Where an item starts. Its capacity already counts as used. */
+export interface PlacedStart {
+  readonly targets: readonly TargetState[]
+  readonly needed: Amounts
+  readonly isProbe: boolean
+}
+
+/** Moves an item from the queue to what runs. */
+export function commitStart (
+  context: SchedulerContext, pool: PoolState, entry: QueuedItem, start: PlacedStart, nowMs: number
+): StartDecision {
+  const { ledger, queue, reservations } = context
+  const { item } = entry
+  const { targets, needed, isProbe } = start
+  pool.rates[item.urgency].recordStart(item.team)
+  queue.remove(pool, entry)
+  reservations.drop(pool, item.requestId)
+  ledger.register(pool, item, targets, needed, isProbe, nowMs)
+  return { type: 'start', item, targets: targets.map((target) => target.id), isProbe }
+}
