--- a/packages/scheduling/src/scheduling-round.ts
+++ b/packages/scheduling/src/scheduling-round.ts
@@ -36,6 +36,7 @@
     const passes: PoolPass[] = []
     for (const pool of this.#context.pools.values()) {
       for (const urgency of URGENCIES) pool.rates[urgency].advance(this.#nowMs)
+      if (!pool.hasBacklog()) pool.fresh.length = 0
       if (pool.policy === undefined || pool.targets.length === 0 || !pool.hasBacklog()) continue
       this.#rooms.refreshReservations(pool)
       passes.push(new PoolPass(pool, this.#context.settings))
