--- a/packages/scheduling/tests/scheduling-policies.test.ts
+++ b/packages/scheduling/tests/scheduling-policies.test.ts
@@ -196,3 +196,16 @@
   t.deepEqual(scheduler.drainQueue().map((item) => item.requestId), ['c', 'd'].map(toRequestId))
   t.is(scheduler.schedule(2_000, 10).length, 0)
 })
+
+test('an item that would pass the limit of its class or the quota of its team waits, and the explanation says so', (t) => {
+  const pool = buildPool({ teamQuotas: { small: 50 }, classes: { low: { limitPercent: 50 } } })
+  for (const [item, reason] of [[{ urgency: 'low' }, /class low .* 50 %/], [{ team: 'small' }, /team small .* 50.0 %/]] as const) {
+    const scheduler = buildScheduler([buildWorker('w1')], pool)
+    const resources = { cores: 6, memoryMb: 1, accelerators: 0 }
+    for (const id of ['a', 'b']) scheduler.admit(buildItem(id, { ...item, resources }), 0)
+    t.deepEqual(listStartedIds(scheduler.schedule(0, 10)), [toRequestId('a')])
+    t.regex(scheduler.explainWait(toRequestId('b'), 0)?.reason ?? '', reason)
+    scheduler.releaseTask(toRequestId('a'), 0, 'succeeded', 1)
+    t.deepEqual(listStartedIds(scheduler.schedule(1, 10)), [toRequestId('b')])
+  }
+})
