--- a/packages/scheduling/src/scheduling-round.ts
+++ b/packages/scheduling/src/scheduling-round.ts
@@ -2,6 +2,8 @@
 import type { ClassChoice } from './class-chooser.js'
 import type { Decision } from './decision.js'
 import { computeNeed } from './item-need.js'
+import { startProbes } from './probe-starter.js'
+import { commitStart } from './start-committer.js'
 import { findTarget, type PlacementQuery } from './placer.js'
 import { PoolPass } from './pool-pass.js'
 import type { PoolState } from './pool-state.js'
@@ -34,11 +36,12 @@
     const passes: PoolPass[] = []
     for (const pool of this.#context.pools.values()) {
       for (const urgency of URGENCIES) pool.rates[urgency].advance(this.#nowMs)
+      if (!pool.hasBacklog()) pool.fresh.length = 0
       if (pool.policy === undefined || pool.targets.length === 0 || !pool.hasBacklog()) continue
       this.#rooms.refreshReservations(pool)
       passes.push(new PoolPass(pool, this.#context.settings))
     }
-    this.#startProbes(passes)
+    this.#decisions.push(...startProbes(this.#context, passes, this.#nowMs, this.#maxDecisions - this.#decisions.length))
     this.#startReserved(passes)
     const fullPasses = passes.filter((pass) => this.#isFullPassDue(pass.pool))
     this.#startInOrder(fullPasses)
@@ -64,9 +67,8 @@
     pool.exhaustedVersion = pool.freedVersion
     pool.fullPassAtMs = this.#nowMs
     pool.cutOffClasses = pass.cutOffClasses
-    if (this.#isFull()) return
-    this.#decisions.push(...this.#rooms.preemptFor(pass, this.#maxDecisions - this.#decisions.length))
-    this.#rooms.reserveFor(pass)
+    pool.blockedHead = pool.blockedHead?.entry === pass.firstBlocked ? pool.blockedHead : undefined
+    this.#makeRoom(pass)
     // A reservation takes targets away but frees nothing.
     pool.exhaustedVersion = pool.freedVersion
   }
@@ -80,8 +82,17 @@
       if (this.#isFull()) return
       if (this.#context.queue.find(entry.item.requestId) !== entry) continue
       const needed = computeNeed(pool, this.#context.profiles, entry.item)
-      if (pass.findLimit(entry, needed) === undefined) this.#startIfFitting(pool, entry, needed)
+      if (pass.findLimit(entry, needed) !== undefined || this.#startIfFitting(pool, entry, needed)) continue
+      pass.recordBlocked(entry, pool.isUnderFloor(entry.item.urgency))
     }
+    this.#makeRoom(pass)
+  }
+
+  #makeRoom (pass: PoolPass): void {
+    if (this.#isFull()) return
+    this.#decisions.push(...this.#rooms.preemptFor(pass, this.#maxDecisions - this.#decisions.length))
+    this.#rooms.reserveForFloors(pass)
+    this.#rooms.reserveFor(pass)
   }
 
   #isFull (): boolean {
@@ -117,7 +128,7 @@
         pass.pool.lastServed = ++served
         pass.recordStart(entry)
       } else {
-        pass.recordBlocked(entry)
+        pass.recordBlocked(entry, choice.isUnderFloor)
         // Every other request of an executor pool needs a slot as well.
         if (pass.pool.isExecutorPool && entry.item.taskCount === 1 && entry.item.excludedTargets.length === 0) pass.close()
         else pass.skip(entry)
@@ -175,7 +186,7 @@
       targets.push(target)
     }
     if (targets.length === item.taskCount) {
-      this.#commitStart(pool, entry, targets, needed, false)
+      this.#decisions.push(commitStart(this.#context, pool, entry, { targets, needed, isProbe: false }, this.#nowMs))
       return true
     }
     const version = pool.freedVersion
@@ -187,40 +198,4 @@
     if (isComparable && !isOpenKnownToFail) pool.failedNeeds.record(needed, item.taskCount, version)
     return false
   }
-
-  #commitStart (pool: PoolState, entry: QueuedItem, targets: readonly TargetState[], needed: Amounts, isProbe: boolean): void {
-    const { ledger, queue, reservations } = this.#context
-    const { item } = entry
-    pool.rates[item.urgency].recordStart()
-    queue.remove(pool, entry)
-    reservations.drop(pool, item.requestId)
-    ledger.register(pool, item, targets, needed, isProbe, this.#nowMs)
-    this.#decisions.push({ type: 'start', item, targets: targets.map((target) => target.id), isProbe })
-  }
-
-  /** Gives each quarantined target that is due one idempotent task of the least urgent class that has one. */
-  #startProbes (passes: readonly PoolPass[]): void {
-    for (const target of this.#context.failures.listProbeable(this.#nowMs)) {
-      for (const pass of passes) {
-        if (this.#isFull()) return
-        if (target.pools.includes(pass.pool) && [...URGENCIES].reverse().some((urgency) => this.#startProbe(pass, target, urgency))) break
-      }
-    }
-  }
-
-  #startProbe (pass: PoolPass, target: TargetState, urgency: typeof URGENCIES[number]): boolean {
-    const { pool } = pass
-    const entry = pass.chooseEntry(urgency)
-    if (entry === undefined) return false
-    const { item } = entry
-    const isProbe = item.isIdempotent && !item.isExclusive && !item.isService && item.taskCount === 1
-    if (!isProbe || item.excludedTargets.includes(target.id)) return false
-    const needed = computeNeed(pool, this.#context.profiles, item)
-    if (!pool.isFittingNow(target, needed) || pass.findLimit(entry, needed) !== undefined) return false
-    this.#context.ledger.addUse(pool, item, target, needed, 1)
-    this.#context.failures.recordProbeStart(target)
-    this.#commitStart(pool, entry, [target], needed, true)
-    pass.recordStart(entry)
-    return true
-  }
 }
