--- a/packages/dispatch/src/shard-role.ts
+++ b/packages/dispatch/src/shard-role.ts
@@ -34,16 +34,11 @@
   /** Runners of former units whose requests are still answered. */
   readonly #draining = new Set<ShardRunner>()
 
-  constructor (context: DispatchContext, createScheduler: SchedulerFactory) {
+  constructor (context: DispatchContext, createScheduler: SchedulerFactory, clients?: Record<TargetKind, TargetClient>) {
     this.#context = context
     this.#createScheduler = createScheduler
     this.#reporter = new AttemptReporter(context)
-    this.#clients = {
-      executor: new ExecutorClient(context.clock, `/hibiscusledge/${context.network.self.instance}`),
-      worker: new WorkerClient(context.clock, (requestId, taskIndex, usage) => {
-        for (const runner of this.#runners.values()) runner.recordUsage(requestId, taskIndex, usage)
-      })
-    }
+    this.#clients = clients ?? this.#createClients()
     this.#registerHandlers()
     for (const kind of Object.values(TARGET_KINDS)) context.ownership.registerRole(`${kind}/`, this)
     context.loads.setLocalLoads(() => [...this.#runners.values()].map((runner) => runner.buildLoad()))
@@ -109,6 +104,16 @@
     await Promise.all(Object.values(this.#clients).map((client) => client.close()))
   }
 
+  #createClients (): Record<TargetKind, TargetClient> {
+    const { clock, network } = this.#context
+    return {
+      executor: new ExecutorClient(clock, `/hibiscusledge/${network.self.instance}`),
+      worker: new WorkerClient(clock, (requestId, taskIndex, usage) => {
+        for (const runner of this.#runners.values()) runner.recordUsage(requestId, taskIndex, usage)
+      })
+    }
+  }
+
   #registerHandlers (): void {
     const { network, logger } = this.#context
     registerCheckedHandler(network, logger, PEER_MESSAGE_KINDS.enqueue, enqueueSchema, async (message, _from, trace) =>
