Bound ledger values in bytes and merge a large state in several transactions

Cause: `append` counted the characters of an entry, so 512 Ki characters of text with three bytes each passed the store's 1 MB limit; a merge put every new segment and every deletion into one transaction, so a state over about 40 MB passed 128 operations. Both refusals were repeated forever, and the partition recorded nothing more. A state of more than 48 merged segments was also written again after each commit. Ruled out: raising the limits (they are etcd's), and dropping refused entries (their waiters would be told an untruth).

--- a/packages/dispatch/src/ledger-segment.ts
+++ b/packages/dispatch/src/ledger-segment.ts
@@ -31,6 +31,28 @@
   return JSON.stringify({ nonce, entries })
 }
 
+/** Size of an entry in a segment, in bytes of UTF-8 as the store counts them. */
+export function measureEntry (entry: LedgerEntry): number {
+  return Buffer.byteLength(JSON.stringify(entry))
+}
+
+/** Divides entries into groups, in order. Each exceeds `maxBytes` by less than its last entry; there is at least one group. */
+export function groupEntries (entries: readonly LedgerEntry[], maxBytes: number): LedgerEntry[][] {
+  let group: LedgerEntry[] = []
+  let bytes = 0
+  const groups = [group]
+  for (const entry of entries) {
+    if (bytes > maxBytes) {
+      group = []
+      bytes = 0
+      groups.push(group)
+    }
+    group.push(entry)
+    bytes += measureEntry(entry)
+  }
+  return groups
+}
+
 /** Reads all segments of a partition in commit order. */
 export async function loadLedger (store: KeyValueStore, partition: UnitId): Promise<Result<LoadedLedger, StoreError>> {
   const listing = await store.listPrefix(buildSegmentPrefix(partition), 'critical')
--- a/packages/dispatch/src/partition-ledger.ts
+++ b/packages/dispatch/src/partition-ledger.ts
@@ -6,7 +6,7 @@
 import type { Comparison, KeyValueStore, Mutation } from '@hibiscusledge/platform/key-value-store.js'
 import { DISPATCH_EVENTS } from './dispatch-events.js'
 import type { LedgerEntry } from './ledger-entry.js'
-import { buildSegmentKey, encodeSegment, loadLedger } from './ledger-segment.js'
+import { buildSegmentKey, encodeSegment, groupEntries, loadLedger, measureEntry } from './ledger-segment.js'
 import { LedgerState } from './ledger-state.js'
 import { OWNER_KEY_PREFIX } from './store-keys.js'
 
@@ -15,8 +15,13 @@
 /** Stays below the store's 1 MB limit for a value with room for the envelope. */
 const BATCH_MAX_BYTES = 512 * 1024
 const BATCH_MAX_ENTRIES = 2000
-/** Segments are merged beyond this count; a commit deletes them in one transaction, and etcd allows 128 operations in one. */
+/**
+ * Segments are merged beyond this count and twice the count that the last merge left, so that a large state is not
+ * written again after each commit.
+ */
 const SEGMENTS_BEFORE_COMPACTION = 48
+/** etcd allows 128 operations in one transaction. */
+const MERGE_MAX_DELETIONS = 100
 const RETRY_DELAY_MS = 200
 /** A commit that takes longer marks the ledger as stalled, so that work which needs it does not hold capacity meanwhile. */
 const STALL_MS = 1000
@@ -62,6 +67,8 @@
   readonly #state = new LedgerState()
   #segments: string[] = []
   #nextSequence = 0
+  /** Segments that the last merge left. */
+  #mergedCount = 0
   #pending: PendingEntry[] = []
   #isCommitting = false
   #isClosed = false
@@ -103,7 +110,7 @@
   /** Adds an entry to the next group commit and waits for its result. */
   append (entry: LedgerEntry, fence?: Fence): Promise<CommitResult> {
     if (this.#isClosed) return Promise.resolve(COMMIT_RESULTS.closed)
-    const bytes = JSON.stringify(entry).length
+    const bytes = measureEntry(entry)
     return new Promise((resolve) => {
       this.#pending.push({ entry, fence, bytes, addedAtMs: this.#options.clock.readMonotonicMs(), resolve })
       this.#windowTimer ??= this.#options.clock.startTimer(BATCH_WINDOW_MS, () => { this.#startCommit() })
@@ -147,7 +154,7 @@
     for (const pending of committed) this.#state.applyEntry(pending.entry)
     this.#settle(committed, COMMIT_RESULTS.committed)
     this.#inFlight = []
-    if (this.#segments.length > SEGMENTS_BEFORE_COMPACTION && !this.#isClosed) await this.#mergeSegments()
+    if (this.#segments.length > SEGMENTS_BEFORE_COMPACTION + 2 * this.#mergedCount && !this.#isClosed) await this.#mergeSegments()
   }
 
   #takeBatch (): PendingEntry[] {
@@ -256,25 +263,26 @@
     return [...comparisons.values()]
   }
 
-  /** Replaces all segments by the shortest ones with the same content. */
+  /**
+   * Replaces all segments by the shortest ones with the same content. The new ones are written before the old ones are
+   * deleted, oldest first: replaying what is left of the old ones before the new ones gives the same state, because no
+   * withdrawal or outcome goes before the intent that it closes.
+   */
   async #mergeSegments (): Promise<void> {
     this.#state.pruneOutcomes(this.#options.clock.readWallMs() - this.#options.retentionMs)
-    const segments: Array<{ key: string, value: string }> = []
-    let group: LedgerEntry[] = []
-    let bytes = 0
-    const closeGroup = (): void => {
-      const key = buildSegmentKey(this.#options.partition, this.#nextSequence + segments.length)
-      segments.push({ key, value: encodeSegment(this.#options.random.drawHex(12), group) })
-      group = []
-      bytes = 0
+    const replaced = [...this.#segments]
+    const groups = groupEntries(this.#state.buildEntries(), BATCH_MAX_BYTES)
+    const comparisons = this.#buildComparisons([])
+    for (const [index, group] of groups.entries()) {
+      const key = buildSegmentKey(this.#options.partition, this.#nextSequence)
+      const value = encodeSegment(this.#options.random.drawHex(12), group)
+      const deletions = index === groups.length - 1 ? replaced.splice(0, MERGE_MAX_DELETIONS) : []
+      if (!await this.#writeSegments([{ key, value }], deletions, comparisons)) return
     }
-    for (const entry of this.#state.buildEntries()) {
-      group.push(entry)
-      bytes += JSON.stringify(entry).length
-      if (bytes > BATCH_MAX_BYTES) closeGroup()
+    while (replaced.length > 0) {
+      if (!await this.#writeSegments([], replaced.splice(0, MERGE_MAX_DELETIONS), comparisons)) return
     }
-    closeGroup()
-    await this.#writeSegments(segments, [...this.#segments], this.#buildComparisons([]))
+    this.#mergedCount = groups.length
   }
 
   #settle (entries: readonly PendingEntry[], result: CommitResult): void {
--- a/packages/dispatch/tests/fake-network.ts
+++ b/packages/dispatch/tests/fake-network.ts
@@ -34,7 +34,7 @@
       self,
       sendRequest: (to, kind, body, timeoutMs) => this.#sendRequest(self, to, kind, body, timeoutMs),
       sendNotice: (to, kind, body) => {
-        this.#deliver({ kind, from: instance, to, isReply: false, body }, () => { void this.#handle(self, to, kind, body) })
+        this.#transfer({ kind, from: instance, to, isReply: false, body }, () => { void this.#handle(self, to, kind, body) })
         return true
       },
       registerHandler: (kind, handler) => { handlers.set(kind, handler) },
@@ -55,16 +55,16 @@
     if (this.#dead.has(to)) return Promise.resolve(Err({ code: PEER_ERROR_CODES.notConnected, message: 'no link' }))
     return new Promise((resolve) => {
       this.clock.startTimer(timeoutMs, () => { resolve(Err({ code: PEER_ERROR_CODES.timeout, message: 'no reply' })) })
-      this.#deliver({ kind, from: self.instance, to, isReply: false, body }, () => {
+      this.#transfer({ kind, from: self.instance, to, isReply: false, body }, () => {
         void this.#handle(self, to, kind, body).then((reply) => {
           if (this.#dead.has(to)) return
-          this.#deliver({ kind, from: to, to: self.instance, isReply: true, body: reply }, () => { resolve(Ok(reply)) })
+          this.#transfer({ kind, from: to, to: self.instance, isReply: true, body: reply }, () => { resolve(Ok(reply)) })
         })
       })
     })
   }
 
-  #deliver (message: FakeMessage, receive: () => void): void {
+  #transfer (message: FakeMessage, receive: () => void): void {
     if (this.#dead.has(message.from)) return
     this.messages.push(message)
     for (const delayMs of this.decideFate(message)) {
--- a/packages/dispatch/tests/fake-targets.ts
+++ b/packages/dispatch/tests/fake-targets.ts
@@ -68,7 +68,7 @@
   }
 
   async #follow (target: TargetAddress, order: RunOrder): Promise<RunReport> {
-    const send = this.sends.find(({ requestId, attempt, target: id }) => requestId === order.requestId && attempt === order.attempt && id === target.id)
+    const send = this.listSends(order.requestId).find(({ attempt, target: id }) => attempt === order.attempt && id === target.id)
     if (send === undefined) return await this.#settleAbsent(target)
     if (send.report !== undefined) return send.report
     return await new Promise((resolve) => {
