Test the home under takeovers, cancellations, deadlines and lost messages

- takeover: accepted and sent without an intent is unknown when cancelled
- an owner change while the enqueue reply is under way assigns the request again
- a doubled enqueue that arrives after the end of its attempt sends nothing
- an older attempt that arrives late does not replace the queued one
- cancel: granted at a worker ends as completed
- an accepted request that restarts after notRun survives a takeover
- a request that restarts after a recorded notRun and runs is not told as notRun by a successor
- proof that the target did not run it turns unknown into notRun
- a cancelled request whose withdrawal reply was lost is not run

--- /dev/null
+++ b/packages/dispatch/tests/home-partition.test.ts
@@ -0,0 +1,347 @@
+import test, { type ExecutionContext } from 'ava'
+import { PEER_MESSAGE_KINDS } from '@hibiscusledge/peer/peer-message-kinds.js'
+import { toInstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import type { RequestStatusReply, SubmitMessage, SubmitReply } from '../src/dispatch-messages.js'
+import type { RequestFacts } from '../src/ledger-entry.js'
+import type { RunReport } from '../src/target-client.js'
+import { FakeCluster } from './fake-cluster.js'
+import type { FakeMessage } from './fake-network.js'
+import { buildFacts, buildSubmit, PARTITION, SHARD } from './fixtures.js'
+
+const HOME = toInstanceId('home')
+
+/** `home` and `next` are homes, `shard` and `other` shard owners, `entry` asks. */
+async function createCluster (): Promise<FakeCluster> {
+  const cluster = new FakeCluster(['home', 'next', 'shard', 'other', 'entry'])
+  await cluster.setOwner(PARTITION, 'home')
+  await cluster.setOwner(SHARD, 'shard')
+  await cluster.advance(100)
+  return cluster
+}
+
+async function ask<Reply> (cluster: FakeCluster, kind: string, body: unknown, waitMs: number, to = HOME): Promise<Reply | undefined> {
+  let found: Reply | undefined
+  void cluster.find('entry').context.network.sendRequest(to, kind, body, 10_000).then((reply) => { if (reply.ok) found = reply.val as Reply })
+  await cluster.advance(waitMs)
+  return found
+}
+
+function submit (cluster: FakeCluster, facts: RequestFacts, message: Partial<SubmitMessage> = {}, to = HOME): Promise<SubmitReply | undefined> {
+  return ask(cluster, PEER_MESSAGE_KINDS.submit, buildSubmit(facts, message), 200, to)
+}
+
+async function readOutcome (cluster: FakeCluster, facts: RequestFacts, to = HOME): Promise<string> {
+  const reply = await ask<RequestStatusReply>(cluster, PEER_MESSAGE_KINDS.lookup, { requestId: facts.requestId }, 10, to)
+  return reply?.type === 'outcome' ? reply.outcome.outcome : reply?.type ?? 'no reply'
+}
+
+function cancel (cluster: FakeCluster, facts: RequestFacts, waitMs = 100, to = HOME): Promise<RequestStatusReply | undefined> {
+  return ask(cluster, PEER_MESSAGE_KINDS.cancel, { requestId: facts.requestId }, waitMs, to)
+}
+
+function loseOnce (cluster: FakeCluster, matches: (message: FakeMessage) => boolean): void {
+  let isLost = false
+  cluster.hub.decideFate = (message) => {
+    if (isLost || !matches(message)) return [0]
+    isLost = true
+    return []
+  }
+}
+
+const DONE: RunReport = { type: 'succeeded', result: 'done' }
+const FAILED: RunReport = { type: 'failed', message: 'failed' }
+
+test('a duplicate joins the request, another body under its identifier conflicts', async (t) => {
+  const cluster = await createCluster()
+  const facts = buildFacts(1, 'posting')
+  t.is((await submit(cluster, facts))?.type, 'pending')
+  t.is((await submit(cluster, facts))?.type, 'pending')
+  t.is((await submit(cluster, { ...facts, fingerprint: 'other' }))?.type, 'conflict')
+  cluster.targets.end(facts.requestId, DONE)
+  await cluster.advance(100)
+  t.is((await submit(cluster, facts))?.type, 'outcome')
+  t.is(cluster.targets.sends.length, 1)
+})
+
+const DEADLINES: ReadonlyArray<{ title: string, kind: string, prepare: (cluster: FakeCluster) => Promise<void> | void, outcome: string }> = [
+  { title: 'unassigned', kind: 'enquiry', prepare: (cluster) => { cluster.find('shard').hasAuthority = false }, outcome: 'notRun' },
+  { title: 'assigned with an intent to record', kind: 'posting', prepare: (cluster) => { cluster.find('shard').hasAuthority = false }, outcome: 'notRun' },
+  { title: 'recording', kind: 'posting', prepare: (cluster) => { cluster.find('home').store.faults.delayMs = 900 }, outcome: 'unknown' },
+  { title: 'granted', kind: 'posting', prepare: () => {}, outcome: 'unknown' },
+  { title: 'sent without an intent', kind: 'enquiry', prepare: () => {}, outcome: 'unknown' },
+  { title: 'store down, intent needed', kind: 'posting', prepare: (cluster) => { cluster.find('home').store.setDown(true) }, outcome: 'notRun' }
+]
+
+for (const { title, kind, prepare, outcome } of DEADLINES) {
+  test(`deadline: ${title} gives ${outcome}`, async (t) => {
+    const cluster = await createCluster()
+    await prepare(cluster)
+    const facts = buildFacts(1, kind)
+    await submit(cluster, facts, { remainingMs: 3000 })
+    await cluster.advance(8000)
+    t.is(await readOutcome(cluster, facts), outcome)
+    t.is(cluster.targets.sends.length > 0, outcome === 'unknown')
+  })
+}
+
+const CANCELS: ReadonlyArray<{ title: string, kind: string, prepare: (cluster: FakeCluster) => void, outcome: string, sends: number }> = [
+  { title: 'queued', kind: 'enquiry', prepare: (cluster) => { cluster.find('shard').hasAuthority = false }, outcome: 'notRun', sends: 0 },
+  { title: 'recording', kind: 'posting', prepare: (cluster) => { cluster.find('home').store.faults.delayMs = 400 }, outcome: 'notRun', sends: 0 },
+  { title: 'granted at an executor', kind: 'posting', prepare: () => {}, outcome: 'completed', sends: 1 },
+  { title: 'sent without an intent', kind: 'enquiry', prepare: () => {}, outcome: 'completed', sends: 1 },
+  { title: 'granted at a worker', kind: 'task', prepare: () => {}, outcome: 'completed', sends: 1 }
+]
+
+for (const { title, kind, prepare, outcome, sends } of CANCELS) {
+  test(`cancel: ${title} ends as ${outcome}`, async (t) => {
+    const cluster = await createCluster()
+    await cluster.setOwner(PARTITION.replace('partition/00', 'worker/a') as typeof PARTITION, 'shard')
+    prepare(cluster)
+    const facts = buildFacts(1, kind)
+    await submit(cluster, facts)
+    await cancel(cluster, facts, 1500)
+    cluster.find('shard').hasAuthority = true
+    cluster.targets.end(facts.requestId, kind === 'task' ? { type: 'failed', message: 'stopped on request' } : DONE)
+    await cluster.advance(1000)
+    t.is(await readOutcome(cluster, facts), outcome)
+    t.is(cluster.targets.sends.length, sends, 'a cancelled request is not sent again')
+    if (kind === 'task') t.is(cluster.targets.actions.length, 1, 'a worker task is asked to stop')
+  })
+}
+
+test('a cancelled request whose withdrawal reply was lost is not run', async (t) => {
+  const cluster = await createCluster()
+  cluster.find('shard').hasAuthority = false
+  const facts = buildFacts(1, 'enquiry')
+  await submit(cluster, facts)
+  loseOnce(cluster, ({ kind, isReply }) => kind === 'withdraw' && isReply)
+  await cancel(cluster, facts, 2000)
+  cluster.find('shard').hasAuthority = true
+  await cluster.advance(15_000)
+  t.is(await readOutcome(cluster, facts), 'notRun')
+  t.is(cluster.targets.sends.length, 0)
+})
+
+test('a request whose earlier attempt ran is never called notRun by a cancellation or the deadline', async (t) => {
+  for (const isCancelled of [true, false]) {
+    const cluster = await createCluster()
+    const facts = buildFacts(1, 'enquiry')
+    await submit(cluster, facts, { remainingMs: 2000 })
+    cluster.find('shard').hasAuthority = false
+    cluster.targets.end(facts.requestId, FAILED)
+    await cluster.advance(300)
+    if (isCancelled) await cancel(cluster, facts)
+    await cluster.advance(10_000)
+    t.is(cluster.targets.sends.length, 1)
+    t.is(await readOutcome(cluster, facts), 'completed', `cancelled: ${isCancelled}`)
+  }
+})
+
+test('retries stop at the limit of the route', async (t) => {
+  const cluster = await createCluster()
+  cluster.targets.decideEnd = () => ({ afterMs: 5, report: FAILED })
+  const facts = buildFacts(1, 'enquiry')
+  await submit(cluster, facts)
+  await cluster.advance(2000)
+  t.is(cluster.targets.sends.length, 3)
+  t.is(await readOutcome(cluster, facts), 'completed')
+})
+
+test('the retry budget of the pool ends retries of many failing requests', async (t) => {
+  const cluster = await createCluster()
+  cluster.targets.decideEnd = () => ({ afterMs: 5, report: FAILED })
+  for (let index = 0; index < 20; index++) await submit(cluster, buildFacts(index, 'enquiry'))
+  await cluster.advance(2000)
+  const retries = cluster.targets.sends.length - 20
+  t.true(retries >= 1 && retries <= 8, `${retries} retries`)
+})
+
+test('doubled, late and reordered results of attempts change nothing', async (t) => {
+  const cluster = await createCluster()
+  const facts = buildFacts(1, 'enquiry')
+  await submit(cluster, facts)
+  const [first] = cluster.targets.sends
+  cluster.find('shard').hasAuthority = false
+  const report = async (type: 'failed' | 'lost'): Promise<unknown> => await ask(cluster, PEER_MESSAGE_KINDS.attemptResult, {
+    requestId: facts.requestId, attempt: first?.attempt, report: { type, message: 'x' }
+  }, 10)
+  for (const type of ['failed', 'failed', 'lost', 'failed'] as const) await report(type)
+  await cluster.advance(300)
+  t.is(await readOutcome(cluster, facts), 'pending', 'one failed attempt is counted once')
+  await report('failed')
+  t.is(await readOutcome(cluster, facts), 'pending', 'an older attempt no longer counts')
+})
+
+test('a lost enqueue reply of an un-ledgered attempt gives unknown, of a ledgered one notRun', async (t) => {
+  for (const [kind, outcome] of [['enquiry', 'unknown'], ['posting', 'notRun']] as const) {
+    const cluster = await createCluster()
+    cluster.hub.decideFate = ({ kind, isReply }) => kind === 'enqueue' && !isReply ? [] : [0]
+    const facts = buildFacts(1, kind)
+    await submit(cluster, facts, { remainingMs: 2500 })
+    await cluster.advance(8000)
+    t.is(await readOutcome(cluster, facts), outcome, kind)
+  }
+})
+
+test('an owner change while the enqueue reply is under way assigns the request again', async (t) => {
+  const cluster = await createCluster()
+  cluster.hub.decideFate = ({ kind, isReply, from }) => kind === 'enqueue' && isReply && from === 'shard' ? [500] : [0]
+  cluster.find('shard').hasAuthority = false
+  const facts = buildFacts(1, 'posting')
+  await submit(cluster, facts)
+  await cluster.setOwner(SHARD, 'other')
+  await cluster.advance(1500)
+  t.is(cluster.targets.sends.length, 1)
+})
+
+test('an owner change before the intent assigns again; one after it asks the target and never sends again', async (t) => {
+  for (const isBefore of [true, false]) {
+    const cluster = await createCluster()
+    const facts = buildFacts(1, 'posting')
+    if (isBefore) cluster.find('shard').hasAuthority = false
+    await submit(cluster, facts)
+    cluster.kill('shard')
+    await cluster.setOwner(SHARD, 'other')
+    await cluster.advance(500)
+    cluster.targets.end(facts.requestId, DONE)
+    await cluster.advance(500)
+    t.is(cluster.targets.sends.length, 1)
+    t.is(await readOutcome(cluster, facts), 'completed')
+  }
+})
+
+test('proof that the target did not run it turns unknown into notRun', async (t) => {
+  const cluster = await createCluster()
+  const facts = buildFacts(1, 'posting')
+  await submit(cluster, facts, { remainingMs: 1000 })
+  cluster.hub.decideFate = ({ kind }) => kind === 'attemptResult' ? [] : [0]
+  cluster.targets.end(facts.requestId, { type: 'notRun', message: 'refused', isLeaving: false })
+  await cluster.advance(3000)
+  t.is(await readOutcome(cluster, facts), 'unknown')
+  cluster.hub.decideFate = () => [0]
+  await cluster.advance(5000)
+  t.is(await readOutcome(cluster, facts), 'notRun')
+})
+
+async function takeOver (cluster: FakeCluster): Promise<void> {
+  cluster.kill('home')
+  await cluster.setOwner(PARTITION, 'next')
+  await cluster.advance(300)
+}
+
+const NEXT = toInstanceId('next')
+type Recovery = { title: string, kind: string, isWaiting: boolean, run: (cluster: FakeCluster, facts: RequestFacts) => Promise<void>, outcome: string, sends: number }
+const end = (cluster: FakeCluster, facts: RequestFacts, report: RunReport = DONE): Promise<void> => {
+  cluster.targets.end(facts.requestId, report)
+  return cluster.advance(100)
+}
+const RECOVERIES: readonly Recovery[] = [
+  {
+    title: 'accepted and queued runs after the takeover',
+    kind: 'posting',
+    isWaiting: false,
+    run: async (cluster, facts) => {
+      await takeOver(cluster)
+      cluster.find('shard').hasAuthority = true
+      await cluster.advance(1000)
+      await end(cluster, facts)
+    },
+    outcome: 'completed',
+    sends: 1
+  },
+  { title: 'granted is asked for', kind: 'posting', isWaiting: true, run: async (cluster, facts) => { await takeOver(cluster); await end(cluster, facts) }, outcome: 'completed', sends: 1 },
+  { title: 'ended is told', kind: 'posting', isWaiting: true, run: async (cluster, facts) => { await end(cluster, facts); await takeOver(cluster) }, outcome: 'completed', sends: 1 },
+  {
+    title: 'cancel of a granted request stays truthful',
+    kind: 'posting',
+    isWaiting: true,
+    run: async (cluster, facts) => { await takeOver(cluster); await cancel(cluster, facts, 100, NEXT); await end(cluster, facts) },
+    outcome: 'completed',
+    sends: 1
+  },
+  {
+    title: 'accepted and sent without an intent is unknown when cancelled',
+    kind: 'enquiry',
+    isWaiting: false,
+    run: async (cluster, facts) => {
+      cluster.find('shard').hasAuthority = false
+      await takeOver(cluster)
+      await cancel(cluster, facts, 100, NEXT)
+    },
+    outcome: 'unknown',
+    sends: 1
+  }
+]
+
+for (const { title, kind, isWaiting, run, outcome, sends } of RECOVERIES) {
+  test(`takeover: ${title}`, async (t) => {
+    const cluster = await createCluster()
+    const facts = buildFacts(1, kind)
+    if (!isWaiting && kind === 'posting') cluster.find('shard').hasAuthority = false
+    const reply = await submit(cluster, facts, { isWaiting })
+    t.is(reply?.type, isWaiting ? 'pending' : 'accepted')
+    await run(cluster, facts)
+    await cluster.advance(500)
+    t.is(await readOutcome(cluster, facts, NEXT), outcome)
+    t.is(cluster.targets.sends.length, sends)
+  })
+}
+
+test('an accepted request that restarts after notRun survives a takeover', async (t) => {
+  const cluster = await createCluster()
+  cluster.find('shard').hasAuthority = false
+  const facts = buildFacts(1, 'posting')
+  await submit(cluster, facts, { isWaiting: false, remainingMs: 500 })
+  await cluster.advance(5000)
+  t.is(await readOutcome(cluster, facts), 'notRun')
+  t.is((await submit(cluster, facts, { isWaiting: false, remainingMs: 20_000 }))?.type, 'accepted')
+  await takeOver(cluster)
+  t.is(await readOutcome(cluster, facts, NEXT), 'pending')
+})
+
+test('a request that restarts after a recorded notRun and runs is not told as notRun by a successor', async (t) => {
+  const cluster = await createCluster()
+  cluster.find('shard').hasAuthority = false
+  const facts = buildFacts(1, 'enquiry')
+  await submit(cluster, facts, { isWaiting: false, remainingMs: 500 })
+  await cluster.advance(5000)
+  cluster.find('shard').hasAuthority = true
+  await submit(cluster, facts)
+  await end(cluster, facts)
+  t.is(await readOutcome(cluster, facts), 'completed')
+  await takeOver(cluster)
+  t.is(await readOutcome(cluster, facts, NEXT), 'completed')
+})
+
+function checkPairs (t: ExecutionContext, cluster: FakeCluster): void {
+  t.is(new Set(cluster.targets.sends.map(({ requestId, attempt }) => `${requestId}.${attempt}`)).size, cluster.targets.sends.length)
+}
+
+test('a doubled enqueue that arrives after the end of its attempt sends nothing', async (t) => {
+  for (const kind of ['enquiry', 'posting']) {
+    const cluster = await createCluster()
+    cluster.hub.decideFate = ({ kind, isReply }) => kind === 'enqueue' && !isReply ? [0, 700] : kind === 'attemptResult' ? [300] : [0]
+    cluster.targets.decideEnd = () => ({ afterMs: 600, report: DONE })
+    const facts = buildFacts(1, kind)
+    await submit(cluster, facts)
+    await cluster.advance(3000)
+    checkPairs(t, cluster)
+    t.is(cluster.targets.sends.length, 1, kind)
+    t.is(await readOutcome(cluster, facts), 'completed')
+  }
+})
+
+test('an older attempt that arrives late does not replace the queued one', async (t) => {
+  const cluster = await createCluster()
+  let enqueues = 0
+  cluster.hub.decideFate = ({ kind, isReply }) => kind === 'enqueue' && !isReply && enqueues++ === 0 ? [2500] : [0]
+  cluster.find('shard').hasAuthority = false
+  const facts = buildFacts(1, 'posting')
+  await submit(cluster, facts, { remainingMs: 20_000 })
+  await cluster.advance(4000)
+  cluster.find('shard').hasAuthority = true
+  await cluster.advance(500)
+  await end(cluster, facts)
+  t.is(cluster.targets.sends.length, 1)
+  t.is(await readOutcome(cluster, facts), 'completed')
+})
