Tell a request that ran as it ended when it is cancelled or expires before a retry

A cancelled worker task that stopped was retried as if it had failed, and a cancelled request whose attempt came back unsent was assigned again. A task that ended at a checkpoint has run in part too, so it now has a fallback. Ruled out: the shard owner's report, which says `failed` for a stopped task, is right; the home alone knows of the cancellation.

--- a/packages/dispatch/src/attempt-tracker.ts
+++ b/packages/dispatch/src/attempt-tracker.ts
@@ -107,6 +107,7 @@
         break
       case 'checkpointed':
         request.checkpoint = report.checkpoint
+        request.fallback = { requestId, outcome: 'unknown', reason: 'ended at a checkpoint and was not resumed' }
         this.#withdrawIntent(request)
         this.#startNextAttempt(request, 0)
         break
@@ -126,7 +127,7 @@
   #retryOrEnd (request: HomeRequest, fallback: RequestOutcome, failedTarget: string | undefined): void {
     const { plan } = request
     const isTimeLeft = this.#context.clock.readMonotonicMs() < request.deadlineAtMs
-    const isAllowed = plan !== undefined && plan.work.isIdempotent && request.retries < plan.retryLimit && isTimeLeft
+    const isAllowed = plan !== undefined && plan.work.isIdempotent && request.retries < plan.retryLimit && isTimeLeft && !request.isCancelled
     if (!isAllowed || request.payload === undefined || request.outcome !== undefined) {
       this.#outcomes.end(request, fallback)
       return
@@ -142,7 +143,8 @@
   #startNextAttempt (request: HomeRequest, delayMs: number): void {
     if (!request.applyEvent('unassign')) return
     request.assignment = undefined
-    this.#assigner.startAssigning(request, delayMs)
+    if (request.isCancelled) this.#outcomes.endNotRun(request, 'cancelled')
+    else this.#assigner.startAssigning(request, delayMs)
   }
 
   #withdrawIntent (request: HomeRequest): void {
--- a/packages/dispatch/src/home-request.ts
+++ b/packages/dispatch/src/home-request.ts
@@ -53,7 +53,7 @@
   isAssigning = false
   outcome: RequestOutcome | undefined
   endedAtMs = 0
-  /** Outcome to tell when a retry is not allowed. */
+  /** What an earlier attempt that ran, at least in part, came to; told when no later attempt runs. */
   fallback: RequestOutcome | undefined
   #state: RequestState = chart.initial
 
--- a/packages/dispatch/src/outcome-recorder.ts
+++ b/packages/dispatch/src/outcome-recorder.ts
@@ -36,10 +36,11 @@
     this.#notifyWaiters(request, outcome)
   }
 
-  /** Ends the request as not run, or as unknown where an attempt may have been sent. */
+  /** Ends the request as not run, as its earlier attempt ended where one ran, or as unknown where one may have been sent. */
   endNotRun (request: HomeRequest, reason: string, retryAfterMs?: number): void {
-    const requestId = request.requestId
-    if (request.mayHaveRun) this.end(request, { requestId, outcome: 'unknown', reason: `${reason}; an earlier attempt may have run` })
+    const { requestId, fallback } = request
+    if (fallback !== undefined) this.end(request, fallback)
+    else if (request.mayHaveRun) this.end(request, { requestId, outcome: 'unknown', reason: `${reason}; an earlier attempt may have run` })
     else this.end(request, { requestId, outcome: 'notRun', reason, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) })
   }
 
--- a/packages/dispatch/src/request-assigner.ts
+++ b/packages/dispatch/src/request-assigner.ts
@@ -130,10 +130,6 @@
 
   #endRejected (request: HomeRequest, rejections: readonly Rejection[]): void {
     if (request.state !== 'unassigned') return
-    if (request.fallback !== undefined) {
-      this.#outcomes.end(request, request.fallback)
-      return
-    }
     const passing = rejections.filter((rejection) => rejection.reason !== REJECTION_REASONS.impossible)
     const rejection = passing[0] ?? rejections[0]
     const delays = passing.flatMap(({ retryAfterMs }) => retryAfterMs === undefined ? [] : [retryAfterMs])
--- a/packages/dispatch/tests/home-partition.test.ts
+++ b/packages/dispatch/tests/home-partition.test.ts
@@ -21,7 +21,9 @@
 
 async function ask<Reply> (cluster: FakeCluster, kind: string, body: unknown, waitMs: number, to = HOME): Promise<Reply | undefined> {
   let found: Reply | undefined
-  void cluster.find('entry').context.network.sendRequest(to, kind, body, 10_000).then((reply) => { if (reply.ok) found = reply.val as Reply })
+  void cluster.find('entry').context.network.sendRequest(to, kind, body, 10_000).then((reply) => {
+    if (reply.ok) found = reply.val as Reply
+  })
   await cluster.advance(waitMs)
   return found
 }
@@ -63,9 +65,9 @@
   t.is(cluster.targets.sends.length, 1)
 })
 
-const DEADLINES: ReadonlyArray<{ title: string, kind: string, prepare: (cluster: FakeCluster) => Promise<void> | void, outcome: string }> = [
+const DEADLINES: ReadonlyArray<{ title: string, kind: string, prepare: (cluster: FakeCluster) => void, outcome: string }> = [
   { title: 'unassigned', kind: 'enquiry', prepare: (cluster) => { cluster.find('shard').hasAuthority = false }, outcome: 'notRun' },
-  { title: 'assigned with an intent to record', kind: 'posting', prepare: (cluster) => { cluster.find('shard').hasAuthority = false }, outcome: 'notRun' },
+  { title: 'assigned, intent needed', kind: 'posting', prepare: (cluster) => { cluster.find('shard').hasAuthority = false }, outcome: 'notRun' },
   { title: 'recording', kind: 'posting', prepare: (cluster) => { cluster.find('home').store.faults.delayMs = 900 }, outcome: 'unknown' },
   { title: 'granted', kind: 'posting', prepare: () => {}, outcome: 'unknown' },
   { title: 'sent without an intent', kind: 'enquiry', prepare: () => {}, outcome: 'unknown' },
@@ -230,7 +232,14 @@
 }
 
 const NEXT = toInstanceId('next')
-type Recovery = { title: string, kind: string, isWaiting: boolean, run: (cluster: FakeCluster, facts: RequestFacts) => Promise<void>, outcome: string, sends: number }
+interface Recovery {
+  readonly title: string
+  readonly kind: string
+  readonly isWaiting: boolean
+  readonly outcome: string
+  readonly sends: number
+  run (cluster: FakeCluster, facts: RequestFacts): Promise<void>
+}
 const end = (cluster: FakeCluster, facts: RequestFacts, report: RunReport = DONE): Promise<void> => {
   cluster.targets.end(facts.requestId, report)
   return cluster.advance(100)
@@ -249,8 +258,22 @@
     outcome: 'completed',
     sends: 1
   },
-  { title: 'granted is asked for', kind: 'posting', isWaiting: true, run: async (cluster, facts) => { await takeOver(cluster); await end(cluster, facts) }, outcome: 'completed', sends: 1 },
-  { title: 'ended is told', kind: 'posting', isWaiting: true, run: async (cluster, facts) => { await end(cluster, facts); await takeOver(cluster) }, outcome: 'completed', sends: 1 },
+  {
+    title: 'granted is asked for',
+    kind: 'posting',
+    isWaiting: true,
+    run: async (cluster, facts) => { await takeOver(cluster); await end(cluster, facts) },
+    outcome: 'completed',
+    sends: 1
+  },
+  {
+    title: 'ended is told',
+    kind: 'posting',
+    isWaiting: true,
+    run: async (cluster, facts) => { await end(cluster, facts); await takeOver(cluster) },
+    outcome: 'completed',
+    sends: 1
+  },
   {
     title: 'cancel of a granted request stays truthful',
     kind: 'posting',
