Count the end of an attempt once, and let proof of not running replace unknown

Cause: a report is repeated until its acknowledgement arrives. While the request waited for its next attempt, the number of the ended one was still the current one, so each repeat used up a retry and the second ended the request. A `notRun` report after the deadline withdrew the intent but left the outcome at `unknown` for good. `expired` withdrew an intent that its outcome closes. Ruled out: comparing attempt numbers alone, as the next number is drawn only when a shard is found. Before: two `failed` reports of one attempt ended the request; `unknown` stayed. After: one is counted; `unknown` becomes `notRun`.

--- a/packages/dispatch/src/attempt-tracker.ts
+++ b/packages/dispatch/src/attempt-tracker.ts
@@ -54,6 +54,8 @@
   /** Applies the end of an attempt. Returns whether the shard owner may forget it. */
   async applyResult (request: HomeRequest, message: AttemptResultMessage): Promise<boolean> {
     if (message.attempt !== request.attempt) return true
+    const isRepeated = request.closedAttempt === message.attempt && request.outcome === undefined
+    if (isRepeated && message.report.type !== 'succeeded') return true
     if (request.outcome === undefined || request.outcome.outcome === 'unknown') this.#applyReport(request, message.report)
     if (request.outcome === undefined || !request.hasIntent) return true
     return await this.#outcomes.record(request)
@@ -97,12 +99,9 @@
         this.#retryOrEnd(request, { requestId, outcome: 'completed', result: { error: report.message } }, undefined)
         break
       case 'notRun':
-        this.#addExcludedTarget(request, report.target)
-        this.#withdrawIntent(request)
-        this.#startNextAttempt(request, RETRY_DELAY_MS)
+        this.#applyNotRun(request, report.message, report.target)
         break
       case 'expired':
-        this.#withdrawIntent(request)
         this.#outcomes.endNotRun(request, 'deadlineExpired')
         break
       case 'checkpointed':
@@ -124,6 +123,17 @@
     }
   }
 
+  /** Proof that the attempt did not run: another follows, or an outcome told as unknown becomes the truth. */
+  #applyNotRun (request: HomeRequest, message: string, target: string | undefined): void {
+    if (request.outcome !== undefined) {
+      this.#outcomes.endNotRun(request, message)
+      return
+    }
+    this.#addExcludedTarget(request, target)
+    this.#withdrawIntent(request)
+    this.#startNextAttempt(request, RETRY_DELAY_MS)
+  }
+
   #retryOrEnd (request: HomeRequest, fallback: RequestOutcome, failedTarget: string | undefined): void {
     const { plan } = request
     const isTimeLeft = this.#context.clock.readMonotonicMs() < request.deadlineAtMs
@@ -142,6 +152,7 @@
 
   #startNextAttempt (request: HomeRequest, delayMs: number): void {
     if (!request.applyEvent('unassign')) return
+    request.closedAttempt = request.attempt
     request.assignment = undefined
     if (request.isCancelled) this.#outcomes.endNotRun(request, 'cancelled')
     else this.#assigner.startAssigning(request, delayMs)
--- a/packages/dispatch/src/home-request.ts
+++ b/packages/dispatch/src/home-request.ts
@@ -42,6 +42,8 @@
   attempt = 0
   retries = 0
   checkpoint: string | undefined
+  /** The last attempt whose end was applied; only a success of it still counts. */
+  closedAttempt = 0
   assignment: Assignment | undefined
   /** The ledger holds an intent for the current attempt. */
   hasIntent = false
