Assign a request again whose attempt ended before the enqueue reply came

Cause: while the reply to `enqueue` is under way, `isAssigning` refuses other starts. An owner change or an early `notRun` report in that time unassigned the request, its start was refused, and the reply then counted as settled. The request waited until its deadline. Ruled out: a lost reply, which is tried at the next shard as before.

--- a/packages/dispatch/src/request-assigner.ts
+++ b/packages/dispatch/src/request-assigner.ts
@@ -72,6 +72,8 @@
       const result = await this.#enqueueAt(request, plan, payload, unit)
       if (result.type === 'settled') {
         request.isAssigning = false
+        // The attempt may have ended or been taken back before the reply came, and nobody else assigns meanwhile.
+        this.startAssigning(request, REASSIGN_DELAY_MS)
         return
       }
       if (result.type === 'rejected') rejections.push(result.rejection)
