Record a request that starts again after notRun before anything is sent

Cause: a restart cleared `isDurable`, although the ledger still held the earlier `notRun`. The new run's outcome was not recorded, and a successor told `notRun` of a request that had completed. An `accepted` entry after `notRun` did not replace the outcome on replay, so a request answered with 202 was lost at a takeover. A second `?wait=0` caller was answered 202 while the first one's record was still under way; the record itself is now what counts. Ruled out: deleting the outcome on restart, which loses the request's cancelled mark when the store fails in between. Before: successor tells `notRun`. After: `completed`, and `pending` for the 202.

--- a/packages/dispatch/src/home-partition.ts
+++ b/packages/dispatch/src/home-partition.ts
@@ -148,20 +148,25 @@
   }
 
   async #beginRequest (request: HomeRequest, message: SubmitMessage, from: InstanceId): Promise<SubmitReply> {
-    if (message.isWaiting) {
-      request.waiters.add(from)
+    if (message.isWaiting) request.waiters.add(from)
+    if (message.isWaiting && !request.isDurable) {
       this.#assigner.startAssigning(request)
       return { type: 'pending' }
     }
+    // The ledger's earlier `notRun` of a request that starts again must be replaced before anything is sent.
+    request.isAssigning = true
     const isRecorded = await this.#recordAccepted(request, message)
+    request.isAssigning = false
+    if (message.isWaiting && !isRecorded) this.#outcomes.endNotRun(request, 'the store does not record requests now')
     this.#assigner.startAssigning(request)
+    if (message.isWaiting) return this.#buildSubmitReply(request, message)
     // Not confirmed in time is not the same as not recorded: the request goes on, and its truth can be asked for.
     if (!isRecorded) return { type: 'outcome', outcome: buildUnconfirmed(request.requestId) }
     return { type: 'accepted' }
   }
 
   async #recordAccepted (request: HomeRequest, message: SubmitMessage): Promise<boolean> {
-    if (request.isDurable) return true
+    if (this.#ledger.state.findRecord(request.requestId)?.accepted !== undefined) return true
     const deadlineWallMs = this.#context.clock.readWallMs() + message.remainingMs
     request.isDurable = true
     return await this.#ledger.append({ type: 'accepted', facts: message.facts, deadlineWallMs }) === COMMIT_RESULTS.committed
@@ -187,7 +192,6 @@
     request.applyEvent('restart')
     request.outcome = undefined
     request.fallback = undefined
-    request.isDurable = false
     request.retries = 0
     request.payload = { value: message.facts.payload }
     request.plan = buildPlan(this.#context.tables, message.facts)
--- a/packages/dispatch/src/ledger-state.ts
+++ b/packages/dispatch/src/ledger-state.ts
@@ -14,9 +14,13 @@
 
   applyEntry (entry: LedgerEntry): void {
     switch (entry.type) {
-      case 'accepted':
-        this.#ensureRecord(entry.facts.requestId).accepted = entry
+      case 'accepted': {
+        const record = this.#ensureRecord(entry.facts.requestId)
+        record.accepted = entry
+        // Accepted again under the same identifier after a `notRun`.
+        record.outcome = undefined
         break
+      }
       case 'intent': {
         const record = this.#ensureRecord(entry.facts.requestId)
         record.intent = entry
--- a/packages/dispatch/tests/ledger-state.test.ts
+++ b/packages/dispatch/tests/ledger-state.test.ts
@@ -64,6 +64,11 @@
     accepted: false,
     outcome: 'completed'
   },
+  {
+    title: 'a request accepted again after notRun waits',
+    entries: [ACCEPTED, createOutcome('notRun'), ACCEPTED],
+    accepted: true
+  },
   { title: 'an intent after notRun reopens the request', entries: [createOutcome('notRun'), createIntent(2)], accepted: false, intent: 2 }
 ]
 
