Admit an attempt at a shard owner at most once

Cause: a shard owner knew only attempts in progress. An `enqueue` that arrived again after its attempt had ended was admitted and, without an intent, sent a second time; with one, the refused intent was reported as `notRun`, which made the home send a granted request again when that report overtook the true one. An older attempt that arrived late took the queued newer one out. A repeated withdrawal of an attempt that was never sent was answered `absent`, which is no proof, so that a cancelled request ended as `unknown`. Fix: the runner keeps the newest ended attempt of each request for 60 s and says whether it may have been sent; `enqueue` carries the owner's epoch. Ruled out: the intent as the only guard, as idempotent work has none.

--- a/packages/dispatch/src/dispatch-messages.ts
+++ b/packages/dispatch/src/dispatch-messages.ts
@@ -43,6 +43,8 @@
 /** Home to shard owner: queue one attempt. */
 export const enqueueSchema = z.object({
   unit,
+  /** Epoch of the shard owner that the attempt is meant for. A later owner refuses it. */
+  epoch: z.number().int(),
   requestId,
   attempt: z.number().int(),
   kind: z.string(),
--- /dev/null
+++ b/packages/dispatch/src/ended-attempts.ts
@@ -0,0 +1,38 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { RequestId } from '@hibiscusledge/runtime/identifiers.js'
+
+/** Longer than any message between instances is under way: links close after 2 s of silence. */
+const RETENTION_MS = 60_000
+
+export interface EndedAttempt {
+  readonly attempt: number
+  /** False only when it is certain that this shard owner did not send the attempt and never will. */
+  readonly mayBeSent: boolean
+  readonly endedAtMs: number
+}
+
+/** The newest attempt of each request that has ended at a shard, so that a late or doubled message does not start it again. */
+export class EndedAttempts {
+  readonly #clock: Clock
+  readonly #attempts = new Map<RequestId, EndedAttempt>()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  find (requestId: RequestId): EndedAttempt | undefined {
+    return this.#attempts.get(requestId)
+  }
+
+  add (requestId: RequestId, attempt: number, mayBeSent: boolean): void {
+    const known = this.#attempts.get(requestId)
+    if (known !== undefined && known.attempt >= attempt) return
+    this.#attempts.delete(requestId)
+    const nowMs = this.#clock.readMonotonicMs()
+    this.#attempts.set(requestId, { attempt, mayBeSent, endedAtMs: nowMs })
+    for (const [oldestId, oldest] of this.#attempts) {
+      if (nowMs - oldest.endedAtMs <= RETENTION_MS) return
+      this.#attempts.delete(oldestId)
+    }
+  }
+}
--- a/packages/dispatch/src/request-assigner.ts
+++ b/packages/dispatch/src/request-assigner.ts
@@ -4,7 +4,7 @@
 import { REJECTION_REASONS } from '@hibiscusledge/scheduling/decision.js'
 import type { DispatchContext } from './dispatch-context.js'
 import { enqueueReplySchema, type EnqueueMessage } from './dispatch-messages.js'
-import type { HomeRequest, RequestPlan } from './home-request.js'
+import type { Assignment, HomeRequest, RequestPlan } from './home-request.js'
 import { sendCheckedRequest } from './message-handler.js'
 import type { OutcomeRecorder } from './outcome-recorder.js'
 import type { PartitionLedger } from './partition-ledger.js'
@@ -89,7 +89,7 @@
     const attempt = ++this.#nextAttempt
     request.attempt = attempt
     request.assignment = { unit, epoch: owner.epoch, owner: owner.instance }
-    const message = this.#buildMessage(request, plan, payload, unit)
+    const message = this.#buildMessage(request, plan, payload, request.assignment)
     const reply = await sendCheckedRequest(
       this.#context.network, owner.instance, PEER_MESSAGE_KINDS.enqueue, message, enqueueReplySchema, ENQUEUE_TIMEOUT_MS, request.trace
     )
@@ -107,9 +107,10 @@
     return { type: 'rejected', rejection: { reason, detail, retryAfterMs } }
   }
 
-  #buildMessage (request: HomeRequest, plan: RequestPlan, payload: unknown, unit: UnitId): EnqueueMessage {
+  #buildMessage (request: HomeRequest, plan: RequestPlan, payload: unknown, { unit, epoch }: Assignment): EnqueueMessage {
     return {
       unit,
+      epoch,
       requestId: request.requestId,
       attempt: request.attempt,
       kind: request.facts.kind,
--- a/packages/dispatch/src/shard-runner.ts
+++ b/packages/dispatch/src/shard-runner.ts
@@ -20,6 +20,7 @@
 import {
   ATTEMPT_STATES, buildOrder, buildWorkItem, convertToRunResult, mergeReports, type ShardAttempt
 } from './shard-attempt.js'
+import { EndedAttempts } from './ended-attempts.js'
 import { ForeignRuns } from './foreign-runs.js'
 import { fetchOpenIntents, type OpenIntent } from './shard-recovery.js'
 import type { RunOrder, RunReport, TargetAddress, TargetClient } from './target-client.js'
@@ -58,6 +59,7 @@
   readonly #client: TargetClient
   readonly #reporter: AttemptReporter
   readonly #attempts = new Map<RequestId, ShardAttempt>()
+  readonly #ended: EndedAttempts
   readonly #targets = new Map<TargetId, Target>()
   readonly #monitor: TargetMonitor
   readonly #foreign: ForeignRuns
@@ -74,6 +76,7 @@
     this.#scheduler = options.scheduler
     this.#client = options.client
     this.#reporter = options.reporter
+    this.#ended = new EndedAttempts(options.context.clock)
     this.#monitor = new TargetMonitor(options.context, options.scheduler, options.client, () => this.#targets.values())
     this.#foreign = new ForeignRuns(options.scheduler, options.context.clock, () => { this.#requestSchedule() })
     this.#timer = options.context.clock.startInterval(SCHEDULE_PERIOD_MS, () => { this.#requestSchedule() })
@@ -102,9 +105,13 @@
   }
 
   enqueue (message: EnqueueMessage, trace: TraceContext | undefined): EnqueueReply {
-    if (!this.#isServing) return { type: 'notOwner' }
+    if (!this.#isServing || message.epoch !== this.#owner.epoch) return { type: 'notOwner' }
     const existing = this.#attempts.get(message.requestId)
-    if (existing?.attempt === message.attempt) return { type: 'admitted' }
+    const known = Math.max(existing?.attempt ?? 0, this.#ended.find(message.requestId)?.attempt ?? 0)
+    if (known === message.attempt) return { type: 'admitted' }
+    if (known > message.attempt) {
+      return { type: 'rejected', reason: REJECTION_REASONS.duplicate, detail: 'a later attempt of the request is known here' }
+    }
     if (existing !== undefined && existing.state !== ATTEMPT_STATES.queued) {
       return { type: 'rejected', reason: REJECTION_REASONS.queueFull, detail: 'an earlier attempt still runs here' }
     }
@@ -114,7 +121,7 @@
 
   withdraw (message: WithdrawMessage): WithdrawReply['state'] {
     const attempt = this.#attempts.get(message.requestId)
-    if (attempt === undefined || attempt.attempt !== message.attempt) return 'absent'
+    if (attempt === undefined || attempt.attempt !== message.attempt) return this.#findUnsent(message)
     if (attempt.state === ATTEMPT_STATES.queued) {
       this.#removeQueued(attempt)
       return 'queued'
@@ -178,7 +185,9 @@
     this.#monitor.stop()
     this.#foreign.stop()
     for (const [requestId, attempt] of this.#attempts) {
-      if (attempt.state === ATTEMPT_STATES.queued) this.#attempts.delete(requestId)
+      if (attempt.state !== ATTEMPT_STATES.queued) continue
+      this.#attempts.delete(requestId)
+      this.#ended.add(requestId, attempt.attempt, false)
     }
     if (this.#unit.startsWith(TARGET_KINDS.worker)) for (const targetId of this.#targets.keys()) this.#client.detach(targetId)
   }
@@ -215,6 +224,15 @@
   #removeQueued (attempt: ShardAttempt): void {
     this.#scheduler.cancelQueued([attempt.requestId])
     this.#attempts.delete(attempt.requestId)
+    this.#ended.add(attempt.requestId, attempt.attempt, false)
+  }
+
+  /** Answers a withdrawal of an attempt that is not here. One that may still be under way is refused when it arrives. */
+  #findUnsent ({ requestId, attempt }: WithdrawMessage): WithdrawReply['state'] {
+    const ended = this.#ended.find(requestId)
+    if (ended?.attempt === attempt && !ended.mayBeSent) return 'queued'
+    this.#ended.add(requestId, attempt, true)
+    return 'absent'
   }
 
   #requestSchedule (): void {
@@ -338,6 +356,7 @@
   #finish (attempt: ShardAttempt, report: AttemptReport): void {
     const { requestId, attempt: number } = attempt
     if (this.#attempts.get(requestId) === attempt) this.#attempts.delete(requestId)
+    this.#ended.add(requestId, number, attempt.state === ATTEMPT_STATES.sent)
     if (this.#successor !== undefined && !attempt.isIntentNeeded) this.#sendHandOver(this.#successor, [], [attempt])
     void this.#reporter.report({ requestId, attempt: number, report }, attempt.trace).then((isRecorded) => {
       if (!isRecorded || report.type === 'unknown') return
--- a/packages/dispatch/tests/home-partition.test.ts
+++ b/packages/dispatch/tests/home-partition.test.ts
@@ -19,7 +19,7 @@
   return cluster
 }
 
-async function ask<Reply> (cluster: FakeCluster, kind: string, body: unknown, waitMs: number, to = HOME): Promise<Reply | undefined> {
+async function sendTo<Reply> (cluster: FakeCluster, kind: string, body: unknown, waitMs: number, to = HOME): Promise<Reply | undefined> {
   let found: Reply | undefined
   void cluster.find('entry').context.network.sendRequest(to, kind, body, 10_000).then((reply) => {
     if (reply.ok) found = reply.val as Reply
@@ -28,20 +28,22 @@
   return found
 }
 
-function submit (cluster: FakeCluster, facts: RequestFacts, message: Partial<SubmitMessage> = {}, to = HOME): Promise<SubmitReply | undefined> {
-  return ask(cluster, PEER_MESSAGE_KINDS.submit, buildSubmit(facts, message), 200, to)
+function submit (
+  cluster: FakeCluster, facts: RequestFacts, message: Partial<SubmitMessage> = {}, to = HOME
+): Promise<SubmitReply | undefined> {
+  return sendTo(cluster, PEER_MESSAGE_KINDS.submit, buildSubmit(facts, message), 200, to)
 }
 
 async function readOutcome (cluster: FakeCluster, facts: RequestFacts, to = HOME): Promise<string> {
-  const reply = await ask<RequestStatusReply>(cluster, PEER_MESSAGE_KINDS.lookup, { requestId: facts.requestId }, 10, to)
+  const reply = await sendTo<RequestStatusReply>(cluster, PEER_MESSAGE_KINDS.lookup, { requestId: facts.requestId }, 10, to)
   return reply?.type === 'outcome' ? reply.outcome.outcome : reply?.type ?? 'no reply'
 }
 
 function cancel (cluster: FakeCluster, facts: RequestFacts, waitMs = 100, to = HOME): Promise<RequestStatusReply | undefined> {
-  return ask(cluster, PEER_MESSAGE_KINDS.cancel, { requestId: facts.requestId }, waitMs, to)
+  return sendTo(cluster, PEER_MESSAGE_KINDS.cancel, { requestId: facts.requestId }, waitMs, to)
 }
 
-function loseOnce (cluster: FakeCluster, matches: (message: FakeMessage) => boolean): void {
+function injectLoss (cluster: FakeCluster, matches: (message: FakeMessage) => boolean): void {
   let isLost = false
   cluster.hub.decideFate = (message) => {
     if (isLost || !matches(message)) return [0]
@@ -116,7 +118,7 @@
   cluster.find('shard').hasAuthority = false
   const facts = buildFacts(1, 'enquiry')
   await submit(cluster, facts)
-  loseOnce(cluster, ({ kind, isReply }) => kind === 'withdraw' && isReply)
+  injectLoss(cluster, ({ kind, isReply }) => kind === 'withdraw' && isReply)
   await cancel(cluster, facts, 2000)
   cluster.find('shard').hasAuthority = true
   await cluster.advance(15_000)
@@ -162,16 +164,19 @@
   const cluster = await createCluster()
   const facts = buildFacts(1, 'enquiry')
   await submit(cluster, facts)
-  const [first] = cluster.targets.sends
   cluster.find('shard').hasAuthority = false
-  const report = async (type: 'failed' | 'lost'): Promise<unknown> => await ask(cluster, PEER_MESSAGE_KINDS.attemptResult, {
-    requestId: facts.requestId, attempt: first?.attempt, report: { type, message: 'x' }
-  }, 10)
-  for (const type of ['failed', 'failed', 'lost', 'failed'] as const) await report(type)
+  cluster.hub.decideFate = ({ kind, isReply }) => kind === 'attemptResult' && !isReply ? [0, 10, 20, 40, 400] : [0]
+  cluster.targets.end(facts.requestId, FAILED)
   await cluster.advance(300)
   t.is(await readOutcome(cluster, facts), 'pending', 'one failed attempt is counted once')
-  await report('failed')
+  await cluster.advance(500)
   t.is(await readOutcome(cluster, facts), 'pending', 'an older attempt no longer counts')
+  cluster.find('shard').hasAuthority = true
+  await cluster.advance(200)
+  cluster.targets.end(facts.requestId, DONE)
+  await cluster.advance(200)
+  t.is(await readOutcome(cluster, facts), 'completed')
+  t.is(cluster.targets.sends.length, 2)
 })
 
 test('a lost enqueue reply of an un-ledgered attempt gives unknown, of a ledgered one notRun', async (t) => {
