Say unknown, not notRun, where a former home may have had a request run

Cause: idempotent executor work has no intent, so a successor has no record of what was sent. It told `notRun` of a resubmitted or recovered request that expired or was cancelled, although the former home had sent it (invariant I4). Fix: an entry says in `submit` that an earlier submit may have arrived, and a successor treats an accepted request without an intent as possibly run. Ruled out: an intent for every request (the store's write rate). Test "an idempotent request that a dead home had sent ...": before `notRun`, after `unknown`. Not covered: a caller that retries its key through another entry after both its entry and its home have died; the new home cannot know of the earlier send.

--- a/packages/dispatch/src/dispatch-messages.ts
+++ b/packages/dispatch/src/dispatch-messages.ts
@@ -10,7 +10,14 @@
 const duration = z.number().finite()
 
 /** Entry to home: take the request, or join it when it is known. */
-export const submitSchema = z.object({ facts: requestFactsSchema, isKeyed: z.boolean(), isWaiting: z.boolean(), remainingMs: duration })
+export const submitSchema = z.object({
+  facts: requestFactsSchema,
+  isKeyed: z.boolean(),
+  isWaiting: z.boolean(),
+  remainingMs: duration,
+  /** An earlier submit may have reached a home, which may have had the request run. */
+  mayBeKnown: z.boolean().optional()
+})
 export type SubmitMessage = z.output<typeof submitSchema>
 
 export const submitReplySchema = z.discriminatedUnion('type', [
--- a/packages/dispatch/src/home-partition.ts
+++ b/packages/dispatch/src/home-partition.ts
@@ -142,6 +142,8 @@
     request.receivedAtMs = nowMs
     request.trace = trace
     request.plan = buildPlan(this.#context.tables, message.facts)
+    // A former home may have had it run; the ledger would tell only of work that needs an intent.
+    request.mayHaveRun = message.mayBeKnown === true && request.plan?.isIntentNeeded !== true
     this.#requests.set(request.requestId, request)
     this.#active.add(request)
     return request
@@ -273,6 +275,8 @@
     request.receivedAtMs = nowMs
     request.isDurable = true
     request.plan = buildPlan(tables, facts)
+    // The former home may have had it sent, as idempotent executor work has no intent.
+    request.mayHaveRun = record.accepted !== undefined && record.intent === undefined && request.plan?.isIntentNeeded !== true
     this.#requests.set(requestId, request)
     if (record.intent !== undefined) this.#recoverIntent(request, record.intent)
     if (record.outcome !== undefined) {
--- a/packages/dispatch/src/pending-request.ts
+++ b/packages/dispatch/src/pending-request.ts
@@ -89,7 +89,8 @@
 
   async #submitTo (home: InstanceId): Promise<boolean> {
     const { context, facts, isKeyed, isWaiting, deadlineAtMs, trace } = this.#options
-    const message: SubmitMessage = { facts, isKeyed, isWaiting, remainingMs: deadlineAtMs - context.clock.readMonotonicMs() }
+    const remainingMs = deadlineAtMs - context.clock.readMonotonicMs()
+    const message: SubmitMessage = { facts, isKeyed, isWaiting, remainingMs, mayBeKnown: this.#mayBeKnown }
     const reply = await sendCheckedRequest(
       context.network, home, PEER_MESSAGE_KINDS.submit, message, submitReplySchema, SUBMIT_TIMEOUT_MS, trace
     )
--- a/packages/dispatch/tests/home-partition.test.ts
+++ b/packages/dispatch/tests/home-partition.test.ts
@@ -341,6 +341,27 @@
   t.is(await readOutcome(cluster, facts, NEXT), 'completed')
 })
 
+test('an idempotent request that a dead home had sent is unknown, not notRun, when it expires at the next home', async (t) => {
+  const cluster = await createCluster()
+  const { gateway, context } = cluster.find('entry')
+  const submission = {
+    kind: 'enquiry', customer: 'harambee', team: '', deadlineMs: 2000, payload: 1, idempotencyKey: 'k', isWaiting: true, trace: undefined
+  }
+  let outcome = ''
+  void gateway.submit(submission, new AbortController().signal).then((answer) => {
+    outcome = answer.type === 'outcome' ? answer.outcome.outcome : answer.type
+  })
+  await cluster.advance(100)
+  t.is(cluster.targets.sends.length, 1)
+  cluster.find('shard').hasAuthority = false
+  cluster.targets.end(cluster.targets.sends[0]?.requestId ?? buildFacts(0).requestId, FAILED)
+  cluster.kill('home')
+  await cluster.setOwner(PARTITION, 'next')
+  await cluster.advance(10_000)
+  t.is(context.ownership.findOwner(PARTITION)?.instance, NEXT)
+  t.is(outcome, 'unknown')
+})
+
 function checkPairs (t: ExecutionContext, cluster: FakeCluster): void {
   t.is(new Set(cluster.targets.sends.map(({ requestId, attempt }) => `${requestId}.${attempt}`)).size, cluster.targets.sends.length)
 }
