--- a/packages/dispatch/src/attempt-tracker.ts
+++ b/packages/dispatch/src/attempt-tracker.ts
@@ -136,9 +136,9 @@
 
   #retryOrEnd (request: HomeRequest, fallback: RequestOutcome, failedTarget: string | undefined): void {
     const { plan } = request
-    const isTimeLeft = this.#context.clock.readMonotonicMs() < request.deadlineAtMs
-    const isAllowed = plan !== undefined && plan.work.isIdempotent && request.retries < plan.retryLimit && isTimeLeft && !request.isCancelled
-    if (!isAllowed || request.payload === undefined || request.outcome !== undefined) {
+    const isWanted = !request.isCancelled && this.#context.clock.readMonotonicMs() < request.deadlineAtMs
+    const isAllowed = plan !== undefined && plan.work.isIdempotent && request.retries < plan.retryLimit
+    if (!isAllowed || !isWanted || request.payload === undefined || request.outcome !== undefined) {
       this.#outcomes.end(request, fallback)
       return
     }
