--- a/packages/dispatch/tests/fake-targets.ts
+++ b/packages/dispatch/tests/fake-targets.ts
@@ -34,7 +34,15 @@
   }
 
   createClient (): TargetClient {
-    const follow = (target: TargetAddress, order: RunOrder): Promise<RunReport> => this.#follow(target, order)
+    const detachments = new Map<TargetId, Array<() => void>>()
+    const follow = async (target: TargetAddress, order: RunOrder): Promise<RunReport> => {
+      const detached = new Promise<RunReport>((resolve) => {
+        const listeners = detachments.get(target.id) ?? []
+        listeners.push(() => { resolve({ type: 'detached' }) })
+        detachments.set(target.id, listeners)
+      })
+      return await Promise.race([this.#follow(target, order), detached])
+    }
     return {
       run: (target, order) => {
         const send: RecordedSend = {
@@ -52,7 +60,10 @@
         return follow(target, order)
       },
       attach: follow,
-      detach: () => {},
+      detach: (targetId) => {
+        for (const listener of detachments.get(targetId) ?? []) listener()
+        detachments.delete(targetId)
+      },
       acknowledge: (_targetId, order) => { this.acknowledged.push(order.requestId) },
       requestAction: async (_target, order, action) => { this.actions.push(`${action} ${order.requestId}`) },
       readProgress: async (): Promise<TargetProgress> => ({ progress: 1, running: 0, isLeaving: false }),
