Keep in the ledger that an attempt with an intent ran without a result

Cause: when an attempt ended as lost, failed or at a checkpoint and the request was to run again, its intent was withdrawn as if it had never been sent. A home that took over before the next attempt had no trace of it and told `notRun` after the deadline. Fix: such a withdrawal says `hasRun`; the replay keeps the intent apart until an outcome other than `unknown` closes it. Ruled out: keeping the intent open (its capacity would count as used, and the shard's next owner would ask for it).

--- a/packages/dispatch/src/attempt-tracker.ts
+++ b/packages/dispatch/src/attempt-tracker.ts
@@ -107,7 +107,7 @@
       case 'checkpointed':
         request.checkpoint = report.checkpoint
         request.fallback = { requestId, outcome: 'unknown', reason: 'ended at a checkpoint and was not resumed' }
-        this.#withdrawIntent(request)
+        this.#withdrawIntent(request, true)
         this.#startNextAttempt(request, 0)
         break
       case 'lost':
@@ -130,7 +130,7 @@
       return
     }
     this.#addExcludedTarget(request, target)
-    this.#withdrawIntent(request)
+    this.#withdrawIntent(request, false)
     this.#startNextAttempt(request, RETRY_DELAY_MS)
   }
 
@@ -145,7 +145,7 @@
     request.retries++
     request.fallback = fallback
     this.#addExcludedTarget(request, failedTarget)
-    this.#withdrawIntent(request)
+    this.#withdrawIntent(request, true)
     this.#context.metrics.incrementCounter('requests.retried', 1, { kind: request.facts.kind })
     this.#startNextAttempt(request, RETRY_DELAY_MS)
   }
@@ -158,10 +158,12 @@
     else this.#assigner.startAssigning(request, delayMs)
   }
 
-  #withdrawIntent (request: HomeRequest): void {
+  #withdrawIntent (request: HomeRequest, hasRun: boolean): void {
     if (!request.hasIntent) return
     request.hasIntent = false
-    void this.#ledger.append(buildWithdrawal(request, request.attempt))
+    // A record that says that the request ran stays until its outcome replaces it.
+    request.isDurable ||= hasRun
+    void this.#ledger.append({ ...buildWithdrawal(request, request.attempt), ...(hasRun ? { hasRun } : {}) })
   }
 
   #addExcludedTarget (request: HomeRequest, target: string | undefined): void {
@@ -187,6 +189,6 @@
   }
 }
 
-function buildWithdrawal (request: HomeRequest, attempt: number): LedgerEntry {
+function buildWithdrawal (request: HomeRequest, attempt: number): Extract<LedgerEntry, { type: 'withdrawn' }> {
   return { type: 'withdrawn', requestId: request.requestId, attempt }
 }
--- a/packages/dispatch/src/home-partition.ts
+++ b/packages/dispatch/src/home-partition.ts
@@ -269,17 +269,18 @@
 
   #recoverRequest (requestId: RequestId, record: LedgerRecord): void {
     const { clock, tables } = this.#context
-    const facts = record.accepted?.facts ?? record.intent?.facts ?? {
+    const facts = record.accepted?.facts ?? record.intent?.facts ?? record.endedIntent?.facts ?? {
       requestId, fingerprint: record.outcome?.fingerprint ?? '', kind: '', customer: '', team: ''
     }
-    const deadlineWallMs = record.intent?.deadlineWallMs ?? record.accepted?.deadlineWallMs ?? 0
+    const deadlineWallMs = record.intent?.deadlineWallMs ?? record.accepted?.deadlineWallMs ?? record.endedIntent?.deadlineWallMs ?? 0
     const nowMs = clock.readMonotonicMs()
     const request = new HomeRequest(facts, nowMs + deadlineWallMs - clock.readWallMs())
     request.receivedAtMs = nowMs
     request.isDurable = true
     request.plan = buildPlan(tables, facts)
     // The former home may have had it sent, as idempotent executor work has no intent.
-    request.mayHaveRun = record.accepted !== undefined && record.intent === undefined && request.plan?.isIntentNeeded !== true
+    const mayBeSent = record.accepted !== undefined && record.intent === undefined && request.plan?.isIntentNeeded !== true
+    request.mayHaveRun = mayBeSent || record.endedIntent !== undefined
     this.#requests.set(requestId, request)
     if (record.intent !== undefined) this.#recoverIntent(request, record.intent)
     if (record.outcome !== undefined) {
--- a/packages/dispatch/src/ledger-entry.ts
+++ b/packages/dispatch/src/ledger-entry.ts
@@ -52,7 +52,13 @@
 export type IntentEntry = z.output<typeof intentEntry>
 
 /** The attempt was proved not to have been sent, or to have ended without a result, so its capacity is free. */
-const withdrawnEntry = z.object({ type: z.literal('withdrawn'), requestId, attempt: z.number().int() })
+const withdrawnEntry = z.object({
+  type: z.literal('withdrawn'),
+  requestId,
+  attempt: z.number().int(),
+  /** The attempt ran, at least in part, so the request can't end as `notRun` any more. */
+  hasRun: z.boolean().optional()
+})
 
 /** What became of the request. A digest stands for a result over the size that the ledger keeps. */
 const outcomeEntry = z.object({
--- a/packages/dispatch/src/ledger-state.ts
+++ b/packages/dispatch/src/ledger-state.ts
@@ -6,6 +6,8 @@
   accepted: { readonly facts: RequestFacts, readonly deadlineWallMs: number } | undefined
   intent: IntentEntry | undefined
   outcome: OutcomeEntry | undefined
+  /** An ended attempt that ran, at least in part, without an outcome that says so. */
+  endedIntent: IntentEntry | undefined
 }
 
 /** The replayed content of one partition. Entries are applied in the order of their commits. */
@@ -30,7 +32,10 @@
       }
       case 'withdrawn': {
         const record = this.#records.get(entry.requestId)
-        if (record?.intent?.attempt === entry.attempt) record.intent = undefined
+        if (record?.intent?.attempt === entry.attempt) {
+          if (entry.hasRun === true) record.endedIntent = record.intent
+          record.intent = undefined
+        }
         if (record !== undefined && isEmptyRecord(record)) this.#records.delete(entry.requestId)
         break
       }
@@ -39,7 +44,10 @@
         record.outcome = entry
         record.accepted = undefined
         // An unknown outcome keeps its intent: the target is still asked.
-        if (entry.outcome.outcome !== 'unknown') record.intent = undefined
+        if (entry.outcome.outcome !== 'unknown') {
+          record.intent = undefined
+          record.endedIntent = undefined
+        }
         break
       }
     }
@@ -67,7 +75,10 @@
   /** The shortest list of entries that gives the same state. */
   buildEntries (): LedgerEntry[] {
     const entries: LedgerEntry[] = []
-    for (const record of this.#records.values()) {
+    for (const [requestId, record] of this.#records) {
+      if (record.endedIntent !== undefined) {
+        entries.push(record.endedIntent, { type: 'withdrawn', requestId, attempt: record.endedIntent.attempt, hasRun: true })
+      }
       if (record.accepted !== undefined) {
         entries.push({ type: 'accepted', facts: record.accepted.facts, deadlineWallMs: record.accepted.deadlineWallMs })
       }
@@ -80,7 +91,7 @@
   #ensureRecord (requestId: RequestId): LedgerRecord {
     let record = this.#records.get(requestId)
     if (record === undefined) {
-      record = { accepted: undefined, intent: undefined, outcome: undefined }
+      record = { accepted: undefined, intent: undefined, outcome: undefined, endedIntent: undefined }
       this.#records.set(requestId, record)
     }
     return record
@@ -88,5 +99,5 @@
 }
 
 function isEmptyRecord (record: LedgerRecord): boolean {
-  return record.accepted === undefined && record.intent === undefined && record.outcome === undefined
+  return record.accepted === undefined && record.intent === undefined && record.outcome === undefined && record.endedIntent === undefined
 }
--- a/packages/dispatch/tests/dispatch.property.test.ts
+++ b/packages/dispatch/tests/dispatch.property.test.ts
@@ -165,5 +165,5 @@
   const scheduleArbitrary = fc.array(stepArbitrary, { minLength: 10, maxLength: 50 })
   await fc.assert(fc.asyncProperty(fc.integer({ min: 1, max: 1_000_000 }), scheduleArbitrary, async (seed, steps) => {
     await checkSchedule(t, seed, steps)
-  }), { seed: Number(process.env['DISPATCH_SEED'] ?? SEED), numRuns: Number(process.env['DISPATCH_RUNS'] ?? RUNS), endOnFailure: true })
+  }), { seed: Number(process.env['DISPATCH_SEED'] ?? SEED), numRuns: Number(process.env['DISPATCH_RUNS'] ?? RUNS), endOnFailure: true, includeErrorInReport: true })
 })
--- a/packages/dispatch/tests/ledger-state.test.ts
+++ b/packages/dispatch/tests/ledger-state.test.ts
@@ -69,6 +69,12 @@
     entries: [ACCEPTED, createOutcome('notRun'), ACCEPTED],
     accepted: true
   },
+  {
+    title: 'a new intent after an attempt that ran keeps that it ran',
+    entries: [createIntent(1), { type: 'withdrawn', requestId: ID, attempt: 1, hasRun: true }, createIntent(2)],
+    accepted: false,
+    intent: 2
+  },
   { title: 'an intent after notRun reopens the request', entries: [createOutcome('notRun'), createIntent(2)], accepted: false, intent: 2 }
 ]
 
