Do not start a request again for a late message of a submission told notRun

Cause: an entry resends `submit` until it is confirmed. A message that was under way when the request ended as `notRun`, and the caller was told so, looked like a new submission under the same key and started the request again. Fix: each submission carries a number of its own; a request starts again only for one that it has not seen. Ruled out: refusing every restart (a caller may ask again after `notRun`). Before: the new test saw `pending` for the late message, expected `outcome`.

--- a/packages/dispatch/src/dispatch-messages.ts
+++ b/packages/dispatch/src/dispatch-messages.ts
@@ -15,6 +15,8 @@
   isKeyed: z.boolean(),
   isWaiting: z.boolean(),
   remainingMs: duration,
+  /** Tells a repeated or late message of one caller's submission from a new submission under the same key. */
+  submission: z.string().max(64).optional(),
   /** An earlier submit may have reached a home, which may have had the request run. */
   mayBeKnown: z.boolean().optional()
 })
--- a/packages/dispatch/src/home-partition.ts
+++ b/packages/dispatch/src/home-partition.ts
@@ -144,6 +144,7 @@
     const request = new HomeRequest(message.facts, nowMs + message.remainingMs)
     request.receivedAtMs = nowMs
     request.trace = trace
+    request.addSubmission(message.submission)
     request.plan = buildPlan(this.#context.tables, message.facts)
     // A former home may have had it run; the ledger would tell only of work that needs an intent.
     request.mayHaveRun = message.mayBeKnown === true && request.plan?.isIntentNeeded !== true
@@ -179,8 +180,9 @@
 
   async #joinRequest (request: HomeRequest, message: SubmitMessage, from: InstanceId): Promise<SubmitReply> {
     if (request.facts.fingerprint !== message.facts.fingerprint) return { type: 'conflict' }
+    const isRepeated = request.addSubmission(message.submission)
     // A request that was not run may be asked for again under the same key, unless it was cancelled.
-    if (request.outcome?.outcome === 'notRun' && !request.isCancelled) {
+    if (request.outcome?.outcome === 'notRun' && !request.isCancelled && !isRepeated) {
       if (!message.isWaiting && this.#ledger.isStalled()) return { type: 'unavailable', reason: 'the store does not record requests now' }
       this.#restartRequest(request, message)
       return await this.#beginRequest(request, message, from)
--- a/packages/dispatch/src/home-request.ts
+++ b/packages/dispatch/src/home-request.ts
@@ -9,6 +9,9 @@
 export type RequestState = keyof typeof requestChart.states
 export type RequestEvent = 'assign' | 'unassign' | 'recordIntent' | 'grant' | 'end' | 'restart'
 
+/** Bounds the memory of a request whose key is used again and again. */
+const SUBMISSIONS_MAX = 32
+
 const chart = new StateChart<RequestState, RequestEvent>(requestChart as StateChartDefinition)
 
 /** What the route in force says about a request. */
@@ -32,6 +35,8 @@
   readonly requestId: RequestId
   readonly waiters = new Set<InstanceId>()
   readonly excludedTargets: TargetId[] = []
+  /** Submissions that have joined; a late message of one of them does not start the request again after `notRun`. */
+  readonly #submissions = new Set<string>()
   facts: Omit<RequestFacts, 'payload'>
   /** Undefined after the end, or when only the ledger's intent is known. */
   payload: { readonly value: unknown } | undefined
@@ -79,6 +84,16 @@
     return true
   }
 
+  /** Notes a submission. Returns whether it had joined before. */
+  addSubmission (submission: string | undefined): boolean {
+    if (submission === undefined) return false
+    const isKnown = this.#submissions.has(submission)
+    this.#submissions.add(submission)
+    const [oldest] = this.#submissions
+    if (this.#submissions.size > SUBMISSIONS_MAX && oldest !== undefined) this.#submissions.delete(oldest)
+    return isKnown
+  }
+
   isCurrentAttempt (attempt: number): boolean {
     return this.attempt === attempt && this.#state !== 'ended'
   }
--- a/packages/dispatch/src/pending-request.ts
+++ b/packages/dispatch/src/pending-request.ts
@@ -11,6 +11,7 @@
 
 const SUBMIT_TIMEOUT_MS = 2000
 const RETRY_DELAY_MS = 100
+const SUBMISSION_BYTES = 8
 /** The home pushes the outcome; this poll finds it when the push was lost. */
 const LOOKUP_PERIOD_MS = 1000
 /** Longer than the home's own grace, so that its word comes first. */
@@ -31,6 +32,7 @@
   readonly #options: PendingRequestOptions
   readonly #answer: Promise<SubmissionAnswer>
   readonly #timers: Timer[] = []
+  readonly #submission: string
   #resolve: (answer: SubmissionAnswer) => void = () => {}
   #isSettled = false
   #isSubmitting = false
@@ -40,6 +42,7 @@
 
   constructor (options: PendingRequestOptions) {
     this.#options = options
+    this.#submission = options.context.random.drawHex(SUBMISSION_BYTES)
     this.#answer = new Promise((resolve) => { this.#resolve = resolve })
   }
 
@@ -90,7 +93,7 @@
   async #submitTo (home: InstanceId): Promise<boolean> {
     const { context, facts, isKeyed, isWaiting, deadlineAtMs, trace } = this.#options
     const remainingMs = deadlineAtMs - context.clock.readMonotonicMs()
-    const message: SubmitMessage = { facts, isKeyed, isWaiting, remainingMs, mayBeKnown: this.#mayBeKnown }
+    const message: SubmitMessage = { facts, isKeyed, isWaiting, remainingMs, submission: this.#submission, mayBeKnown: this.#mayBeKnown }
     const reply = await sendCheckedRequest(
       context.network, home, PEER_MESSAGE_KINDS.submit, message, submitReplySchema, SUBMIT_TIMEOUT_MS, trace
     )
--- a/packages/dispatch/tests/home-partition.test.ts
+++ b/packages/dispatch/tests/home-partition.test.ts
@@ -362,6 +362,19 @@
   t.is(outcome, 'unknown')
 })
 
+test('a late submit of a caller that was told notRun does not start the request again; a new submission does', async (t) => {
+  const cluster = await createCluster()
+  cluster.find('shard').hasAuthority = false
+  const facts = buildFacts(1, 'posting')
+  await submit(cluster, facts, { submission: 's1', remainingMs: 500 })
+  await cluster.advance(4000)
+  cluster.find('shard').hasAuthority = true
+  t.is((await submit(cluster, facts, { submission: 's1' }))?.type, 'outcome')
+  t.is(cluster.targets.sends.length, 0)
+  t.is((await submit(cluster, facts, { submission: 's2' }))?.type, 'pending')
+  t.is(cluster.targets.sends.length, 1)
+})
+
 function checkPairs (t: ExecutionContext, cluster: FakeCluster): void {
   t.is(new Set(cluster.targets.sends.map(({ requestId, attempt }) => `${requestId}.${attempt}`)).size, cluster.targets.sends.length)
 }
