Cancel a keyless request whose caller left before the submit had arrived

Cause: the cancellation overtook the submit, found no request at the home, and was not repeated, so the request ran for nobody. Ruled out: refusing the later submit at the home, which would need a record of cancellations of unknown requests.

--- a/packages/dispatch/src/cluster-gateway.ts
+++ b/packages/dispatch/src/cluster-gateway.ts
@@ -107,6 +107,8 @@
   async #cancelAbandoned (pending: PendingRequest): Promise<void> {
     if (pending.isKeyed) return
     this.#context.metrics.incrementCounter('entry.abandoned')
+    // A cancellation that overtakes its submit finds no request to cancel.
+    await pending.waitUntilTaken()
     await this.cancel(pending.requestId)
   }
 
--- a/packages/dispatch/src/pending-request.ts
+++ b/packages/dispatch/src/pending-request.ts
@@ -35,6 +35,7 @@
   readonly #submission: string
   #resolve: (answer: SubmissionAnswer) => void = () => {}
   #isSettled = false
+  #isTaken = false
   #isSubmitting = false
   #isResubmitWanted = false
   /** A submit may have arrived somewhere, so `notRun` can no longer be proved here. */
@@ -54,6 +55,14 @@
     return this.#options.isKeyed
   }
 
+  /** Waits until a home has the request, or it has ended here. */
+  async waitUntilTaken (): Promise<void> {
+    const { clock } = this.#options.context
+    while (!this.#isTaken && !this.#isSettled) {
+      await new Promise<void>((resolve) => { clock.startTimer(RETRY_DELAY_MS, resolve) })
+    }
+  }
+
   waitForAnswer (): Promise<SubmissionAnswer> {
     const { clock } = this.#options.context
     const remainingMs = this.#options.deadlineAtMs - clock.readMonotonicMs()
@@ -85,6 +94,7 @@
       this.#isResubmitWanted = false
       const home = findHome()
       const isTaken = home !== undefined && await this.#submitTo(home)
+      this.#isTaken ||= isTaken
       if (isTaken && !this.#isResubmitWanted) return
       await new Promise<void>((resolve) => { context.clock.startTimer(RETRY_DELAY_MS, resolve) })
     }
