--- a/packages/dispatch/tests/partition-ledger.test.ts
+++ b/packages/dispatch/tests/partition-ledger.test.ts
@@ -7,7 +7,7 @@
 import { InMemoryStore } from '@hibiscusledge/platform/in-memory-store.js'
 import type { CallPriority, Transaction } from '@hibiscusledge/platform/key-value-store.js'
 import { type CommitResult, PartitionLedger } from '../src/partition-ledger.js'
-import { buildAccepted, buildIntent, buildOutcomeEntry, buildRequestId, PARTITION, SHARD, SHARD_B } from './fixtures.js'
+import { buildAccepted, buildFacts, buildIntent, buildOutcomeEntry, buildRequestId, PARTITION, SHARD, SHARD_B } from './fixtures.js'
 
 /** Lets one write take effect after its caller has seen a timeout. */
 class LateWriteStore extends InMemoryStore {
@@ -200,3 +200,13 @@
   await clock.advanceBy(500)
   t.deepEqual(seen.map(({ result }) => result), Array.from({ length: 5 }, () => 'committed'))
 })
+
+test('entries without a payload or a result do not make their segment unreadable', async (t) => {
+  const { clock, createLedger } = await createSetup()
+  const ledger = await createLedger()
+  void ledger.append(buildIntent(1))
+  void ledger.append({ type: 'accepted', facts: { ...buildFacts(2), payload: undefined }, deadlineWallMs: 0 })
+  void ledger.append(buildOutcomeEntry(3, { requestId: buildRequestId(3), outcome: 'completed', result: undefined }))
+  await clock.advanceBy(50)
+  t.is((await createLedger()).state.countRecords(), 3)
+})
