Accept messages and ledger entries without a payload or a result

One entry without a payload or result made its whole segment unreadable at the next load, intents of other requests included. A worker that lists a running task without `result`, as docs/target-protocols.md allows, counted as silent: no renewals after 5 s. Ruled out: the transport (the exchange succeeded with status 200). Fix: the property defaults to null.

--- a/packages/dispatch/src/dispatch-messages.ts
+++ b/packages/dispatch/src/dispatch-messages.ts
@@ -60,7 +60,7 @@
   customer: z.string(),
   team: z.string(),
   work: workFactsSchema,
-  payload: z.unknown(),
+  payload: z.unknown().default(null),
   remainingMs: duration,
   isIntentNeeded: z.boolean(),
   /** Attempts before this one that may have run; 0 for the first. */
@@ -98,7 +98,7 @@
 
 /** How an attempt ended at the shard. */
 export const attemptReportSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('succeeded'), result: z.unknown() }),
+  z.object({ type: z.literal('succeeded'), result: z.unknown().default(null) }),
   z.object({ type: z.literal('failed'), message: z.string() }),
   /** Proved not to have been sent or not to have run; the request may be assigned again. */
   z.object({ type: z.literal('notRun'), message: z.string(), target: target.optional() }),
--- a/packages/dispatch/src/executor-client.ts
+++ b/packages/dispatch/src/executor-client.ts
@@ -19,7 +19,7 @@
 const lookupSchema = z.object({
   state: z.enum(['running', 'completed', 'absent']),
   attempt: z.number().optional(),
-  result: z.unknown(),
+  result: z.unknown().default(null),
   error: targetErrorSchema.optional()
 })
 const progressSchema = z.object({ progress: z.number(), running: z.number(), leaving: z.boolean() })
--- a/packages/dispatch/src/ledger-entry.ts
+++ b/packages/dispatch/src/ledger-entry.ts
@@ -16,7 +16,7 @@
   kind: z.string().min(1),
   customer: z.string(),
   team: z.string(),
-  payload: z.unknown()
+  payload: z.unknown().default(null)
 })
 export type RequestFacts = z.output<typeof requestFactsSchema>
 
--- a/packages/dispatch/src/request-outcome.ts
+++ b/packages/dispatch/src/request-outcome.ts
@@ -17,7 +17,7 @@
 
 /** Checks an outcome that came from another instance or from the store. */
 export const requestOutcomeSchema = z.discriminatedUnion('outcome', [
-  z.object({ requestId: requestIdSchema, outcome: z.literal('completed'), result: z.unknown() }),
+  z.object({ requestId: requestIdSchema, outcome: z.literal('completed'), result: z.unknown().default(null) }),
   z.object({ requestId: requestIdSchema, outcome: z.literal('notRun'), reason: z.string(), retryAfterMs: z.number().optional() }),
   z.object({ requestId: requestIdSchema, outcome: z.literal('unknown'), reason: z.string() })
 ])
--- a/packages/dispatch/src/worker-session.ts
+++ b/packages/dispatch/src/worker-session.ts
@@ -25,7 +25,7 @@
   tasks: z.array(z.object({
     taskId: z.string(),
     state: z.enum(['running', 'throttled', 'completed', 'failed', 'stopped', 'checkpointed', 'lost']),
-    result: z.unknown(),
+    result: z.unknown().default(null),
     error: targetErrorSchema.optional(),
     checkpoint: z.string().optional(),
     usage: resourcesSchema.optional()
