--- a/packages/dispatch/src/attempt-tracker.ts
+++ b/packages/dispatch/src/attempt-tracker.ts
@@ -54,6 +54,8 @@
   /** Applies the end of an attempt. Returns whether the shard owner may forget it. */
   async applyResult (request: HomeRequest, message: AttemptResultMessage): Promise<boolean> {
     if (message.attempt !== request.attempt) return true
+    const isRepeated = request.closedAttempt === message.attempt && request.outcome === undefined
+    if (isRepeated && message.report.type !== 'succeeded') return true
     if (request.outcome === undefined || request.outcome.outcome === 'unknown') this.#applyReport(request, message.report)
     if (request.outcome === undefined || !request.hasIntent) return true
     return await this.#outcomes.record(request)
@@ -97,17 +99,15 @@
         this.#retryOrEnd(request, { requestId, outcome: 'completed', result: { error: report.message } }, undefined)
         break
       case 'notRun':
-        this.#addExcludedTarget(request, report.target)
-        this.#withdrawIntent(request)
-        this.#startNextAttempt(request, RETRY_DELAY_MS)
+        this.#applyNotRun(request, report.message, report.target)
         break
       case 'expired':
-        this.#withdrawIntent(request)
         this.#outcomes.endNotRun(request, 'deadlineExpired')
         break
       case 'checkpointed':
         request.checkpoint = report.checkpoint
-        this.#withdrawIntent(request)
+        request.fallback = { requestId, outcome: 'unknown', reason: 'ended at a checkpoint and was not resumed' }
+        this.#withdrawIntent(request, true)
         this.#startNextAttempt(request, 0)
         break
       case 'lost':
@@ -123,32 +123,47 @@
     }
   }
 
+  /** Proof that the attempt did not run: another follows, or an outcome told as unknown becomes the truth. */
+  #applyNotRun (request: HomeRequest, message: string, target: string | undefined): void {
+    if (request.outcome !== undefined) {
+      this.#outcomes.endNotRun(request, message)
+      return
+    }
+    this.#addExcludedTarget(request, target)
+    this.#withdrawIntent(request, false)
+    this.#startNextAttempt(request, RETRY_DELAY_MS)
+  }
+
   #retryOrEnd (request: HomeRequest, fallback: RequestOutcome, failedTarget: string | undefined): void {
     const { plan } = request
-    const isTimeLeft = this.#context.clock.readMonotonicMs() < request.deadlineAtMs
-    const isAllowed = plan !== undefined && plan.work.isIdempotent && request.retries < plan.retryLimit && isTimeLeft
-    if (!isAllowed || request.payload === undefined || request.outcome !== undefined) {
+    const isWanted = !request.isCancelled && this.#context.clock.readMonotonicMs() < request.deadlineAtMs
+    const isAllowed = plan !== undefined && plan.work.isIdempotent && request.retries < plan.retryLimit
+    if (!isAllowed || !isWanted || request.payload === undefined || request.outcome !== undefined) {
       this.#outcomes.end(request, fallback)
       return
     }
     request.retries++
     request.fallback = fallback
     this.#addExcludedTarget(request, failedTarget)
-    this.#withdrawIntent(request)
+    this.#withdrawIntent(request, true)
     this.#context.metrics.incrementCounter('requests.retried', 1, { kind: request.facts.kind })
     this.#startNextAttempt(request, RETRY_DELAY_MS)
   }
 
   #startNextAttempt (request: HomeRequest, delayMs: number): void {
     if (!request.applyEvent('unassign')) return
+    request.closedAttempt = request.attempt
     request.assignment = undefined
-    this.#assigner.startAssigning(request, delayMs)
+    if (request.isCancelled) this.#outcomes.endNotRun(request, 'cancelled')
+    else this.#assigner.startAssigning(request, delayMs)
   }
 
-  #withdrawIntent (request: HomeRequest): void {
+  #withdrawIntent (request: HomeRequest, hasRun: boolean): void {
     if (!request.hasIntent) return
     request.hasIntent = false
-    void this.#ledger.append(buildWithdrawal(request, request.attempt))
+    // A record that says that the request ran stays until its outcome replaces it.
+    request.isDurable ||= hasRun
+    void this.#ledger.append({ ...buildWithdrawal(request, request.attempt), ...(hasRun ? { hasRun } : {}) })
   }
 
   #addExcludedTarget (request: HomeRequest, target: string | undefined): void {
@@ -174,6 +189,6 @@
   }
 }
 
-function buildWithdrawal (request: HomeRequest, attempt: number): LedgerEntry {
+function buildWithdrawal (request: HomeRequest, attempt: number): Extract<LedgerEntry, { type: 'withdrawn' }> {
   return { type: 'withdrawn', requestId: request.requestId, attempt }
 }
--- a/packages/dispatch/src/dispatch-messages.ts
+++ b/packages/dispatch/src/dispatch-messages.ts
@@ -10,7 +10,16 @@
 const duration = z.number().finite()
 
 /** Entry to home: take the request, or join it when it is known. */
-export const submitSchema = z.object({ facts: requestFactsSchema, isKeyed: z.boolean(), isWaiting: z.boolean(), remainingMs: duration })
+export const submitSchema = z.object({
+  facts: requestFactsSchema,
+  isKeyed: z.boolean(),
+  isWaiting: z.boolean(),
+  remainingMs: duration,
+  /** Tells a repeated or late message of one caller's submission from a new submission under the same key. */
+  submission: z.string().max(64).optional(),
+  /** An earlier submit may have reached a home, which may have had the request run. */
+  mayBeKnown: z.boolean().optional()
+})
 export type SubmitMessage = z.output<typeof submitSchema>
 
 export const submitReplySchema = z.discriminatedUnion('type', [
@@ -43,13 +52,15 @@
 /** Home to shard owner: queue one attempt. */
 export const enqueueSchema = z.object({
   unit,
+  /** Epoch of the shard owner that the attempt is meant for. A later owner refuses it. */
+  epoch: z.number().int(),
   requestId,
   attempt: z.number().int(),
   kind: z.string(),
   customer: z.string(),
   team: z.string(),
   work: workFactsSchema,
-  payload: z.unknown().optional(),
+  payload: z.unknown().default(null),
   remainingMs: duration,
   isIntentNeeded: z.boolean(),
   /** Attempts before this one that may have run; 0 for the first. */
@@ -77,12 +88,17 @@
 })
 export type RecordIntentMessage = z.output<typeof recordIntentSchema>
 
-export const recordIntentReplySchema = z.object({ isGranted: z.boolean(), reason: z.string().optional() })
+export const recordIntentReplySchema = z.object({
+  isGranted: z.boolean(),
+  reason: z.string().optional(),
+  /** How long the home worked on the message, so that the shard owner can tell how old the acknowledgement may be. */
+  heldMs: z.number().min(0).optional()
+})
 export type RecordIntentReply = z.output<typeof recordIntentReplySchema>
 
 /** How an attempt ended at the shard. */
 export const attemptReportSchema = z.discriminatedUnion('type', [
-  z.object({ type: z.literal('succeeded'), result: z.unknown().optional() }),
+  z.object({ type: z.literal('succeeded'), result: z.unknown().default(null) }),
   z.object({ type: z.literal('failed'), message: z.string() }),
   /** Proved not to have been sent or not to have run; the request may be assigned again. */
   z.object({ type: z.literal('notRun'), message: z.string(), target: target.optional() }),
--- a/packages/dispatch/src/home-partition.ts
+++ b/packages/dispatch/src/home-partition.ts
@@ -113,7 +113,10 @@
   async recordIntent (message: RecordIntentMessage): Promise<RecordIntentReply> {
     const request = this.#isServing ? this.#requests.get(message.requestId) : undefined
     if (request === undefined) return { isGranted: false, reason: 'the request is not known here' }
-    return await this.#attempts.recordIntent(request, message)
+    const { clock } = this.#context
+    const receivedAtMs = clock.readMonotonicMs()
+    const reply = await this.#attempts.recordIntent(request, message)
+    return { ...reply, heldMs: clock.readMonotonicMs() - receivedAtMs }
   }
 
   /** Whether the shard owner may forget the attempt. */
@@ -141,27 +144,35 @@
     const request = new HomeRequest(message.facts, nowMs + message.remainingMs)
     request.receivedAtMs = nowMs
     request.trace = trace
+    request.addSubmission(message.submission)
     request.plan = buildPlan(this.#context.tables, message.facts)
+    // A former home may have had it run; the ledger would tell only of work that needs an intent.
+    request.mayHaveRun = message.mayBeKnown === true && request.plan?.isIntentNeeded !== true
     this.#requests.set(request.requestId, request)
     this.#active.add(request)
     return request
   }
 
   async #beginRequest (request: HomeRequest, message: SubmitMessage, from: InstanceId): Promise<SubmitReply> {
-    if (message.isWaiting) {
-      request.waiters.add(from)
+    if (message.isWaiting) request.waiters.add(from)
+    if (message.isWaiting && !request.isDurable) {
       this.#assigner.startAssigning(request)
       return { type: 'pending' }
     }
+    // The ledger's earlier `notRun` of a request that starts again must be replaced before anything is sent.
+    request.isAssigning = true
     const isRecorded = await this.#recordAccepted(request, message)
+    request.isAssigning = false
+    if (message.isWaiting && !isRecorded) this.#outcomes.endNotRun(request, 'the store does not record requests now')
     this.#assigner.startAssigning(request)
+    if (message.isWaiting) return this.#buildSubmitReply(request, message)
     // Not confirmed in time is not the same as not recorded: the request goes on, and its truth can be asked for.
     if (!isRecorded) return { type: 'outcome', outcome: buildUnconfirmed(request.requestId) }
     return { type: 'accepted' }
   }
 
   async #recordAccepted (request: HomeRequest, message: SubmitMessage): Promise<boolean> {
-    if (request.isDurable) return true
+    if (this.#ledger.state.findRecord(request.requestId)?.accepted !== undefined) return true
     const deadlineWallMs = this.#context.clock.readWallMs() + message.remainingMs
     request.isDurable = true
     return await this.#ledger.append({ type: 'accepted', facts: message.facts, deadlineWallMs }) === COMMIT_RESULTS.committed
@@ -169,8 +180,9 @@
 
   async #joinRequest (request: HomeRequest, message: SubmitMessage, from: InstanceId): Promise<SubmitReply> {
     if (request.facts.fingerprint !== message.facts.fingerprint) return { type: 'conflict' }
+    const isRepeated = request.addSubmission(message.submission)
     // A request that was not run may be asked for again under the same key, unless it was cancelled.
-    if (request.outcome?.outcome === 'notRun' && !request.isCancelled) {
+    if (request.outcome?.outcome === 'notRun' && !request.isCancelled && !isRepeated) {
       if (!message.isWaiting && this.#ledger.isStalled()) return { type: 'unavailable', reason: 'the store does not record requests now' }
       this.#restartRequest(request, message)
       return await this.#beginRequest(request, message, from)
@@ -187,7 +199,6 @@
     request.applyEvent('restart')
     request.outcome = undefined
     request.fallback = undefined
-    request.isDurable = false
     request.retries = 0
     request.payload = { value: message.facts.payload }
     request.plan = buildPlan(this.#context.tables, message.facts)
@@ -260,15 +271,18 @@
 
   #recoverRequest (requestId: RequestId, record: LedgerRecord): void {
     const { clock, tables } = this.#context
-    const facts = record.accepted?.facts ?? record.intent?.facts ?? {
+    const facts = record.accepted?.facts ?? record.intent?.facts ?? record.endedIntent?.facts ?? {
       requestId, fingerprint: record.outcome?.fingerprint ?? '', kind: '', customer: '', team: ''
     }
-    const deadlineWallMs = record.intent?.deadlineWallMs ?? record.accepted?.deadlineWallMs ?? 0
+    const deadlineWallMs = record.intent?.deadlineWallMs ?? record.accepted?.deadlineWallMs ?? record.endedIntent?.deadlineWallMs ?? 0
     const nowMs = clock.readMonotonicMs()
     const request = new HomeRequest(facts, nowMs + deadlineWallMs - clock.readWallMs())
     request.receivedAtMs = nowMs
     request.isDurable = true
     request.plan = buildPlan(tables, facts)
+    // The former home may have had it sent, as idempotent executor work has no intent.
+    const mayBeSent = record.accepted !== undefined && record.intent === undefined && request.plan?.isIntentNeeded !== true
+    request.mayHaveRun = mayBeSent || record.endedIntent !== undefined
     this.#requests.set(requestId, request)
     if (record.intent !== undefined) this.#recoverIntent(request, record.intent)
     if (record.outcome !== undefined) {
--- a/packages/dispatch/src/pending-request.ts
+++ b/packages/dispatch/src/pending-request.ts
@@ -11,6 +11,7 @@
 
 const SUBMIT_TIMEOUT_MS = 2000
 const RETRY_DELAY_MS = 100
+const SUBMISSION_BYTES = 8
 /** The home pushes the outcome; this poll finds it when the push was lost. */
 const LOOKUP_PERIOD_MS = 1000
 /** Longer than the home's own grace, so that its word comes first. */
@@ -31,8 +32,10 @@
   readonly #options: PendingRequestOptions
   readonly #answer: Promise<SubmissionAnswer>
   readonly #timers: Timer[] = []
+  readonly #submission: string
   #resolve: (answer: SubmissionAnswer) => void = () => {}
   #isSettled = false
+  #isTaken = false
   #isSubmitting = false
   #isResubmitWanted = false
   /** A submit may have arrived somewhere, so `notRun` can no longer be proved here. */
@@ -40,6 +43,7 @@
 
   constructor (options: PendingRequestOptions) {
     this.#options = options
+    this.#submission = options.context.random.drawHex(SUBMISSION_BYTES)
     this.#answer = new Promise((resolve) => { this.#resolve = resolve })
   }
 
@@ -51,6 +55,14 @@
     return this.#options.isKeyed
   }
 
+  /** Waits until a home has the request, or it has ended here. */
+  async waitUntilTaken (): Promise<void> {
+    const { clock } = this.#options.context
+    while (!this.#isTaken && !this.#isSettled) {
+      await new Promise<void>((resolve) => { clock.startTimer(RETRY_DELAY_MS, resolve) })
+    }
+  }
+
   waitForAnswer (): Promise<SubmissionAnswer> {
     const { clock } = this.#options.context
     const remainingMs = this.#options.deadlineAtMs - clock.readMonotonicMs()
@@ -82,6 +94,7 @@
       this.#isResubmitWanted = false
       const home = findHome()
       const isTaken = home !== undefined && await this.#submitTo(home)
+      this.#isTaken ||= isTaken
       if (isTaken && !this.#isResubmitWanted) return
       await new Promise<void>((resolve) => { context.clock.startTimer(RETRY_DELAY_MS, resolve) })
     }
@@ -89,7 +102,8 @@
 
   async #submitTo (home: InstanceId): Promise<boolean> {
     const { context, facts, isKeyed, isWaiting, deadlineAtMs, trace } = this.#options
-    const message: SubmitMessage = { facts, isKeyed, isWaiting, remainingMs: deadlineAtMs - context.clock.readMonotonicMs() }
+    const remainingMs = deadlineAtMs - context.clock.readMonotonicMs()
+    const message: SubmitMessage = { facts, isKeyed, isWaiting, remainingMs, submission: this.#submission, mayBeKnown: this.#mayBeKnown }
     const reply = await sendCheckedRequest(
       context.network, home, PEER_MESSAGE_KINDS.submit, message, submitReplySchema, SUBMIT_TIMEOUT_MS, trace
     )
