--- a/packages/scheduling/src/bench/decision-bench.ts
+++ b/packages/scheduling/src/bench/decision-bench.ts
@@ -22,6 +22,8 @@
 const BURST_STARTS_PER_S = 5_000
 const STEADY_MS = 10_000
 const BURST_MS = 2_000
+/** Fewer decisions than this would make the 99th percentile that of single pauses of the machine. */
+const MIN_DECISIONS = 2_000
 const CHECKPOINT_MS = 400
 const BYTES_PER_MB = 1_048_576
 /** Five of twelve workers have six accelerators: 12,000 on 4,800 workers. */
@@ -77,8 +79,8 @@
     this.#histogram = build({ numberOfSignificantValueDigits: 3 })
     this.#coreMs = 0
     this.#starts = 0
-    const endMs = this.#loop.nowMs + durationMs
     const gapMs = 1_000 / startsPerSecond
+    const endMs = this.#loop.nowMs + Math.max(durationMs, MIN_DECISIONS * gapMs)
     const arrive = (): void => {
       this.#submit(meanRuntimeMs)
       if (this.#loop.nowMs + gapMs < endMs) this.#loop.schedule(this.#loop.nowMs + gapMs, arrive)
