--- a/packages/entry/src/api-messages.ts
+++ b/packages/entry/src/api-messages.ts
@@ -13,6 +13,7 @@
   malformedHttp: { status: 400, code: 'malformedHttp', message: 'the bytes received are not an HTTP request' },
   noTables: { status: 503, code: 'noTables', message: 'no tables have arrived on this instance yet' },
   homeUnavailable: { status: 503, code: 'homeUnavailable', message: 'the instance that keeps the request can\'t be asked now' },
+  notApplied: { status: 503, code: 'notApplied', message: 'the change was not accepted, because the store could not be used' },
   editUnknown: { status: 504, code: 'editUnknown', message: 'it is not known whether the change was accepted; read the tables before trying again' },
   internal: { status: 500, code: 'internal', message: 'the instance failed to handle the request' }
 } as const satisfies Readonly<Record<string, { status: number, code: string, message: string }>>
--- a/packages/entry/src/apply-tables-action.ts
+++ b/packages/entry/src/apply-tables-action.ts
@@ -31,6 +31,7 @@
       const { currentRevision, currentAuthor, currentAppliedAt, expectedRevision, author } = answer
       return { status: 409, body: { currentRevision, currentAuthor, currentAppliedAt, expectedRevision, author } }
     }
+    case 'notApplied': return createErrorResponse('notApplied', { reason: answer.reason })
     case 'unknown': return createErrorResponse('editUnknown', { reason: answer.reason })
   }
 }
--- a/packages/entry/src/store-table-editor.ts
+++ b/packages/entry/src/store-table-editor.ts
@@ -25,8 +25,6 @@
             code: 'tablesTooLarge', place: 'tables', message: `${outcome.byteCount} bytes are over the limit of ${outcome.limitBytes} bytes`
           }]
         }
-      case 'notApplied':
-        return { type: 'unknown', reason: `not accepted: ${outcome.reason}` }
       default:
         return outcome
     }
--- a/packages/entry/src/table-editor.ts
+++ b/packages/entry/src/table-editor.ts
@@ -15,6 +15,8 @@
     readonly expectedRevision: number
     readonly author: string
   }
+  /** Provably not accepted, because the store could not be used. */
+  | { readonly type: 'notApplied', readonly reason: string }
   /** The store didn't tell whether the change was accepted. */
   | { readonly type: 'unknown', readonly reason: string }
 
--- /dev/null
+++ b/packages/entry/tests/store-table-editor.test.ts
@@ -0,0 +1,32 @@
+import test from 'ava'
+import { InMemoryStore } from '@hibiscusledge/platform/in-memory-store.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import { StoreTableEditor } from '../src/store-table-editor.js'
+
+const TEXTS = {
+  routes: 'kind,customer,team,pool,urgency,cores,memoryMb,accelerators,tasks,idempotent,exclusive,resumable,service,runtimeMs,deadlineMs,retryLimit\n' +
+    'enquiry,,,p,urgent,,,,,yes,,,,,,\n',
+  pools: 'pool,targets,failureDomains,racks,labels,slots,connections,maxQueueMsUrgent,maxQueueMsHigh,maxQueueMsNormal,maxQueueMsLow,' +
+    'floorUrgentPercent,floorHighPercent,floorNormalPercent,floorLowPercent,limitUrgentPercent,limitHighPercent,limitNormalPercent,' +
+    'limitLowPercent,teamQuotas\np,executor,,,,,,,,,,,,,,,,,,\n'
+}
+
+function createEditor (): { store: InMemoryStore, editor: StoreTableEditor } {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  return { store, editor: new StoreTableEditor(store, clock, new SeededRandomSource(1)) }
+}
+
+test('a change that the store provably did not take is not called unknown', async (t) => {
+  const { store, editor } = createEditor()
+  store.setDown(true)
+  t.is((await editor.applyTables(TEXTS, 0, 'operator')).type, 'notApplied')
+})
+
+test('of two changes from the same revision one is accepted, and the other is told both sides', async (t) => {
+  const { editor } = createEditor()
+  const answers = await Promise.all(['first', 'second'].map(async (author) => await editor.applyTables(TEXTS, 0, author)))
+  t.deepEqual(answers.map(({ type }) => type).sort(), ['accepted', 'conflict'])
+  t.like(answers.find(({ type }) => type === 'conflict'), { currentAuthor: 'first', author: 'second', expectedRevision: 0 })
+})
