Report an idempotent run that the target does not know as lost, so that it is retried at once

Cause: an unknown end holds its slot for 60 s, and the retry at the same shard is refused as a duplicate meanwhile; with one shard a silent connection made the request fail. Also a checkpoint no longer counts as a measured run time. Ruled out: releasing the slot on any unknown end, because a frozen executor still runs the request.

--- a/packages/dispatch/src/executor-client.ts
+++ b/packages/dispatch/src/executor-client.ts
@@ -134,7 +134,7 @@
       // The target answers and knows nothing of the run: the connection that carried it is dead.
       if (found.type === 'absent' && order.isIdempotent) {
         this.#pools.replacePool(target)
-        return { type: 'unknown', message: 'the target has no record of the run on a new connection' }
+        return { type: 'lost', message: 'the target has no record of the run on a new connection' }
       }
       await this.#wait(MAXIMUM_LOOKUP_DELAY_MS, signal)
     }
--- a/packages/dispatch/src/shard-attempt.ts
+++ b/packages/dispatch/src/shard-attempt.ts
@@ -79,8 +79,10 @@
 export function convertToRunResult (report: RunReport): RunResult {
   switch (report.type) {
     case 'succeeded':
-    case 'checkpointed':
       return 'succeeded'
+    // Neither a failure of the target nor a measured run time.
+    case 'checkpointed':
+      return 'refused'
     case 'failed':
       return 'failed'
     case 'notRun':
