--- a/packages/stand-ins/src/fault-injector.ts
+++ b/packages/stand-ins/src/fault-injector.ts
@@ -70,6 +70,17 @@
       case 'storeLoseReplies':
         await this.#applyFor('store', { loseReplyFraction: 0.3, seed: fault.pick }, { loseReplyFraction: 0 }, durationMs)
         break
+      case 'storeFlap':
+        await this.#applyFor('store', { flap: { upMs: 500, downMs: 1500 } }, { flap: null }, durationMs)
+        break
+      case 'storeRates':
+        await this.#applyFor('store', { rates: { writesPerSecond: 40, readsPerSecond: 100 } }, { rates: null }, durationMs)
+        break
+      case 'startInOutage':
+        await this.#cell.setFaults('store', { down: true })
+        await Promise.all([this.#cell.startInstance(), waitMs(durationMs)])
+        await this.#cell.setFaults('store', { down: false })
+        break
       case 'operatorRace':
         await this.#runOperatorRace()
         break
--- a/packages/stand-ins/src/fault-plan.ts
+++ b/packages/stand-ins/src/fault-plan.ts
@@ -1,8 +1,8 @@
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
 
 export const FAULT_KINDS = [
-  'kill', 'pause', 'plannedStop', 'muteLinks', 'cutLinks', 'cutStore', 'storeDown', 'storeHang', 'storeSlow', 'storeLoseReplies',
-  'operatorRace', 'targetLeaving', 'executorSilence', 'executorLoseAnswers', 'executorFreeze', 'workerLoseAnswers', 'workerFailAll'
+  'kill', 'pause', 'plannedStop', 'muteLinks', 'cutLinks', 'cutStore', 'storeDown', 'storeHang', 'storeSlow', 'storeLoseReplies', 'storeFlap', 'storeRates',
+  'startInOutage', 'operatorRace', 'targetLeaving', 'executorSilence', 'executorLoseAnswers', 'executorFreeze', 'workerLoseAnswers', 'workerFailAll'
 ] as const
 export type FaultKind = typeof FAULT_KINDS[number]
 
--- a/packages/stand-ins/src/fault-run.ts
+++ b/packages/stand-ins/src/fault-run.ts
@@ -1,5 +1,5 @@
 import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
-import { Caller } from './caller.js'
+import { Caller, type CallerRecord } from './caller.js'
 import { Cell, readJson } from './cell.js'
 import { FaultInjector } from './fault-injector.js'
 import { drawFaultPlan, type PlannedFault } from './fault-plan.js'
@@ -11,6 +11,7 @@
   readonly plan: readonly PlannedFault[]
   readonly violations: readonly Violation[]
   readonly outcomes: Readonly<Record<string, number>>
+  readonly records: readonly CallerRecord[]
   readonly logDirectory: string
 }
 
@@ -72,7 +73,7 @@
     revisionReadings: readings
   })
   const races = injector.log.lostRaces.map((detail): Violation => ({ invariant: 'I8', subject: 'tables', detail }))
-  return { seed, plan, violations: [...violations, ...races], outcomes: countOutcomes(caller), logDirectory: cell.logDirectory }
+  return { seed, plan, violations: [...violations, ...races], outcomes: countOutcomes(caller), records: caller.records, logDirectory: cell.logDirectory }
 }
 
 async function sendRequests (caller: Caller, seed: number, random: SeededRandomSource): Promise<void> {
--- /dev/null
+++ b/packages/stand-ins/src/outage-run-main.ts
@@ -0,0 +1,31 @@
+import { cac } from 'cac'
+import type { CallerRecord } from './caller.js'
+import { runFaults } from './fault-run.js'
+import type { FaultKind } from './fault-plan.js'
+
+const OUTAGES: readonly FaultKind[] = ['storeDown', 'storeHang', 'storeSlow', 'storeFlap', 'storeLoseReplies', 'storeRates', 'cutStore', 'startInOutage']
+/** Begins before most requests are sent and outlasts the sending of 6 s. */
+const AT_MS = 300
+const DURATION_MS = 7000
+
+const command = cac('outage-run')
+command.option('--seed <n>', 'Seed of the requests', { default: 1 })
+command.help()
+const { options } = command.parse()
+if (options.help !== true) await runOutages(Number(options.seed))
+
+/** Prints, for each kind of store outage, the share of each kind's requests that completed and the median time to the answer. */
+async function runOutages (seed: number): Promise<void> {
+  for (const kind of OUTAGES) {
+    const { records, violations } = await runFaults(seed, [{ kind, atMs: AT_MS, durationMs: DURATION_MS, pick: 0 }])
+    const kinds = [...new Set(records.map((record) => record.kind))].sort()
+    const shares = kinds.map((name) => formatShare(name, records.filter((record) => record.kind === name)))
+    process.stdout.write(`${kind}: ${shares.join(', ')}; ${violations.length} violations\n`)
+  }
+}
+
+function formatShare (name: string, records: readonly CallerRecord[]): string {
+  const completed = records.filter(({ outcome }) => outcome === 'completed')
+  const times = completed.map(({ sentAtMs, answeredAtMs }) => (answeredAtMs ?? sentAtMs) - sentAtMs).sort((left, right) => left - right)
+  return `${name} ${completed.length}/${records.length} (p50 ${times[Math.floor(times.length / 2)] ?? 0} ms)`
+}
