--- a/packages/stand-ins/src/fault-run.ts
+++ b/packages/stand-ins/src/fault-run.ts
@@ -73,7 +73,14 @@
     revisionReadings: readings
   })
   const races = injector.log.lostRaces.map((detail): Violation => ({ invariant: 'I8', subject: 'tables', detail }))
-  return { seed, plan, violations: [...violations, ...races], outcomes: countOutcomes(caller), records: caller.records, logDirectory: cell.logDirectory }
+  return {
+    seed,
+    plan,
+    violations: [...violations, ...races],
+    outcomes: countOutcomes(caller),
+    records: caller.records,
+    logDirectory: cell.logDirectory
+  }
 }
 
 async function sendRequests (caller: Caller, seed: number, random: SeededRandomSource): Promise<void> {
