--- a/packages/dispatch/src/shard-attempt.ts
+++ b/packages/dispatch/src/shard-attempt.ts
@@ -2,7 +2,7 @@
 import type { RequestId, TargetId } from '@hibiscusledge/runtime/identifiers.js'
 import type { RunResult } from '@hibiscusledge/scheduling/decision.js'
 import type { WorkItem } from '@hibiscusledge/scheduling/work-item.js'
-import type { AttemptReport } from './dispatch-messages.js'
+import type { AttemptReport, EnqueueMessage } from './dispatch-messages.js'
 import type { WorkFacts } from './ledger-entry.js'
 import type { RunOrder, RunReport } from './target-client.js'
 
@@ -60,6 +60,24 @@
   }
 }
 
+/** A new attempt in the queue. */
+export function createAttempt (message: EnqueueMessage, item: WorkItem, trace: TraceContext | undefined): ShardAttempt {
+  const { attempt, work, payload, checkpoint, isIntentNeeded } = message
+  return {
+    requestId: item.requestId,
+    attempt,
+    item,
+    work,
+    payload,
+    checkpoint,
+    isIntentNeeded,
+    trace,
+    state: ATTEMPT_STATES.queued,
+    targets: [],
+    isWithdrawn: false
+  }
+}
+
 export function buildOrder (attempt: ShardAttempt, taskIndex: number, timeoutMs: number): RunOrder {
   return {
     requestId: attempt.requestId,
