Let the lease margin cover the timeout of a renewal; forget acknowledgements of gone workers

A renewal may reach the worker up to 3 s after it was sent, so 2 s of margin let an exclusive task count as ended up to 1 s too early. The test's bound rises from 17 s to 20 s, the stricter side.

--- a/packages/dispatch/src/attempt-follower.ts
+++ b/packages/dispatch/src/attempt-follower.ts
@@ -10,6 +10,7 @@
 import { ATTEMPT_STATES, buildOrder, buildWorkItem, convertToRunResult, mergeReports, type ShardAttempt } from './shard-attempt.js'
 import type { OpenIntent } from './shard-recovery.js'
 import type { RunOrder, RunReport, TargetAddress, TargetClient } from './target-client.js'
+import { LEASE_MARGIN_MS, WORKER_LEASE_MS } from './worker-session.js'
 
 /** How long a target that refused stays without new work when the instance list still shows it live. */
 const REFUSAL_SUSPENSION_MS = 10_000
@@ -19,7 +20,7 @@
 const UNKNOWN_FOLLOW_UP_MS = 600_000
 const UNKNOWN_SLOT_HOLD_MS = 60_000
 /** Longer than a worker's lease with its margin: a task on a worker that is gone from the list has ended by then. */
-const RECOVERED_TARGET_WAIT_MS = 18_000
+const RECOVERED_TARGET_WAIT_MS = WORKER_LEASE_MS + LEASE_MARGIN_MS + 1000
 /** Period in which a recovered target is looked for in the instance list. */
 const TARGET_CHECK_PERIOD_MS = 50
 
--- a/packages/dispatch/src/shard-role.ts
+++ b/packages/dispatch/src/shard-role.ts
@@ -87,13 +87,14 @@
     if (runner === undefined) return
     this.#runners.delete(unit)
     runner.stop()
+    this.#dropFinishedRunners()
     this.#draining.add(runner)
     this.#context.logger.logInfo(DISPATCH_EVENTS.shardStopped, { unit })
   }
 
   /** Sent requests whose end this instance still has to report; a planned stop waits for them. */
   countUnfinished (): number {
-    for (const runner of this.#draining) if (runner.countSent() === 0) this.#draining.delete(runner)
+    this.#dropFinishedRunners()
     let count = this.#reporter.countPending()
     for (const runner of this.#draining) count += runner.countSent()
     return count
@@ -114,6 +115,10 @@
     }
   }
 
+  #dropFinishedRunners (): void {
+    for (const runner of this.#draining) if (runner.countSent() === 0) this.#draining.delete(runner)
+  }
+
   #registerHandlers (): void {
     const { network, logger } = this.#context
     registerCheckedHandler(network, logger, PEER_MESSAGE_KINDS.enqueue, enqueueSchema, async (message, _from, trace) =>
--- a/packages/dispatch/src/worker-session.ts
+++ b/packages/dispatch/src/worker-session.ts
@@ -6,11 +6,13 @@
 import { readJsonBody, targetErrorSchema } from './target-response.js'
 
 export const WORKER_LEASE_MS = 15_000
-/** Covers the difference between two clocks' rates and a renewal that was on its way. */
-const LEASE_MARGIN_MS = 2000
 /** The worker answers a sync at once when a task has ended, else after this time. */
 const SYNC_WAIT_MS = 1000
 const SYNC_TIMEOUT_MS = SYNC_WAIT_MS + 2000
+/** A worker may receive a renewal until its call times out; 2 s more cover the difference between two clocks' rates. */
+export const LEASE_MARGIN_MS = SYNC_TIMEOUT_MS + 2000
+/** A worker that has gone for good is no longer told which tasks it may forget. */
+const ACKNOWLEDGE_GIVE_UP_MS = 60_000
 const RETRY_DELAY_MS = 500
 const SYNC_PERIOD_MIN_MS = 20
 /**
@@ -106,6 +108,7 @@
       const sentAtMs = this.#clock.readMonotonicMs()
       const isAnswered = await this.#syncOnce(SYNC_WAIT_MS)
       if (!isAnswered) this.#expireLeases()
+      if (sentAtMs - this.#lastAnsweredAtMs > ACKNOWLEDGE_GIVE_UP_MS) this.#unacknowledged.clear()
       // The worker answers at once as long as it lists an ended task, also one whose end the home has yet to record.
       const elapsedMs = this.#clock.readMonotonicMs() - sentAtMs
       const delayMs = isAnswered ? SYNC_PERIOD_MIN_MS - elapsedMs : RETRY_DELAY_MS
--- a/packages/dispatch/tests/worker-session.test.ts
+++ b/packages/dispatch/tests/worker-session.test.ts
@@ -105,7 +105,7 @@
   const renewals = worker.syncs.filter(({ renew }) => renew.includes(TASK_ID)).map(({ atMs }) => atMs)
   const lastRenewalAtMs = Math.max(...renewals)
   t.true(lastRenewalAtMs - silentAtMs <= 5500, `last renewal ${lastRenewalAtMs - silentAtMs} ms after the last answer`)
-  t.true(endedAtMs - lastRenewalAtMs > 17_000, `lost ${endedAtMs - lastRenewalAtMs} ms after the last renewal`)
+  t.true(endedAtMs - lastRenewalAtMs > 20_000, `lost ${endedAtMs - lastRenewalAtMs} ms after the last renewal`)
   session.close()
 })
 
