Add the whole-path bench and the capacity measurements

The design asks for waiting times, control cost and service in floods on the whole path, and for slopes behind docs/CAPACITY.md. Both start a cell of separate processes on loopback; CPU time comes from /proc, bytes from the relays that already carry every link, store calls from the stand-in's counters, heap from a preloaded probe after a full collection.

--- /dev/null
+++ b/packages/stand-ins/src/bench-flood.ts
@@ -0,0 +1,99 @@
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import { build } from 'hdr-histogram-js'
+import { BENCH_CUSTOMER, BENCH_KINDS, buildPools, buildRoutes } from './bench-tables.js'
+import { Caller, type CallerRecord } from './caller.js'
+import type { Cell } from './cell.js'
+import { generateLoad, type Stream } from './load-generator.js'
+
+export const SERVICE_COLUMNS = ['tables', 'load', 'kind', 'class', 'sent', 'completed', 'kept %', 'wait p50 ms', 'wait p99 ms'] as const
+
+export interface LoadCase {
+  readonly name: string
+  /** Multiplies the ordinary load. */
+  readonly factor: number
+  readonly floodKind?: string
+  /** In multiples of the executors' capacity. */
+  readonly floodFactor?: number
+}
+
+export const LOAD_CASES: readonly LoadCase[] = [
+  { name: 'light', factor: 1 },
+  { name: 'near saturation', factor: 2.6 },
+  ...['supply-reorder', 'readiness-check'].flatMap((floodKind) => [5, 10].map((floodFactor): LoadCase => (
+    { name: `${floodFactor}x ${floodKind}`, factor: 1, floodKind, floodFactor }
+  )))
+]
+
+interface CaseResult {
+  readonly tables: string
+  readonly load: string
+  readonly records: readonly CallerRecord[]
+}
+
+export interface FloodOptions {
+  readonly cell: Cell
+  readonly random: RandomSource
+  readonly seconds: number
+  /** Requests/s that the executors can serve. */
+  readonly capacity: number
+  /** Of the classes' tables, which are in force. */
+  readonly revision: number
+}
+
+/** Runs every load with the classes' tables, then with the baseline's, in the same cell. */
+export async function measureService (options: FloodOptions): Promise<string[][]> {
+  const { cell, revision } = options
+  const results: CaseResult[] = []
+  await runCase(options, LOAD_CASES[1], 3)
+  for (const load of LOAD_CASES) results.push({ tables: 'classes', load: load.name, records: await runCase(options, load, options.seconds) })
+  await cell.applyTables({ routes: buildRoutes(true), pools: buildPools(true) }, revision)
+  for (const load of LOAD_CASES.filter(({ factor }) => factor === 1)) {
+    results.push({ tables: 'first come', load: load.name, records: await runCase(options, load, options.seconds) })
+  }
+  const starts = new Map([...await cell.readRuns(), ...(await cell.readUses()).uses].map(({ requestId, startedAtMs }) => [requestId, startedAtMs]))
+  return results.flatMap((result) => formatCase(result, results.find(({ tables }) => tables === result.tables), starts))
+}
+
+async function runCase ({ cell, random, capacity }: FloodOptions, load: LoadCase | undefined, seconds: number): Promise<CallerRecord[]> {
+  const ordinary = BENCH_KINDS.map(({ kind, pool, weight, isIdempotent }): Stream => ({
+    kind, customer: BENCH_CUSTOMER, isKeyed: !isIdempotent, ratePerSecond: weight * (load?.factor ?? 1) * (pool === 'executors' ? capacity : 1)
+  }))
+  // Callers of their own, so that a flood does not hold the ordinary callers' connections.
+  const [caller, floodCaller] = [new Caller(() => cell.instances), new Caller(() => cell.instances)]
+  const flood: Stream[] = load?.floodKind === undefined
+    ? []
+    : [{ kind: load.floodKind, customer: BENCH_CUSTOMER, isKeyed: false, ratePerSecond: capacity * (load.floodFactor ?? 0) }]
+  const [records] = await Promise.all([
+    generateLoad(caller, ordinary, seconds, random), generateLoad(floodCaller, flood, seconds, random)
+  ])
+  await Promise.all([caller.close(), floodCaller.close()])
+  return records
+}
+
+function formatCase (
+  { tables, load, records }: CaseResult, unflooded: CaseResult | undefined, starts: ReadonlyMap<string, number>
+): string[][] {
+  return BENCH_KINDS.map(({ kind, urgency }) => {
+    const sent = records.filter((record) => record.kind === kind)
+    const share = computeShare(sent)
+    const reference = computeShare(unflooded?.records.filter((record) => record.kind === kind) ?? [])
+    const waits = build()
+    for (const { requestId, sentAtMs } of sent) {
+      const startedAtMs = starts.get(requestId ?? '')
+      if (startedAtMs !== undefined) waits.recordValue(Math.max(0, startedAtMs - sentAtMs))
+    }
+    return [
+      tables, load, kind, tables === 'classes' ? urgency : 'normal', String(sent.length), String(countCompleted(sent)),
+      (share / reference * 100).toFixed(0), String(waits.getValueAtPercentile(50)), String(waits.getValueAtPercentile(99))
+    ]
+  })
+}
+
+function countCompleted (records: readonly CallerRecord[]): number {
+  return records.filter(({ outcome }) => outcome === 'completed').length
+}
+
+/** Completed part of what was sent; arrivals are random, so counts of two windows do not compare. */
+function computeShare (records: readonly CallerRecord[]): number {
+  return countCompleted(records) / Math.max(1, records.length)
+}
--- /dev/null
+++ b/packages/stand-ins/src/bench-roles.ts
@@ -0,0 +1,86 @@
+import { BENCH_CUSTOMER } from './bench-tables.js'
+import { Caller } from './caller.js'
+import { Cell, readJson } from './cell.js'
+import { CellMeter } from './cell-meter.js'
+import { generateClosedLoad, type Stream } from './load-generator.js'
+
+export const ROLE_COLUMNS = [
+  'requests', 'requests/s', 'busiest %', 'meter %', 'entry CPU ms', 'home CPU ms', 'shard CPU ms', 'all CPU ms', 'peer bytes', 'store writes', 'store reads'
+] as const
+
+const POOLS = `pool,targets,failureDomains,racks,labels,slots,connections,maxQueueMsUrgent,maxQueueMsHigh,maxQueueMsNormal,maxQueueMsLow,floorUrgentPercent,floorHighPercent,floorNormalPercent,floorLowPercent,limitUrgentPercent,limitHighPercent,limitNormalPercent,limitLowPercent,teamQuotas
+executors,executor,,,,8,64,10000,10000,10000,10000,,,,,,,,,
+workers,worker,,,,,,10000,10000,10000,10000,,,,,,,,,
+`
+const ROUTES = `kind,customer,team,pool,urgency,cores,memoryMb,accelerators,tasks,idempotent,exclusive,resumable,service,runtimeMs,deadlineMs,retryLimit
+enquiry,,,executors,normal,,,,,yes,,,,,30000,2
+posting,,,executors,normal,,,,,no,,,,,30000,0
+sanitation,,,workers,normal,0.1,64,,,no,yes,,,,30000,0
+`
+const DOMAIN = 'bilbao'
+const UNIT_COUNT = 16 + 2
+const CONCURRENCY = 128
+const WARM_UP_SECONDS = 4
+const CASES = [
+  { name: 'idempotent, executor', kind: 'enquiry', shard: `executor/${DOMAIN}` },
+  { name: 'non-idempotent, executor', kind: 'posting', shard: `executor/${DOMAIN}` },
+  { name: 'exclusive, worker', kind: 'sanitation', shard: `worker/${DOMAIN}` }
+] as const
+
+interface Unit { readonly unit: string, readonly owner: string }
+
+/**
+ * Sends all requests through one entry to one shard. Homes are spread over the instances, so that the CPU time of an
+ * instance that is neither entry nor shard owner is a home's, and the other two roles follow by subtraction.
+ */
+export async function measureRoles (seed: number, seconds: number, instances: number): Promise<string[][]> {
+  const cell = new Cell({
+    instances,
+    failureDomains: [DOMAIN],
+    seed,
+    instanceFlags: ['--log-level', 'warn'],
+    groups: [
+      { kind: 'executor', idPrefix: 'executor', count: 8, failureDomains: [DOMAIN], rackSize: 8, serviceMs: ['default=5:0.3'] },
+      { kind: 'worker', idPrefix: 'worker', count: 8, failureDomains: [DOMAIN], rackSize: 8, serviceMs: ['default=5:0.3'] }
+    ]
+  })
+  try {
+    await cell.start()
+    await cell.applyTables({ routes: ROUTES, pools: POOLS })
+    await cell.waitForOwners(UNIT_COUNT)
+    const rows: string[][] = []
+    for (const { name, kind, shard } of CASES) rows.push([name, ...await measureCase(cell, kind, shard, seconds)])
+    return rows
+  } finally {
+    await cell.end()
+  }
+}
+
+async function measureCase (cell: Cell, kind: string, shard: string, seconds: number): Promise<string[]> {
+  const { units } = await readJson(`${cell.instances[0]?.origin ?? ''}/v1/status`) as { units: Unit[] }
+  const owner = units.find(({ unit }) => unit === shard)?.owner ?? ''
+  const countPartitions = (id: string): number => units.filter((unit) => unit.owner === id && unit.unit.startsWith('partition/')).length
+  const entry = cell.instances.find(({ id }) => id !== owner)
+  if (entry === undefined) throw new Error('no instance is free of the shard')
+  const caller = new Caller(() => [entry])
+  const stream: Stream = { kind, customer: BENCH_CUSTOMER, isKeyed: true, ratePerSecond: 0 }
+  await generateClosedLoad(caller, stream, CONCURRENCY, WARM_UP_SECONDS)
+  const meter = new CellMeter(cell)
+  await meter.start()
+  const records = await generateClosedLoad(caller, stream, CONCURRENCY, seconds)
+  const use = await meter.finish()
+  await caller.close()
+  const completed = records.filter(({ outcome }) => outcome === 'completed').length
+  const per = (value: number): string => (value / completed).toFixed(2)
+  const readCpu = (id: string): number => use.cpuMs.get(id) ?? 0
+  const homes = cell.instances.filter(({ id }) => id !== owner && id !== entry.id)
+  const homeMs = homes.reduce((sum, { id }) => sum + readCpu(id), 0) / homes.reduce((sum, { id }) => sum + countPartitions(id) / 16, 0)
+  const [entryMs, shardMs] = [entry.id, owner].map((id) => readCpu(id) - homeMs * countPartitions(id) / 16)
+  const allMs = cell.instances.reduce((sum, { id }) => sum + readCpu(id), 0)
+  const busiestMs = Math.max(...cell.instances.map(({ id }) => readCpu(id)))
+  return [
+    (completed / use.seconds).toFixed(0), (busiestMs / use.seconds / 10).toFixed(0), (readCpu('meter') / use.seconds / 10).toFixed(0),
+    per(entryMs ?? 0), per(homeMs), per(shardMs ?? 0), per(allMs), (use.peerBytes / completed).toFixed(0),
+    (use.storeWrites / completed).toFixed(3), (use.storeReads / completed).toFixed(3)
+  ]
+}
--- /dev/null
+++ b/packages/stand-ins/src/capacity.ts
@@ -0,0 +1,49 @@
+import { spawn } from 'node:child_process'
+import { formatTable } from '@hibiscusledge/scheduling/bench/text-table.js'
+import { cac } from 'cac'
+import { IDLE_COLUMNS, measureIdleInstances, measureIdleTargets } from './capacity-idle.js'
+import { measureRates, measureTableChanges, measureTasks, RATE_COLUMNS, TABLE_COLUMNS } from './capacity-load.js'
+import { measureTakeovers, TAKEOVER_COLUMNS } from './capacity-takeover.js'
+import { HeapMeter, readResidentMb } from './process-meter.js'
+
+const PARTS = ['idle', 'targets', 'tasks', 'rates', 'tables', 'takeover', 'memory'] as const
+
+const command = cac('capacity')
+command.option('--parts <names>', `Comma-separated: ${PARTS.join(', ')}`, { default: PARTS.join(',') })
+command.option('--seed <n>', 'Seed of arrivals and service times', { default: 1 })
+command.option('--seconds <n>', 'Length of each measurement', { default: 8 })
+command.option('--counts <list>', 'Values of what the part varies, comma-separated', { default: '' })
+command.option('--runs <n>', 'Runs of each takeover', { default: 3 })
+command.help()
+const { options } = command.parse()
+if (options.help !== true) await runParts()
+
+async function runParts (): Promise<void> {
+  const [seed, seconds] = [Number(options.seed), Number(options.seconds)]
+  const listCounts = (usual: readonly number[]): readonly number[] => options.counts === '' ? usual : String(options.counts).split(',').map(Number)
+  const heaps = new HeapMeter()
+  const measures: Record<string, () => Promise<readonly [readonly string[], string[][]]>> = {
+    idle: async () => [IDLE_COLUMNS, await measureIdleInstances(listCounts([2, 4, 7, 10]), seed, seconds, heaps)],
+    targets: async () => [IDLE_COLUMNS, await measureIdleTargets(listCounts([10, 100, 320]), seed, seconds, heaps)],
+    tasks: async () => [IDLE_COLUMNS, await measureTasks(listCounts([0, 250, 1000]), seed, seconds, heaps)],
+    rates: async () => [RATE_COLUMNS, await measureRates(listCounts([50, 200]), seed, seconds, heaps)],
+    tables: async () => [TABLE_COLUMNS, await measureTableChanges(30, seed)],
+    takeover: async () => [TAKEOVER_COLUMNS, await measureTakeovers(Number(options.runs), seed)],
+    memory: async () => [['process', 'resident MB'], [['bare node', (await measureBareRuntime()).toFixed(1)]]]
+  }
+  for (const part of String(options.parts).split(',')) {
+    if (part === 'takeover' || part === 'memory') heaps.detach()
+    else heaps.attach()
+    const [columns, rows] = await (measures[part] ?? (() => { throw new Error(`no part ${part}`) }))()
+    process.stdout.write(`${part}, seed ${seed}\n\n${formatTable(columns, rows)}\n\n`)
+  }
+  heaps.remove()
+}
+
+async function measureBareRuntime (): Promise<number> {
+  const child = spawn(process.execPath, ['-e', 'console.log("ready"); setInterval(() => {}, 1000)'], { stdio: ['ignore', 'pipe', 'ignore'] })
+  await new Promise((resolve) => child.stdout.once('data', resolve))
+  const residentMb = readResidentMb(child.pid ?? 0)
+  child.kill()
+  return residentMb
+}
--- a/packages/stand-ins/src/cell.ts
+++ b/packages/stand-ins/src/cell.ts
@@ -124,6 +124,11 @@
     }, START_BOUND_MS, `${unitCount} units to have owners`)
   }
 
+  /** Name and process id of every process of the cell. */
+  listProcesses (): Array<{ name: string, pid: number }> {
+    return this.#processes.filter((process) => process.isRunning()).map(({ name, pid }) => ({ name, pid }))
+  }
+
   readAdmin (name: string): string {
     return this.#admins.get(name) ?? ''
   }
--- /dev/null
+++ b/packages/stand-ins/src/heap-probe.ts
@@ -0,0 +1,17 @@
+import { renameSync, writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+
+// Preloaded into the processes of a cell by HeapMeter: on SIGUSR2 it collects garbage and writes what is left.
+const directory = process.env['HEAP_PROBE_DIRECTORY']
+if (directory !== undefined) {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  process.on('SIGUSR2', () => {
+    collect()
+    const file = join(directory, `${process.pid}.json`)
+    writeFileSync(`${file}.part`, JSON.stringify(process.memoryUsage()))
+    renameSync(`${file}.part`, file)
+  })
+}
--- a/packages/stand-ins/src/link-relay.ts
+++ b/packages/stand-ins/src/link-relay.ts
@@ -9,6 +9,7 @@
   readonly #server: Server
   readonly #pairs = new Set<readonly [Socket, Socket]>()
   #mode: RelayMode = 'open'
+  #carriedBytes = 0
 
   constructor (targetPort: number) {
     this.#targetPort = targetPort
@@ -21,6 +22,11 @@
     return (this.#server.address() as { port: number }).port
   }
 
+  /** Payload bytes of TCP in both directions since the start. */
+  readCarriedBytes (): number {
+    return this.#carriedBytes
+  }
+
   setMode (mode: RelayMode): void {
     this.#mode = mode
     if (mode === 'refused') this.#closePairs()
@@ -39,6 +45,8 @@
     await new Promise((resolve) => { this.#server.close(resolve) })
   }
 
+  readonly #countBytes = (chunk: Buffer): void => { this.#carriedBytes += chunk.length }
+
   #accept (socket: Socket): void {
     if (this.#mode === 'refused') {
       socket.destroy()
@@ -53,8 +61,8 @@
       onward.destroy()
     }
     for (const end of pair) end.on('error', close).on('close', close)
-    socket.pipe(onward)
-    onward.pipe(socket)
+    socket.on('data', this.#countBytes).pipe(onward)
+    onward.on('data', this.#countBytes).pipe(socket)
   }
 
   #closePairs (): void {
