Measure how evenly a shard owner polls its executors

The polls part counts progress calls in the executor stand-in. Ruled out a lost list: the owner polls at its full 50 calls/s. The cause is in TargetMonitor, which starts at the head of the list on each turn.

--- a/packages/stand-ins/src/bench-flood.ts
+++ b/packages/stand-ins/src/bench-flood.ts
@@ -50,7 +50,8 @@
   for (const load of LOAD_CASES.filter(({ factor }) => factor === 1)) {
     results.push({ tables: 'first come', load: load.name, records: await runCase(options, load, options.seconds) })
   }
-  const starts = new Map([...await cell.readRuns(), ...(await cell.readUses()).uses].map(({ requestId, startedAtMs }) => [requestId, startedAtMs]))
+  const started = [...await cell.readRuns(), ...(await cell.readUses()).uses]
+  const starts = new Map(started.map(({ requestId, startedAtMs }) => [requestId, startedAtMs]))
   return results.flatMap((result) => formatCase(result, results.find(({ tables }) => tables === result.tables), starts))
 }
 
--- a/packages/stand-ins/src/capacity-idle.ts
+++ b/packages/stand-ins/src/capacity-idle.ts
@@ -10,7 +10,9 @@
 const SETTLE_MS = 4000
 
 /** Idle cells; each figure is for one instance, and peer bytes are those sent and received by it. */
-export async function measureIdleInstances (counts: readonly number[], seed: number, seconds: number, heaps: HeapMeter): Promise<string[][]> {
+export async function measureIdleInstances (
+  counts: readonly number[], seed: number, seconds: number, heaps: HeapMeter
+): Promise<string[][]> {
   const rows: string[][] = []
   for (const instances of counts) {
     const measure = async (cell: Cell): Promise<string[]> => [`${instances} instances`, ...await measureIdle(cell, seconds, heaps)]
@@ -55,3 +57,23 @@
     Math.max(...readings.map(({ heapUsedMb }) => heapUsedMb)).toFixed(1)
   ]
 }
+
+export const POLL_COLUMNS = ['executors of one shard', 'seconds', 'polls/s', 'never polled', 'least polls', 'most polls'] as const
+
+/** How evenly a shard owner asks its executors for their progress. */
+export async function measurePolls (counts: readonly number[], seed: number, seconds: number): Promise<string[][]> {
+  const rows: string[][] = []
+  for (const executors of counts) {
+    rows.push(await runInCapacityCell({ instances: 2, seed, executors }, async (cell) => {
+      await waitMs(SETTLE_MS)
+      const before = await cell.readProgressPolls()
+      await waitMs(seconds * 1000)
+      const polls = [...await cell.readProgressPolls()].map(([id, count]) => count - (before.get(id) ?? 0))
+      const sum = polls.reduce((total, count) => total + count, 0)
+      return [
+        executors, seconds, (sum / seconds).toFixed(1), polls.filter((count) => count === 0).length, Math.min(...polls), Math.max(...polls)
+      ].map(String)
+    }))
+  }
+  return rows
+}
--- a/packages/stand-ins/src/capacity-takeover.ts
+++ b/packages/stand-ins/src/capacity-takeover.ts
@@ -4,7 +4,7 @@
 import { waitUntil } from './wait-until.js'
 
 export const TAKEOVER_COLUMNS = [
-  'end', 'run', 'units', 'first unit ms', 'last unit ms', 'slowest readiness ms', 'store writes', 'store reads', 'writes over idle', 'reads over idle'
+  'end', 'run', 'units', 'first unit ms', 'last unit ms', 'replacement owns units ms', 'store writes', 'store reads', 'writes over idle', 'reads over idle'
 ] as const
 const INSTANCES = 4
 const BOUND_MS = 60_000
--- a/packages/stand-ins/src/cell.ts
+++ b/packages/stand-ins/src/cell.ts
@@ -146,6 +146,12 @@
     return logs.flatMap((log) => (log as { runs: ExecutorRun[] }).runs)
   }
 
+  /** Progress calls by executor. */
+  async readProgressPolls (): Promise<Map<string, number>> {
+    const logs = await Promise.all(this.#listGroups('executor').map((name) => readJson(`${this.readAdmin(name)}/log`)))
+    return new Map(logs.flatMap((log) => Object.entries((log as { progressPolls: Record<string, number> }).progressPolls)))
+  }
+
   async readUses (): Promise<{ uses: TaskUse[], violations: UseViolation[] }> {
     const logs = await Promise.all(this.#listGroups('worker').map((name) => readJson(`${this.readAdmin(name)}/log`)))
     const parts = logs as Array<{ uses: TaskUse[], violations: UseViolation[] }>
--- a/packages/stand-ins/src/executor-stand-in-main.ts
+++ b/packages/stand-ins/src/executor-stand-in-main.ts
@@ -17,6 +17,7 @@
 const executors = createTargetOptions(flags, flags.connections, labels).map((options) => new ExecutorStandIn(options, flags.slots))
 const host = new TargetHost(executors, (id) => ({
   runs: executors.flatMap((executor) => id === undefined || executor.id === id ? executor.runs : []),
+  progressPolls: Object.fromEntries(executors.map((executor) => [executor.id, executor.progressPolls])),
   refusedConnections: Object.fromEntries(executors.map((executor) => [executor.id, executor.readRefusedConnections()]))
 }), flags.host)
 const addresses = await host.start(flags.portBase, flags.adminPort)
--- a/packages/stand-ins/src/executor-stand-in.ts
+++ b/packages/stand-ins/src/executor-stand-in.ts
@@ -38,6 +38,7 @@
 /** An executor: request/reply work in slots. It has no guards: it runs whatever it is given and records what was wrong. */
 export class ExecutorStandIn extends TargetStandIn {
   readonly runs: ExecutorRun[] = []
+  progressPolls = 0
   readonly #slots: number
   readonly #recordsById = new Map<string, RunRecord[]>()
 
@@ -54,6 +55,7 @@
     if (request.method === 'POST' && request.path === '/run') return this.#run(request)
     if (request.method !== 'GET') return NOT_FOUND
     if (request.path === '/progress') {
+      this.progressPolls++
       const leaving = this.readFaults().leaving === true
       return { status: 200, body: { running: this.meter.countRunning(), progress: this.meter.readProgress(), leaving } }
     }
