Measure recorded requests against the size of the ledger

One more recorded request is to cost the same whatever the ledger holds; the part sends windows of requests with small and large results and reports what each window completed.

--- /dev/null
+++ b/packages/stand-ins/src/capacity-ledger.ts
@@ -0,0 +1,43 @@
+import { Caller } from './caller.js'
+import { CAPACITY_CUSTOMER, runInCapacityCell } from './capacity-cell.js'
+import { CellMeter } from './cell-meter.js'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import { generateLoad } from './load-generator.js'
+import type { HeapMeter } from './process-meter.js'
+
+export const LEDGER_COLUMNS = ['result bytes', 'recorded', 'sent', 'completed', 'answer p50 ms', 'store writes', 'store KB/request', 'heap KB/request'] as const
+const RATE = 150
+const INSTANCES = 2
+
+/** Recorded requests with results of one size, window after window: what one more costs as the ledger grows. */
+export async function measureLedger (resultSizes: readonly number[], seed: number, seconds: number, heaps: HeapMeter): Promise<string[][]> {
+  const rows: string[][] = []
+  for (const resultBytes of resultSizes) {
+    await runInCapacityCell({ instances: INSTANCES, seed, executors: 8 }, async (cell) => {
+      const caller = new Caller(() => cell.instances)
+      const random = new SeededRandomSource(seed)
+      const stream = { kind: 'posting', customer: CAPACITY_CUSTOMER, isKeyed: true, ratePerSecond: RATE, payload: { standIn: { resultBytes } } }
+      const sumHeapMb = async (): Promise<number> => {
+        const readings = await Promise.all(cell.instances.map(({ process }) => heaps.readHeap(process.pid)))
+        return readings.reduce((sum, { heapUsedMb }) => sum + heapUsedMb, 0)
+      }
+      let recorded = 0
+      for (let window = 0; window < 3; window++) {
+        const heapBefore = await sumHeapMb()
+        const meter = new CellMeter(cell)
+        await meter.start()
+        const records = await generateLoad(caller, [stream], seconds, random)
+        const use = await meter.finish()
+        const completed = records.filter(({ outcome }) => outcome === 'completed')
+        const answers = completed.map(({ sentAtMs, answeredAtMs = 0 }) => answeredAtMs - sentAtMs).toSorted((left, right) => left - right)
+        rows.push([
+          resultBytes, recorded, records.length, completed.length, answers[Math.floor(answers.length / 2)] ?? '-', use.storeWrites,
+          (use.storeBytes / 1000 / records.length).toFixed(1), (((await sumHeapMb()) - heapBefore) * 1024 / records.length).toFixed(2)
+        ].map(String))
+        recorded += completed.length
+      }
+      await caller.close()
+    })
+  }
+  return rows
+}
--- a/packages/stand-ins/src/capacity.ts
+++ b/packages/stand-ins/src/capacity.ts
@@ -2,11 +2,12 @@
 import { formatTable } from '@hibiscusledge/scheduling/bench/text-table.js'
 import { cac } from 'cac'
 import { IDLE_COLUMNS, measureIdleInstances, measureIdleTargets, measurePolls, POLL_COLUMNS } from './capacity-idle.js'
+import { LEDGER_COLUMNS, measureLedger } from './capacity-ledger.js'
 import { measureRates, measureTableChanges, measureTasks, RATE_COLUMNS, TABLE_COLUMNS } from './capacity-load.js'
 import { measureTakeovers, TAKEOVER_COLUMNS } from './capacity-takeover.js'
 import { HeapMeter, readResidentMb } from './process-meter.js'
 
-const PARTS = ['idle', 'targets', 'polls', 'tasks', 'rates', 'tables', 'takeover', 'memory'] as const
+const PARTS = ['idle', 'targets', 'polls', 'tasks', 'rates', 'ledger', 'tables', 'takeover', 'memory'] as const
 
 const command = cac('capacity')
 command.option('--parts <names>', `Comma-separated: ${PARTS.join(', ')}`, { default: PARTS.join(',') })
@@ -28,6 +29,7 @@
     polls: async () => [POLL_COLUMNS, await measurePolls(listCounts([33, 100, 150, 320]), seed, seconds)],
     tasks: async () => [IDLE_COLUMNS, await measureTasks(listCounts([0, 250, 1000]), seed, seconds, heaps)],
     rates: async () => [RATE_COLUMNS, await measureRates(listCounts([50, 200]), seed, seconds, heaps)],
+    ledger: async () => [LEDGER_COLUMNS, await measureLedger(listCounts([0, 12_000]), seed, seconds, heaps)],
     tables: async () => [TABLE_COLUMNS, await measureTableChanges(30, seed)],
     takeover: async () => [TAKEOVER_COLUMNS, await measureTakeovers(Number(options.runs), seed)],
     memory: async () => [['process', 'resident MB'], [['bare node', (await measureBareRuntime()).toFixed(1)]]]
