--- a/packages/dispatch/src/target-monitor.ts
+++ b/packages/dispatch/src/target-monitor.ts
@@ -28,6 +28,7 @@
   readonly #listTargets: () => Iterable<Target>
   readonly #known = new Map<TargetId, KnownTarget>()
   readonly #timer: Timer
+  #lastPolled: TargetId | undefined
 
   constructor (context: DispatchContext, scheduler: ShardScheduler, client: TargetClient, listTargets: () => Iterable<Target>) {
     this.#context = context
@@ -58,17 +59,25 @@
   #pollDue (): void {
     const nowMs = this.#context.clock.readMonotonicMs()
     let polls = 0
-    for (const target of this.#listTargets()) {
+    for (const target of this.#listFromCursor()) {
       const known = this.#known.get(target.id) ?? { address: target, nextPollAtMs: nowMs }
       known.address = target
       this.#known.set(target.id, known)
       if (known.nextPollAtMs > nowMs || polls >= POLLS_PER_TURN_MAX) continue
+      this.#lastPolled = target.id
       known.nextPollAtMs = nowMs + POLL_PERIOD_MS
       polls++
       void this.#client.readProgress(target).then((progress) => { this.#applyProgress(target.id, progress) })
     }
   }
 
+  /** All targets, beginning after the one polled last: with the polls of a turn bounded, the end of a long list has its turn too. */
+  #listFromCursor (): Target[] {
+    const targets = [...this.#listTargets()]
+    const start = targets.findIndex((target) => target.id === this.#lastPolled) + 1
+    return [...targets.slice(start), ...targets.slice(0, start)]
+  }
+
   #applyProgress (targetId: TargetId, progress: TargetProgress | undefined): void {
     if (progress === undefined) return
     const nowMs = this.#context.clock.readMonotonicMs()
