--- a/packages/ctl/src/api-client.ts
+++ b/packages/ctl/src/api-client.ts
@@ -1,10 +1,8 @@
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { Agent, request } from 'undici'
 import { ANSWER_REASONS } from './ctl-messages.js'
 import { formatAddress, type HostPort } from './parse-address.js'
 
-const { Err, Ok } = tsResults
-
 /** Above the largest answer: both tables at the store's limit of 1 MB, escaped as JSON. */
 const MAX_ANSWER_BYTES = 8_388_608
 
--- a/packages/ctl/src/parse-settings.ts
+++ b/packages/ctl/src/parse-settings.ts
@@ -1,14 +1,11 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { COMMANDS, OPTIONS, type CommandName, type OptionName } from './command-definitions.js'
 import { type CtlSettings, DEFAULT_ADDRESS, MAX_AUTHOR_LENGTH, TIMEOUT_MS } from './ctl-settings.js'
 import { USAGE_FINDINGS } from './ctl-messages.js'
 import { parseAddress } from './parse-address.js'
 import type { CommandOptions } from './parse-command-line.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 const WHOLE_NUMBER = /^[0-9]{1,15}$/
 const PRINTABLE = /^\P{C}+$/u
 
--- a/packages/ctl/src/table-files.ts
+++ b/packages/ctl/src/table-files.ts
@@ -3,12 +3,10 @@
 import { POOL_COLUMNS, ROUTE_COLUMNS } from '@hibiscusledge/tables/table-columns.js'
 import { TABLE_FILES } from '@hibiscusledge/tables/table-messages.js'
 import type { TableTexts } from '@hibiscusledge/tables/table-set.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { USAGE_FINDINGS } from './ctl-messages.js'
 import { escapeText } from './format-columns.js'
 
-const { Err, Ok } = tsResults
-
 export type TableName = keyof TableTexts
 
 export interface TableFile {
--- a/packages/ctl/src/tables-apply-command.ts
+++ b/packages/ctl/src/tables-apply-command.ts
@@ -1,7 +1,7 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
 import { parseTables } from '@hibiscusledge/tables/parse-tables.js'
 import type { TableTexts } from '@hibiscusledge/tables/table-set.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { acceptedAnswer, conflictAnswer, findingsAnswer, tablesAnswer } from './answer-schemas.js'
 import type { ApiAnswer, ApiClient } from './api-client.js'
 import type { Command, CommandReport } from './command.js'
@@ -11,8 +11,6 @@
 import { createErrorReport, createFailureReport, createRefusalReport, createUsageReport, parseErrorAnswer } from './reports.js'
 import { formatFindingLines, loadTableFiles, resolveFindingPlaces, type TableFiles } from './table-files.js'
 
-const { Err, Ok } = tsResults
-
 const TABLES_PATH = '/v1/tables'
 /** Code of the API for a change that provably was not applied, because the store could not be used. */
 const NOT_APPLIED = 'notApplied'
--- a/packages/dispatch/src/home-partition.ts
+++ b/packages/dispatch/src/home-partition.ts
@@ -143,7 +143,8 @@
     const nowMs = this.#context.clock.readMonotonicMs()
     const request = new HomeRequest(message.facts, nowMs + message.remainingMs)
     request.receivedAtMs = nowMs
-    request.trace = trace
+    request.span = this.#context.spans.startSpan('home.request', trace, { requestId: request.requestId, kind: message.facts.kind })
+    request.trace = request.span.context
     request.addSubmission(message.submission)
     request.plan = buildPlan(this.#context.tables, message.facts)
     // A former home may have had it run; the ledger would tell only of work that needs an intent.
--- a/packages/dispatch/src/home-request.ts
+++ b/packages/dispatch/src/home-request.ts
@@ -1,5 +1,6 @@
 import { StateChart, type StateChartDefinition } from '@hibiscusledge/runtime/state-chart.js'
 import type { InstanceId, RequestId, TargetId, UnitId } from '@hibiscusledge/runtime/identifiers.js'
+import type { ActiveSpan } from '@hibiscusledge/runtime/span-recorder.js'
 import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
 import type { TargetKind } from '@hibiscusledge/scheduling/target.js'
 import requestChart from '../charts/request.json' with { type: 'json' }
@@ -44,6 +45,7 @@
   receivedAtMs = 0
   deadlineAtMs: number
   trace: TraceContext | undefined
+  span: ActiveSpan | undefined
   attempt = 0
   retries = 0
   checkpoint: string | undefined
--- a/packages/dispatch/src/outcome-recorder.ts
+++ b/packages/dispatch/src/outcome-recorder.ts
@@ -27,6 +27,8 @@
     if (!request.applyEvent('end')) return
     request.outcome = outcome
     request.endedAtMs = this.#context.clock.readMonotonicMs()
+    request.span?.end({ outcome: outcome.outcome, attempt: request.attempt })
+    request.span = undefined
     if (outcome.outcome !== 'unknown') request.payload = undefined
     this.#context.metrics.incrementCounter('requests.ended', 1, { outcome: outcome.outcome, kind: request.facts.kind })
     this.#context.logger.logInfo(previous === undefined ? DISPATCH_EVENTS.requestEnded : DISPATCH_EVENTS.requestOutcomeChanged, {
--- a/packages/dispatch/src/shard-runner.ts
+++ b/packages/dispatch/src/shard-runner.ts
@@ -48,7 +48,8 @@
   readonly #follower: AttemptFollower
   readonly #monitor: TargetMonitor
   readonly #foreign: ForeignRuns
-  readonly #timer: Timer
+  /** Runs only while attempts are held, so that an idle shard costs nothing. */
+  #timer: Timer | undefined
   #successor: InstanceId | undefined
   #isServing = false
   #isStopped = false
@@ -75,7 +76,6 @@
         if (this.#successor !== undefined && !attempt.isIntentNeeded) this.#sendHandOver(this.#successor, [], [attempt])
       }
     })
-    this.#timer = options.context.clock.startInterval(SCHEDULE_PERIOD_MS, () => { this.#requestSchedule() })
   }
 
   /** Counts what earlier owners started, then serves. */
@@ -174,7 +174,7 @@
   stop (): void {
     this.#isStopped = true
     this.#isServing = false
-    this.#timer.cancel()
+    this.#timer?.cancel()
     this.#monitor.stop()
     this.#foreign.stop()
     for (const [requestId, attempt] of this.#attempts) {
@@ -199,6 +199,7 @@
     }
     this.#attempts.set(item.requestId, createAttempt(message, item, trace))
     this.#requestSchedule()
+    this.#startTimer()
     return { type: 'admitted' }
   }
 
@@ -216,6 +217,16 @@
     return 'absent'
   }
 
+  /** Deadlines, suspensions and freed reservations come due without a message that tells of them. */
+  #startTimer (): void {
+    if (this.#isStopped) return
+    this.#timer ??= this.#context.clock.startTimer(SCHEDULE_PERIOD_MS, () => {
+      this.#timer = undefined
+      this.#requestSchedule()
+      if (this.#attempts.size > 0) this.#startTimer()
+    })
+  }
+
   #requestSchedule (): void {
     if (this.#isScheduleRequested || this.#isStopped) return
     this.#isScheduleRequested = true
--- a/packages/dispatch/src/target-monitor.ts
+++ b/packages/dispatch/src/target-monitor.ts
@@ -8,11 +8,11 @@
 import type { ForeignRuns } from './foreign-runs.js'
 import type { TargetAddress, TargetClient, TargetProgress } from './target-client.js'
 
-const TURN_PERIOD_MS = 100
+const TURN_PERIOD_MS = 500
 /** Each target is asked about this often, unless the shard has too many for the rate limit below. */
 const POLL_PERIOD_MS = 2000
 /** Bounds the control traffic of a large shard. */
-const POLLS_PER_TURN_MAX = 5
+const POLLS_PER_TURN_MAX = 25
 const LEAVING_SUSPENSION_MS = 10_000
 
 interface KnownTarget {
--- a/packages/entry/src/parse-settings.ts
+++ b/packages/entry/src/parse-settings.ts
@@ -1,6 +1,6 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
 import { cac, type CAC } from 'cac'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { SETTING_FINDINGS, SETTING_INVALID_CODE } from './setting-messages.js'
 import { SETTING_NAMES, SETTING_TABLE, formatEnvironmentName, formatFlag, type SettingName, type Settings } from './setting-table.js'
 
@@ -15,8 +15,6 @@
   readonly place: string
 }
 
-const { Err, Ok } = tsResults
-
 const OTHER_FLAGS = ['checkSettings', 'help', 'h', '--']
 
 /** Parses flags and environment; a flag goes before the variable of the same name. All findings are reported together. */
--- a/packages/entry/src/parse-submission.ts
+++ b/packages/entry/src/parse-submission.ts
@@ -1,7 +1,7 @@
 import type { Submission } from '@hibiscusledge/dispatch/request-gateway.js'
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
 import type { IncomingHttpHeaders } from 'node:http'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { API_FINDINGS } from './api-messages.js'
 import { buildFindings } from './build-findings.js'
 import { MAX_NESTING, isNestedDeeper } from './nesting.js'
@@ -24,8 +24,6 @@
 
 export const MAX_WAIT_MS = 86_400_000
 
-const { Err, Ok } = tsResults
-
 const KEY = /^[\x20-\x7e]{1,255}$/
 const WAIT = /^[0-9]{1,8}$/
 
--- a/packages/peer/src/handler-registry.ts
+++ b/packages/peer/src/handler-registry.ts
@@ -1,13 +1,10 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { decodeFrame, encodeFrame, type PeerFrame } from './peer-frame.js'
 import { PEER_LOG_EVENTS } from './peer-log-events.js'
 import { PEER_ERROR_CODES, type PeerError, type PeerHandler, type PeerIdentity } from './peer-network.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 /** Handlers by kind, and delivery to them without a link. */
 export class HandlerRegistry {
   readonly #self: PeerIdentity
--- a/packages/peer/src/owner-writer.ts
+++ b/packages/peer/src/owner-writer.ts
@@ -3,7 +3,7 @@
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
 import type { Comparison, KeyValueStore, StoredValue } from '@hibiscusledge/platform/key-value-store.js'
 import type { StoreError } from '@hibiscusledge/platform/store-error.js'
-import type { Result } from 'ts-results'
+import type { Result } from '@hibiscusledge/runtime/result.js'
 import type { StoreCache } from './store-cache.js'
 import { formatOwnerKey, type OwnerRecord } from './store-records.js'
 
--- a/packages/peer/src/peer-frame.ts
+++ b/packages/peer/src/peer-frame.ts
@@ -1,12 +1,9 @@
 import { parseTraceparent, formatTraceparent, type TraceContext } from '@hibiscusledge/runtime/trace-context.js'
 import { Packr } from 'msgpackr'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { z } from 'zod'
 import { PEER_ERROR_CODES, type PeerError } from './peer-network.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 export const PROTOCOL_VERSION = 1
 export const MAX_FRAME_BYTES = 1_048_576
 const MAX_KIND_LENGTH = 64
--- a/packages/peer/src/peer-network.ts
+++ b/packages/peer/src/peer-network.ts
@@ -1,6 +1,6 @@
 import type { InstanceId, Incarnation } from '@hibiscusledge/runtime/identifiers.js'
 import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
-import type { Result } from 'ts-results'
+import type { Result } from '@hibiscusledge/runtime/result.js'
 
 export const PEER_ERROR_CODES = {
   notConnected: 'notConnected',
--- a/packages/peer/src/pending-requests.ts
+++ b/packages/peer/src/pending-requests.ts
@@ -1,11 +1,8 @@
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import type { PeerLink } from './peer-link.js'
 import { PEER_ERROR_CODES, type PeerError } from './peer-network.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 type Outcome = Result<unknown, PeerError>
 
 interface PendingRequest { readonly link: PeerLink, readonly timer: Timer, readonly resolve: (outcome: Outcome) => void }
--- a/packages/peer/src/web-socket-peer-network.ts
+++ b/packages/peer/src/web-socket-peer-network.ts
@@ -5,7 +5,7 @@
 import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
 import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, type Result } from '@hibiscusledge/runtime/result.js'
 import { WebSocket, WebSocketServer } from 'ws'
 import { HandlerRegistry } from './handler-registry.js'
 import type { HeartbeatNetwork } from './heartbeat-network.js'
@@ -19,9 +19,6 @@
 import type { PeerTimings } from './peer-timings.js'
 import { PendingRequests } from './pending-requests.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err } = tsResults
-
 const CONNECT_TIMEOUT_MS = 2_000
 
 export interface WebSocketPeerNetworkOptions {
--- a/packages/platform/src/budgeted-store.ts
+++ b/packages/platform/src/budgeted-store.ts
@@ -1,14 +1,11 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, type Result } from '@hibiscusledge/runtime/result.js'
 import { CallBudget, type CallBudgetCounts, type CallRates } from './call-budget.js'
 import type {
   CallPriority, KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch, WatchHandler
 } from './key-value-store.js'
 import type { StoreError } from './store-error.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err } = tsResults
-
 export interface StoreBudgetOptions {
   readonly readsPerSecond: number
   readonly writesPerSecond: number
--- a/packages/platform/src/etcd-gateway-store.ts
+++ b/packages/platform/src/etcd-gateway-store.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { Agent } from 'undici'
 import type { z } from 'zod'
 import {
@@ -14,9 +14,6 @@
 } from './key-value-store.js'
 import type { StoreError } from './store-error.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 export interface EtcdGatewayStoreOptions {
   /** Origins such as `http://10.0.0.5:2379`, tried in turn. */
   readonly endpoints: readonly string[]
--- a/packages/platform/src/http-exchange.ts
+++ b/packages/platform/src/http-exchange.ts
@@ -1,10 +1,7 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import type { Dispatcher } from 'undici'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 /** One HTTP request with a JSON body or none. */
 export interface HttpExchange {
   readonly origin: string
--- a/packages/platform/src/in-memory-store.ts
+++ b/packages/platform/src/in-memory-store.ts
@@ -1,14 +1,11 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { KeySpace } from './key-space.js'
 import type {
   CallPriority, KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch, WatchEvent, WatchHandler
 } from './key-value-store.js'
 import type { StoreError } from './store-error.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 /** Faults that a test can set at any time. */
 export interface InMemoryStoreFaults {
   /** Every call fails without effect and every watch ends. */
--- a/packages/platform/src/instance-list.ts
+++ b/packages/platform/src/instance-list.ts
@@ -1,5 +1,5 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
-import type { Result } from 'ts-results'
+import type { Result } from '@hibiscusledge/runtime/result.js'
 
 /** One entry of the platform's lagging list of workers and executors. */
 export interface ListedTarget {
--- a/packages/platform/src/key-value-store.ts
+++ b/packages/platform/src/key-value-store.ts
@@ -1,4 +1,4 @@
-import type { Result } from 'ts-results'
+import type { Result } from '@hibiscusledge/runtime/result.js'
 import type { StoreError } from './store-error.js'
 
 /** A key of the store with its value. */
--- a/packages/platform/src/parse-instance-list.ts
+++ b/packages/platform/src/parse-instance-list.ts
@@ -1,11 +1,8 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { z } from 'zod'
 import type { ListedTarget } from './instance-list.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 /** The good entries of a list and the findings of the bad ones. */
 export interface InstanceListing {
   readonly targets: readonly ListedTarget[]
--- a/packages/platform/src/prometheus-instance-list.ts
+++ b/packages/platform/src/prometheus-instance-list.ts
@@ -1,14 +1,11 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, type Result } from '@hibiscusledge/runtime/result.js'
 import { Agent } from 'undici'
 import { fetchText } from './http-exchange.js'
 import type { InstanceList, ListedTarget } from './instance-list.js'
 import { parseInstanceList, type InstanceListing } from './parse-instance-list.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err } = tsResults
-
 /** An instance list that reports bad entries beside the good ones. */
 export interface DetailedInstanceList extends InstanceList {
   fetchListing (): Promise<Result<InstanceListing, readonly Finding[]>>
--- a/packages/tables/src/decode-stored-tables.ts
+++ b/packages/tables/src/decode-stored-tables.ts
@@ -1,13 +1,10 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, type Result } from '@hibiscusledge/runtime/result.js'
 import { parseTables } from './parse-tables.js'
 import { parseStoredTables, TABLES_KEY } from './stored-tables.js'
 import { TABLE_PROBLEMS } from './table-messages.js'
 import type { TableSet } from './table-set.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err } = tsResults
-
 /** Decodes the value of {@link TABLES_KEY} as read at `revision`, the key's modification revision. */
 export function decodeStoredTables (value: string, revision: number): Result<TableSet, readonly Finding[]> {
   const stored = parseStoredTables(value)
--- a/packages/tables/src/parse-tables.ts
+++ b/packages/tables/src/parse-tables.ts
@@ -1,13 +1,10 @@
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
-import tsResults, { type Result } from 'ts-results'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { checkDuplicatePools, checkDuplicateRoutes, checkJoins } from './check-joins.js'
 import { hashTables } from './hash-tables.js'
 import { collectFindings, readTableRows } from './read-table-rows.js'
 import type { TableSet, TableTexts } from './table-set.js'
 
-// ts-results is a CommonJS module whose exports Node.js cannot name.
-const { Err, Ok } = tsResults
-
 /** Parses and checks both tables. All findings are reported together. */
 export function parseTables (texts: TableTexts, revision: number): Result<TableSet, readonly Finding[]> {
   const rows = readTableRows(texts)
--- a/packages/tables/src/table-store.ts
+++ b/packages/tables/src/table-store.ts
@@ -4,7 +4,7 @@
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
 import type { KeyValueStore, StoredValue } from '@hibiscusledge/platform/key-value-store.js'
 import { STORE_ERROR_CODES, type StoreError } from '@hibiscusledge/platform/store-error.js'
-import tsResults, { type Result } from 'ts-results'
+import { Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import type { ApplyOutcome, TableConflict } from './apply-outcome.js'
 import { hashTables } from './hash-tables.js'
 import { parseTables } from './parse-tables.js'
@@ -12,8 +12,6 @@
 import { APPLY_REASONS, TABLE_PROBLEMS } from './table-messages.js'
 import type { TableTexts } from './table-set.js'
 
-const { Ok } = tsResults
-
 const NONCE_BYTES = 16
 const MAX_AUTHOR_LENGTH = 128
 /** Reads and repeated commits after a lost reply. With the backoff they cover a store outage of about 4 s. */
