--- a/packages/stand-ins/src/cell.ts
+++ b/packages/stand-ins/src/cell.ts
@@ -35,6 +35,8 @@
 export interface CellInstance {
   readonly id: string
   readonly process: CellProcess
+  /** Where other instances reach this one. */
+  readonly peerAddress: string
   /** Carries the links that other instances open to this one. */
   readonly peerRelay: LinkRelay
   /** Carries this instance's calls to the store. */
@@ -79,17 +81,20 @@
     const peerRelay = new LinkRelay(peerPort)
     const storeRelay = new LinkRelay(Number(new URL(this.#storeEndpoint).port))
     this.#relays.push(peerRelay, storeRelay)
+    const peerAddress = `127.0.0.1:${await peerRelay.start()}`
+    const seeds = this.instances.map(({ peerAddress: seed }) => seed)
     const origin = `http://127.0.0.1:${apiPort}`
     const process = this.#startProcess(id, resolveMain('@hibiscusledge/entry/hibiscusledge.js'), [
       '--instance-id', id,
       '--failure-domain', failureDomains[index % failureDomains.length] ?? '',
       '--api-host', '127.0.0.1', '--api-port', String(apiPort),
-      '--peer-host', '127.0.0.1', '--peer-port', String(peerPort), '--peer-advertise', `127.0.0.1:${await peerRelay.start()}`,
+      '--peer-host', '127.0.0.1', '--peer-port', String(peerPort), '--peer-advertise', peerAddress,
       '--store-endpoints', `http://127.0.0.1:${await storeRelay.start()}`,
       '--instance-list-url', `${this.readAdmin('store')}/instances`,
+      ...(seeds.length === 0 ? [] : ['--peers', seeds.join(',')]),
       ...(instanceFlags ?? [])
     ])
-    const instance = { id, process, origin, peerRelay, storeRelay }
+    const instance = { id, process, origin, peerRelay, storeRelay, peerAddress }
     await waitUntil(async () => await readStatusCode(`${origin}/healthz`) === 200 || !process.isRunning(), START_BOUND_MS, `${id} to serve`)
     this.instances.push(instance)
     return instance
