Move whole cells, their measurements and fault runs into a package of their own

The stand-ins are the fakes; demo, bench, capacity and fault runs use them and the real processes. No logic changes.

--- a/packages/stand-ins/src/cell-meter.ts
+++ b/packages/cells/src/cell-meter.ts
@@ -1,5 +1,5 @@
 import { readJson, type Cell } from './cell.js'
-import type { CallCounters } from './call-counter.js'
+import type { CallCounters } from '@hibiscusledge/stand-ins/call-counter.js'
 import { readCpuMs } from './process-meter.js'
 
 export interface CellUse {
--- a/packages/stand-ins/src/cell.ts
+++ b/packages/cells/src/cell.ts
@@ -6,8 +6,8 @@
 import { request } from 'undici'
 import { CellProcess } from './cell-process.js'
 import { LinkRelay } from './link-relay.js'
-import type { ExecutorRun } from './executor-stand-in.js'
-import type { TaskUse, UseViolation } from './use-log.js'
+import type { ExecutorRun } from '@hibiscusledge/stand-ins/executor-stand-in.js'
+import type { TaskUse, UseViolation } from '@hibiscusledge/stand-ins/use-log.js'
 import { waitUntil } from './wait-until.js'
 
 const TABLES_AUTHOR = 'cell'
@@ -185,7 +185,7 @@
   }
 
   async #startStandIn (name: string, mainName: string, flags: readonly string[]): Promise<StandInAddresses> {
-    const standIn = this.#startProcess(name, fileURLToPath(new URL(`${mainName}.js`, import.meta.url)), flags)
+    const standIn = this.#startProcess(name, resolveMain(`@hibiscusledge/stand-ins/${mainName}.js`), flags)
     const addresses = JSON.parse(await standIn.waitForFirstLine()) as StandInAddresses
     this.#admins.set(name, `http://${addresses.admin}`)
     return addresses
--- a/packages/stand-ins/src/demo-report.ts
+++ b/packages/cells/src/demo-report.ts
@@ -1,7 +1,7 @@
 import { build } from 'hdr-histogram-js'
 import type { CallerRecord } from './caller.js'
-import type { ExecutorRun } from './executor-stand-in.js'
-import type { TaskUse } from './use-log.js'
+import type { ExecutorRun } from '@hibiscusledge/stand-ins/executor-stand-in.js'
+import type { TaskUse } from '@hibiscusledge/stand-ins/use-log.js'
 
 const COLUMNS = ['kind', 'requests', 'completed', 'notRun', 'unknown', 'wait p50 ms', 'wait p99 ms', 'instances'] as const
 
--- a/packages/stand-ins/src/history-checker.ts
+++ b/packages/cells/src/history-checker.ts
@@ -1,8 +1,8 @@
 import { addResources, isFitting, NO_RESOURCES, subtractResources, type Resources } from '@hibiscusledge/scheduling/resources.js'
 import type { CallerRecord } from './caller.js'
-import type { ExecutorRun } from './executor-stand-in.js'
-import type { TaskUse, UseViolation } from './use-log.js'
-import { isWholeResult } from './work-profile.js'
+import type { ExecutorRun } from '@hibiscusledge/stand-ins/executor-stand-in.js'
+import type { TaskUse, UseViolation } from '@hibiscusledge/stand-ins/use-log.js'
+import { isWholeResult } from '@hibiscusledge/stand-ins/work-profile.js'
 
 /** What a run of a cell left behind. Times are on one wall clock, as all processes run on one machine. */
 export interface CellHistory {
--- a/packages/stand-ins/tests/history-checker.test.ts
+++ b/packages/cells/tests/history-checker.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava'
 import type { CallerRecord } from '../src/caller.js'
-import type { ExecutorRun } from '../src/executor-stand-in.js'
+import type { ExecutorRun } from '@hibiscusledge/stand-ins/executor-stand-in.js'
 import { checkHistory, type CellHistory, type Violation } from '../src/history-checker.js'
-import type { TaskUse } from '../src/use-log.js'
-import { createWorkResult } from '../src/work-profile.js'
+import type { TaskUse } from '@hibiscusledge/stand-ins/use-log.js'
+import { createWorkResult } from '@hibiscusledge/stand-ins/work-profile.js'
 
 const PAYLOAD = { number: 1 }
 
--- a/packages/peer/tests/ownership-manager.test.ts
+++ b/packages/peer/tests/ownership-manager.test.ts
@@ -1,7 +1,7 @@
 import { toInstanceId, toUnitId, type UnitId } from '@hibiscusledge/runtime/identifiers.js'
 import type { Transaction } from '@hibiscusledge/platform/key-value-store.js'
 import test from 'ava'
-import { Err, type Result } from '@hibiscusledge/runtime/result.js'
+import { Err } from '@hibiscusledge/runtime/result.js'
 import type { UnitOwner, UnitRole } from '../src/ownership-directory.js'
 import { FakeCluster, type FakeProcess } from './fake-cluster.js'
 
