Wait for an earlier attempt instead of refusing its request; split the home's registry and recovery

Found by cluster-gateway tests once a shard no longer ticked every 50 ms: a posting whose home died while its intent was being recorded was told notRun ('queueFull: an earlier attempt still runs here') by the next home, although its deadline was far off. The refusal is now 'duplicate', and the home tries again until the deadline. The fake cluster advances in steps of 10 ms, so that messages get turns of the event loop without relying on a timer of the code under test.

A request recovered before any tables had arrived never got a plan and waited until its deadline; the assigner now looks it up. Found by reading.

--- a/packages/dispatch/src/home-partition.ts
+++ b/packages/dispatch/src/home-partition.ts
@@ -8,17 +8,16 @@
   AttemptResultMessage, RecordIntentMessage, RecordIntentReply, RequestStatusReply, SubmitMessage, SubmitReply
 } from './dispatch-messages.js'
 import { HomeRequest } from './home-request.js'
-import type { LedgerRecord } from './ledger-state.js'
 import { OutcomeRecorder } from './outcome-recorder.js'
 import { COMMIT_RESULTS, PartitionLedger } from './partition-ledger.js'
 import { RequestAssigner } from './request-assigner.js'
+import { recoverRequest } from './recover-request.js'
 import { buildPlan } from './request-plan.js'
+import { RequestRegistry } from './request-registry.js'
 
 const SWEEP_PERIOD_MS = 250
 /** How long after its deadline a request waits for the shard owner's word before the home decides. */
 const DEADLINE_GRACE_MS = 1500
-/** Outcomes of requests that the ledger does not know are kept this long. */
-const UNRECORDED_RETENTION_MS = 120_000
 /** Requests in progress at one partition; beyond it new ones are refused, which bounds the memory. */
 const ACTIVE_REQUESTS_MAX = 20_000
 
@@ -26,11 +25,7 @@
 export class HomePartition {
   readonly #context: DispatchContext
   readonly #partition: UnitId
-  readonly #requests = new Map<RequestId, HomeRequest>()
-  readonly #active = new Set<HomeRequest>()
-  /** Ended requests in the order of their ends, apart by retention. */
-  readonly #endedRecorded = new Set<HomeRequest>()
-  readonly #endedUnrecorded = new Set<HomeRequest>()
+  readonly #requests: RequestRegistry
   readonly #ledger: PartitionLedger
   readonly #outcomes: OutcomeRecorder
   readonly #assigner: RequestAssigner
@@ -41,6 +36,7 @@
   constructor (context: DispatchContext, partition: UnitId, owner: UnitOwner, onOwnershipLost: () => void) {
     this.#context = context
     this.#partition = partition
+    this.#requests = new RequestRegistry(context.outcomeRetentionMs)
     this.#ledger = new PartitionLedger({
       partition,
       ownerModRevision: owner.modRevision,
@@ -61,7 +57,11 @@
   /** Loads the ledger and takes up what an earlier owner left. */
   async start (): Promise<void> {
     await this.#ledger.load()
-    for (const [requestId, record] of this.#ledger.state.listRecords()) this.#recoverRequest(requestId, record)
+    for (const [requestId, record] of this.#ledger.state.listRecords()) {
+      const request = recoverRequest(this.#context, requestId, record)
+      this.#requests.add(request)
+      this.#assigner.startAssigning(request)
+    }
     this.#isServing = true
   }
 
@@ -79,9 +79,9 @@
 
   async submit (message: SubmitMessage, from: InstanceId, trace: TraceContext | undefined): Promise<SubmitReply> {
     if (!this.#isServing) return { type: 'notOwner' }
-    const existing = this.#requests.get(message.facts.requestId)
+    const existing = this.#requests.find(message.facts.requestId)
     if (existing !== undefined) return await this.#joinRequest(existing, message, from)
-    if (this.#active.size >= ACTIVE_REQUESTS_MAX) return { type: 'unavailable', reason: 'too many requests in progress' }
+    if (this.#requests.countActive() >= ACTIVE_REQUESTS_MAX) return { type: 'unavailable', reason: 'too many requests in progress' }
     if (!message.isWaiting && this.#ledger.isStalled()) return { type: 'unavailable', reason: 'the store does not record requests now' }
     const request = this.#createRequest(message, trace)
     if (request.plan === undefined) {
@@ -93,7 +93,7 @@
 
   lookup (requestId: RequestId): RequestStatusReply {
     if (!this.#isServing) return { type: 'notOwner' }
-    const request = this.#requests.get(requestId)
+    const request = this.#requests.find(requestId)
     if (request === undefined) return { type: 'absent' }
     return request.outcome === undefined ? { type: 'pending', requestId } : { type: 'outcome', outcome: request.outcome }
   }
@@ -101,7 +101,7 @@
   /** Cancels a request. `notRun` is said only once it is durable, so that no successor runs the request after all. */
   async cancel (requestId: RequestId): Promise<RequestStatusReply> {
     if (!this.#isServing) return { type: 'notOwner' }
-    const request = this.#requests.get(requestId)
+    const request = this.#requests.find(requestId)
     if (request === undefined) return { type: 'absent' }
     if (request.outcome === undefined) await this.#withdrawForCancel(request)
     if (request.outcome?.outcome === 'notRun' && request.isCancelled && !await this.#outcomes.record(request)) {
@@ -111,7 +111,7 @@
   }
 
   async recordIntent (message: RecordIntentMessage): Promise<RecordIntentReply> {
-    const request = this.#isServing ? this.#requests.get(message.requestId) : undefined
+    const request = this.#isServing ? this.#requests.find(message.requestId) : undefined
     if (request === undefined) return { isGranted: false, reason: 'the request is not known here' }
     const { clock } = this.#context
     const receivedAtMs = clock.readMonotonicMs()
@@ -122,21 +122,21 @@
   /** Whether the shard owner may forget the attempt. */
   async applyResult (message: AttemptResultMessage): Promise<boolean> {
     if (!this.#isServing) return false
-    const request = this.#requests.get(message.requestId)
+    const request = this.#requests.find(message.requestId)
     if (request === undefined) return true
     return await this.#attempts.applyResult(request, message)
   }
 
   applyOwnerChange (unit: UnitId, owner: UnitOwner | undefined): void {
-    for (const request of this.#active) void this.#attempts.applyOwnerChange(request, unit, owner)
+    for (const request of this.#requests.listActive()) void this.#attempts.applyOwnerChange(request, unit, owner)
   }
 
   findAssignment (requestId: RequestId): { readonly unit: UnitId, readonly owner: InstanceId } | undefined {
-    return this.#requests.get(requestId)?.assignment
+    return this.#requests.find(requestId)?.assignment
   }
 
   countActive (): number {
-    return this.#active.size
+    return this.#requests.countActive()
   }
 
   #createRequest (message: SubmitMessage, trace: TraceContext | undefined): HomeRequest {
@@ -149,8 +149,7 @@
     request.plan = buildPlan(this.#context.tables, message.facts)
     // A former home may have had it run; the ledger would tell only of work that needs an intent.
     request.mayHaveRun = message.mayBeKnown === true && request.plan?.isIntentNeeded !== true
-    this.#requests.set(request.requestId, request)
-    this.#active.add(request)
+    this.#requests.add(request)
     return request
   }
 
@@ -205,9 +204,7 @@
     request.plan = buildPlan(this.#context.tables, message.facts)
     request.receivedAtMs = this.#context.clock.readMonotonicMs()
     request.deadlineAtMs = request.receivedAtMs + message.remainingMs
-    this.#endedRecorded.delete(request)
-    this.#endedUnrecorded.delete(request)
-    this.#active.add(request)
+    this.#requests.add(request)
   }
 
   #buildSubmitReply (request: HomeRequest, message: SubmitMessage): SubmitReply {
@@ -231,25 +228,9 @@
   #expireRequests (): void {
     if (!this.#isServing) return
     const nowMs = this.#context.clock.readMonotonicMs()
-    for (const request of this.#active) {
-      if (request.outcome !== undefined) this.#noteEnded(request)
-      else if (nowMs > request.deadlineAtMs + DEADLINE_GRACE_MS) this.#endOverdue(request)
-    }
-    this.#pruneEnded(this.#endedRecorded, nowMs - this.#context.outcomeRetentionMs)
-    this.#pruneEnded(this.#endedUnrecorded, nowMs - UNRECORDED_RETENTION_MS)
-  }
-
-  #noteEnded (request: HomeRequest): void {
-    this.#active.delete(request)
-    const ended = request.isDurable || request.hasIntent ? this.#endedRecorded : this.#endedUnrecorded
-    ended.add(request)
-  }
-
-  #pruneEnded (ended: Set<HomeRequest>, endedBeforeMs: number): void {
-    for (const request of ended) {
-      if (request.outcome !== undefined && request.endedAtMs > endedBeforeMs) return
-      ended.delete(request)
-      if (request.outcome !== undefined) this.#requests.delete(request.requestId)
+    this.#requests.pruneEnded(nowMs)
+    for (const request of this.#requests.listActive()) {
+      if (request.outcome === undefined && nowMs > request.deadlineAtMs + DEADLINE_GRACE_MS) this.#endOverdue(request)
     }
   }
 
@@ -269,55 +250,8 @@
       this.#outcomes.endNotRun(request, 'deadlineExpired')
     }
   }
-
-  #recoverRequest (requestId: RequestId, record: LedgerRecord): void {
-    const { clock, tables } = this.#context
-    const facts = record.accepted?.facts ?? record.intent?.facts ?? record.endedIntent?.facts ?? {
-      requestId, fingerprint: record.outcome?.fingerprint ?? '', kind: '', customer: '', team: ''
-    }
-    const deadlineWallMs = record.intent?.deadlineWallMs ?? record.accepted?.deadlineWallMs ?? record.endedIntent?.deadlineWallMs ?? 0
-    const nowMs = clock.readMonotonicMs()
-    const request = new HomeRequest(facts, nowMs + deadlineWallMs - clock.readWallMs())
-    request.receivedAtMs = nowMs
-    request.isDurable = true
-    request.plan = buildPlan(tables, facts)
-    // The former home may have had it sent, as idempotent executor work has no intent.
-    const mayBeSent = record.accepted !== undefined && record.intent === undefined && request.plan?.isIntentNeeded !== true
-    request.mayHaveRun = mayBeSent || record.endedIntent !== undefined
-    this.#requests.set(requestId, request)
-    if (record.intent !== undefined) this.#recoverIntent(request, record.intent)
-    if (record.outcome !== undefined) {
-      request.applyEvent('end')
-      request.isCancelled = record.outcome.isCancelled
-      request.outcome = buildRecoveredOutcome(record.outcome)
-      request.endedAtMs = nowMs
-      this.#endedRecorded.add(request)
-      return
-    }
-    this.#active.add(request)
-    this.#assigner.startAssigning(request)
-  }
-
-  /** The shard's present owner reports the end of an attempt whose intent is recorded. */
-  #recoverIntent (request: HomeRequest, intent: NonNullable<LedgerRecord['intent']>): void {
-    request.hasIntent = true
-    request.attempt = intent.attempt
-    request.assignment = { unit: intent.unit, epoch: intent.epoch, owner: this.#context.network.self.instance }
-    request.applyEvent('assign')
-    request.applyEvent('recordIntent')
-    request.applyEvent('grant')
-  }
 }
 
 function buildUnconfirmed (requestId: RequestId): { requestId: RequestId, outcome: 'unknown', reason: string } {
   return { requestId, outcome: 'unknown', reason: 'the store has not confirmed the record in time' }
 }
-
-function buildRecoveredOutcome (entry: NonNullable<LedgerRecord['outcome']>): HomeRequest['outcome'] {
-  if (entry.resultDigest === undefined) return entry.outcome
-  return {
-    requestId: entry.requestId,
-    outcome: 'unknown',
-    reason: `completed, but its result is no longer available (SHA-256 ${entry.resultDigest})`
-  }
-}
--- a/packages/dispatch/src/request-assigner.ts
+++ b/packages/dispatch/src/request-assigner.ts
@@ -8,6 +8,7 @@
 import { sendCheckedRequest } from './message-handler.js'
 import type { OutcomeRecorder } from './outcome-recorder.js'
 import type { PartitionLedger } from './partition-ledger.js'
+import { buildPlan } from './request-plan.js'
 import { ShardChooser } from './shard-chooser.js'
 
 const ENQUEUE_TIMEOUT_MS = 1000
@@ -57,6 +58,8 @@
       this.#outcomes.endNotRun(request, REJECTION_REASONS.deadlineExpired)
       return
     }
+    // A request that was recovered before any tables had arrived gets its plan now.
+    request.plan ??= buildPlan(this.#context.tables, request.facts)
     const { plan, payload } = request
     // Work that needs the ledger waits here, where it holds no capacity, until commits pass again.
     const isWaiting = plan === undefined || payload === undefined || (plan.isIntentNeeded && this.#ledger.isStalled())
@@ -79,7 +82,7 @@
       if (result.type === 'rejected') rejections.push(result.rejection)
     }
     request.isAssigning = false
-    if (rejections.length === 0 || this.#isEmptyPoolTolerated(request, rejections)) this.startAssigning(request, REASSIGN_DELAY_MS)
+    if (rejections.length === 0 || this.#isPassing(request, rejections)) this.startAssigning(request, REASSIGN_DELAY_MS)
     else this.#endRejected(request, rejections)
   }
 
@@ -126,7 +129,10 @@
     }
   }
 
-  #isEmptyPoolTolerated (request: HomeRequest, rejections: readonly Rejection[]): boolean {
+  /** Whether the rejections are expected to pass before the deadline. */
+  #isPassing (request: HomeRequest, rejections: readonly Rejection[]): boolean {
+    // The earlier attempt ends or is withdrawn, for example when its home has died while it recorded the intent.
+    if (rejections.some(({ reason }) => reason === REJECTION_REASONS.duplicate)) return true
     const isEmpty = rejections.every(({ reason }) => reason === REJECTION_REASONS.noTargets || reason === REJECTION_REASONS.unknownPool)
     return isEmpty && this.#context.clock.readMonotonicMs() - request.receivedAtMs < EMPTY_POOL_PATIENCE_MS
   }
--- /dev/null
+++ b/packages/dispatch/src/request-registry.ts
@@ -0,0 +1,60 @@
+import type { RequestId } from '@hibiscusledge/runtime/identifiers.js'
+import type { HomeRequest } from './home-request.js'
+
+/** Outcomes of requests that the ledger does not know are kept this long. */
+const UNRECORDED_RETENTION_MS = 120_000
+
+/** The requests of one partition: in progress, and ended ones until their retention has passed. */
+export class RequestRegistry {
+  readonly #requests = new Map<RequestId, HomeRequest>()
+  readonly #active = new Set<HomeRequest>()
+  /** Ended requests in the order of their ends, apart by retention. */
+  readonly #endedRecorded = new Set<HomeRequest>()
+  readonly #endedUnrecorded = new Set<HomeRequest>()
+  readonly #recordedRetentionMs: number
+
+  constructor (recordedRetentionMs: number) {
+    this.#recordedRetentionMs = recordedRetentionMs
+  }
+
+  /** Adds a request, or makes one that ended active again. */
+  add (request: HomeRequest): void {
+    this.#requests.set(request.requestId, request)
+    this.#endedRecorded.delete(request)
+    this.#endedUnrecorded.delete(request)
+    this.#active.add(request)
+  }
+
+  find (requestId: RequestId): HomeRequest | undefined {
+    return this.#requests.get(requestId)
+  }
+
+  listActive (): Iterable<HomeRequest> {
+    return this.#active
+  }
+
+  countActive (): number {
+    return this.#active.size
+  }
+
+  /** Sets requests aside that have ended, and forgets those whose retention has passed. */
+  pruneEnded (nowMs: number): void {
+    for (const request of this.#active) if (request.outcome !== undefined) this.#noteEnded(request)
+    this.#pruneBefore(this.#endedRecorded, nowMs - this.#recordedRetentionMs)
+    this.#pruneBefore(this.#endedUnrecorded, nowMs - UNRECORDED_RETENTION_MS)
+  }
+
+  #noteEnded (request: HomeRequest): void {
+    this.#active.delete(request)
+    const ended = request.isDurable || request.hasIntent ? this.#endedRecorded : this.#endedUnrecorded
+    ended.add(request)
+  }
+
+  #pruneBefore (ended: Set<HomeRequest>, endedBeforeMs: number): void {
+    for (const request of ended) {
+      if (request.endedAtMs > endedBeforeMs) return
+      ended.delete(request)
+      this.#requests.delete(request.requestId)
+    }
+  }
+}
--- a/packages/dispatch/src/shard-runner.ts
+++ b/packages/dispatch/src/shard-runner.ts
@@ -109,7 +109,7 @@
       return { type: 'rejected', reason: REJECTION_REASONS.duplicate, detail: 'a later attempt of the request is known here' }
     }
     if (existing !== undefined && existing.state !== ATTEMPT_STATES.queued) {
-      return { type: 'rejected', reason: REJECTION_REASONS.queueFull, detail: 'an earlier attempt still runs here' }
+      return { type: 'rejected', reason: REJECTION_REASONS.duplicate, detail: 'an earlier attempt still runs here' }
     }
     if (existing !== undefined) this.#removeQueued(existing)
     return this.#admit(message, trace)
--- a/packages/dispatch/tests/cluster-gateway.test.ts
+++ b/packages/dispatch/tests/cluster-gateway.test.ts
@@ -50,6 +50,21 @@
   t.is(cluster.targets.sends.length, 1)
 })
 
+test('a request whose home died while its intent was recorded runs once the shard owner has given that attempt up', async (t) => {
+  const cluster = await createCluster()
+  cluster.hub.decideFate = ({ kind, isReply }) => kind === 'recordIntent' && !isReply ? [] : [0]
+  const caller = await submit(cluster, { kind: 'posting', idempotencyKey: 'k', deadlineMs: 20_000 })
+  cluster.kill('home')
+  cluster.hub.decideFate = () => [0]
+  await cluster.setOwner(PARTITION, 'next')
+  await cluster.advance(8000)
+  t.is(cluster.targets.sends.length, 1)
+  const [send] = cluster.targets.sends
+  if (send !== undefined) cluster.targets.end(send.requestId, { type: 'succeeded', result: 'r' })
+  await cluster.advance(500)
+  t.like(caller.answers[0], { type: 'outcome', outcome: { outcome: 'completed' } })
+})
+
 test('each caller gets the answer to its own request when the answers come in another order', async (t) => {
   const cluster = await createCluster()
   const callers = [await submit(cluster, { payload: 0 }), await submit(cluster, { payload: 1 }), await submit(cluster, { payload: 2 })]
--- a/packages/dispatch/tests/fake-cluster.ts
+++ b/packages/dispatch/tests/fake-cluster.ts
@@ -26,6 +26,8 @@
   hasAuthority: boolean
 }
 
+const STEP_MS = 10
+
 /** Several instances with real roles over fake interfaces. The test sets the owners. */
 export class FakeCluster {
   readonly clock = new FakeClock()
@@ -81,7 +83,8 @@
   }
 
   async advance (durationMs: number): Promise<void> {
-    await this.clock.advanceBy(durationMs)
+    // Messages and commits need turns of the event loop, which the clock gives only between timers and steps.
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) await this.clock.advanceBy(Math.min(STEP_MS, durationMs - elapsedMs))
   }
 
   #findRole (instance: InstanceId, unit: UnitId): UnitRole | undefined {
