--- a/packages/dispatch/tests/fake-cluster.ts
+++ b/packages/dispatch/tests/fake-cluster.ts
@@ -84,7 +84,9 @@
 
   async advance (durationMs: number): Promise<void> {
     // Messages and commits need turns of the event loop, which the clock gives only between timers and steps.
-    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) await this.clock.advanceBy(Math.min(STEP_MS, durationMs - elapsedMs))
+    for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) {
+      await this.clock.advanceBy(Math.min(STEP_MS, durationMs - elapsedMs))
+    }
   }
 
   #findRole (instance: InstanceId, unit: UnitId): UnitRole | undefined {
