Keep the workers of the fault runs nearly full

The altered copy in which a successor does not count recovered starts was not found by a run with kills: 20 of 96 cores were in use. Tasks of 6 and 8 cores for 0.8 s leave little room.

--- a/packages/cells/src/fault-run-tables.ts
+++ b/packages/cells/src/fault-run-tables.ts
@@ -1,10 +1,13 @@
-/** Tables of the fault runs: every mix of idempotent, non-idempotent and exclusive work, on executors and workers. */
+/**
+ * Tables of the fault runs: every mix of idempotent, non-idempotent and exclusive work, on executors and workers. Worker
+ * tasks are large and long enough to keep the workers nearly full, so that uncounted capacity shows as an overcommit.
+ */
 export const FAULT_RUN_ROUTES = `kind,customer,team,pool,urgency,cores,memoryMb,accelerators,tasks,idempotent,exclusive,resumable,service,runtimeMs,deadlineMs,retryLimit
 enquiry,descanso,,executors,urgent,,,,,yes,,,,,15000,2
 posting,descanso,,executors,high,,,,,no,,,,,20000,0
 reorder,descanso,,executors,low,,,,,yes,,,,,20000,2
-sanitation,descanso,,workers,high,4,8192,,,no,yes,,,,40000,0
-reconciliation,descanso,,workers,high,2,4096,,,yes,yes,,,,40000,2
+sanitation,descanso,,workers,high,8,16384,,,no,yes,,,,40000,0
+reconciliation,descanso,,workers,high,6,8192,,,yes,yes,,,,40000,2
 `
 
 export const FAULT_RUN_POOLS = `pool,targets,failureDomains,racks,labels,slots,connections,maxQueueMsUrgent,maxQueueMsHigh,maxQueueMsNormal,maxQueueMsLow,floorUrgentPercent,floorHighPercent,floorNormalPercent,floorLowPercent,limitUrgentPercent,limitHighPercent,limitNormalPercent,limitLowPercent,teamQuotas
--- a/packages/cells/src/fault-run.ts
+++ b/packages/cells/src/fault-run.ts
@@ -35,7 +35,7 @@
     instanceFlags: INSTANCE_FLAGS,
     groups: [
       { kind: 'executor', idPrefix: 'executor', count: 8, failureDomains: DOMAINS, rackSize: 2, serviceMs: ['default=30:0.5'] },
-      { kind: 'worker', idPrefix: 'worker', count: 6, failureDomains: DOMAINS, rackSize: 2, serviceMs: ['default=400:0.5'] }
+      { kind: 'worker', idPrefix: 'worker', count: 6, failureDomains: DOMAINS, rackSize: 2, serviceMs: ['default=800:0.5'] }
     ]
   })
   try {
