--- a/packages/cells/src/fault-run.ts
+++ b/packages/cells/src/fault-run.ts
@@ -23,6 +23,10 @@
 const READING_PERIOD_MS = 250
 /** Part of a planned stop's time in which new requests are still accepted. */
 const INSTANCE_FLAGS = ['--drain-grace-ms', '500', '--drain-timeout-ms', '40000', '--log-level', 'info']
+/** One in so many worker tasks outlasts a takeover, so that the successor has capacity to count. */
+const LONG_TASK_RATIO = 6
+const LONG_TASK = { standIn: { runMs: 7000 } }
+const WORKER_KINDS: ReadonlySet<string> = new Set(['sanitation', 'reconciliation'])
 const KINDS = ['enquiry', 'posting', 'reorder', 'sanitation', 'reconciliation'] as const
 
 /** Runs a small cell under the faults that a seed draws, and checks what it left behind against all invariants. */
@@ -88,7 +92,9 @@
   for (let index = 0; index * SEND_PERIOD_MS < SENDING_MS; index++) {
     const kind = KINDS[random.drawInteger(KINDS.length)] ?? 'enquiry'
     const key = kind === 'enquiry' ? undefined : `${seed}-${index}`
-    sent.push(caller.send(kind, 'descanso', { number: index, text: random.drawHex(16) }, key))
+    const isLong = random.drawInteger(LONG_TASK_RATIO) === 0
+    const payload = { number: index, text: random.drawHex(16), ...(isLong && WORKER_KINDS.has(kind) ? LONG_TASK : {}) }
+    sent.push(caller.send(kind, 'descanso', payload, key))
     await new Promise<void>((resolve) => { setTimeout(resolve, SEND_PERIOD_MS) })
   }
   await Promise.all(sent)
