Give instances of a test cell ports that no outgoing connection can take

Cause: the API port of one of four cells, chosen free in the system's own range, was taken by an outgoing connection before the instance listened on it (EADDRINUSE, exit 69), and the cell went on with the ended instance. Ruled out: load, as the other instances had their units within 2 s. The same cause fits the two failures of this kind seen at 09:50.

--- a/packages/cells/src/cell.ts
+++ b/packages/cells/src/cell.ts
@@ -1,3 +1,4 @@
+import { randomInt } from 'node:crypto'
 import { mkdtempSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -10,6 +11,9 @@
 import type { TaskUse, UseViolation } from '@hibiscusledge/stand-ins/use-log.js'
 import { waitUntil } from './wait-until.js'
 
+const FIXED_PORT_FIRST = 10_000
+const FIXED_PORT_LAST = 32_000
+const START_ATTEMPTS = 5
 const TABLES_AUTHOR = 'cell'
 const START_BOUND_MS = 60_000
 
@@ -72,8 +76,19 @@
     await Promise.all(Array.from({ length: this.#options.instances }, () => this.startInstance()))
   }
 
-  /** Starts one more instance and waits until it serves its API. */
+  /** Starts one more instance and waits until it serves its API; again with other ports when one was taken meanwhile. */
   async startInstance (): Promise<CellInstance> {
+    for (let attempt = 1; attempt <= START_ATTEMPTS; attempt++) {
+      const instance = await this.#openInstance()
+      if (instance.process.isRunning()) {
+        this.instances.push(instance)
+        return instance
+      }
+    }
+    throw new Error(`no instance has started in ${START_ATTEMPTS} attempts; see ${this.logDirectory}`)
+  }
+
+  async #openInstance (): Promise<CellInstance> {
     const index = this.#startedInstances++
     const { failureDomains, instanceFlags } = this.#options
     const id = `instance-${index + 1}`
@@ -96,7 +111,6 @@
     ])
     const instance = { id, process, origin, peerRelay, storeRelay, peerAddress }
     await waitUntil(async () => await readStatusCode(`${origin}/healthz`) === 200 || !process.isRunning(), START_BOUND_MS, `${id} to serve`)
-    this.instances.push(instance)
     return instance
   }
 
@@ -230,11 +244,20 @@
   return fileURLToPath(import.meta.resolve(specifier))
 }
 
+/** Draws ports below the range that the system gives to outgoing connections, so that none of those takes one meanwhile. */
 async function findFreePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
-    const server = createServer().listen(0, '127.0.0.1', () => { resolve(server) })
-  })))
-  const ports = servers.map((server) => (server.address() as { port: number }).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => { server.close(resolve) })))
+  const ports: number[] = []
+  while (ports.length < count) {
+    const port = randomInt(FIXED_PORT_FIRST, FIXED_PORT_LAST)
+    if (!ports.includes(port) && await isPortFree(port)) ports.push(port)
+  }
   return ports
 }
+
+async function isPortFree (port: number): Promise<boolean> {
+  return await new Promise((resolve) => {
+    const server = createServer()
+    server.once('error', () => { resolve(false) })
+    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
+  })
+}
