--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,10 +7,10 @@
 const STARTS_WITH_VERB = { regex: `^(${VERBS.join('|')})([A-Z0-9].*)?$`, match: true }
 
 export default [
-  { ignores: ['**/dist/**', '**/node_modules/**', '.demo/**'] },
+  { ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**', '.demo/**'] },
   ...neostandard({ ts: true }),
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     plugins: { 'typescript-eslint': tseslint.plugin },
     rules: {
       'max-len': ['error', { code: 140, ignoreStrings: true, ignoreTemplateLiterals: true, ignoreRegExpLiterals: true }],
--- a/packages/cells/src/cell.ts
+++ b/packages/cells/src/cell.ts
@@ -1,18 +1,15 @@
-import { randomInt } from 'node:crypto'
 import { mkdtempSync } from 'node:fs'
-import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { request } from 'undici'
 import { CellProcess } from './cell-process.js'
 import { LinkRelay } from './link-relay.js'
+import { findFreePorts } from '@hibiscusledge/stand-ins/free-ports.js'
 import type { ExecutorRun } from '@hibiscusledge/stand-ins/executor-stand-in.js'
 import type { TaskUse, UseViolation } from '@hibiscusledge/stand-ins/use-log.js'
 import { waitUntil } from './wait-until.js'
 
-const FIXED_PORT_FIRST = 10_000
-const FIXED_PORT_LAST = 32_000
 const START_ATTEMPTS = 5
 const TABLES_AUTHOR = 'cell'
 const START_BOUND_MS = 60_000
@@ -243,21 +240,3 @@
 function resolveMain (specifier: string): string {
   return fileURLToPath(import.meta.resolve(specifier))
 }
-
-/** Draws ports below the range that the system gives to outgoing connections, so that none of those takes one meanwhile. */
-async function findFreePorts (count: number): Promise<number[]> {
-  const ports: number[] = []
-  while (ports.length < count) {
-    const port = randomInt(FIXED_PORT_FIRST, FIXED_PORT_LAST)
-    if (!ports.includes(port) && await isPortFree(port)) ports.push(port)
-  }
-  return ports
-}
-
-async function isPortFree (port: number): Promise<boolean> {
-  return await new Promise((resolve) => {
-    const server = createServer()
-    server.once('error', () => { resolve(false) })
-    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
-  })
-}
--- a/packages/dispatch/src/dispatch-context.ts
+++ b/packages/dispatch/src/dispatch-context.ts
@@ -1,4 +1,4 @@
-import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import type { LoadDirectory } from '@hibiscusledge/peer/load-directory.js'
 import type { OwnershipDirectory } from '@hibiscusledge/peer/ownership-directory.js'
 import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
--- a/packages/dispatch/src/ledger-segment.ts
+++ b/packages/dispatch/src/ledger-segment.ts
@@ -1,5 +1,5 @@
-import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
-import type { StoreError } from '@hibiscusledge/platform/store-error.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
+import type { StoreError } from '@hibiscusledge/store/store-error.js'
 import type { Finding } from '@hibiscusledge/runtime/finding.js'
 import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
 import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
--- a/packages/dispatch/src/shard-recovery.ts
+++ b/packages/dispatch/src/shard-recovery.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
-import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import { DISPATCH_EVENTS } from './dispatch-events.js'
 import type { IntentEntry } from './ledger-entry.js'
 import { loadLedger } from './ledger-segment.js'
--- a/packages/entry/src/format-settings-page.ts
+++ b/packages/entry/src/format-settings-page.ts
@@ -1,6 +1,6 @@
 import { SETTING_NAMES, SETTING_TABLE, formatEnvironmentName, formatFlag } from './setting-table.js'
 
-/** Formats the table of settings for docs/operations.md. */
+/** Formats the table of settings for docs/request-path-operations.md. */
 export function formatSettingsPage (): string {
   const rows = SETTING_NAMES.map((name) => {
     const { unit, defaultText, isRequired, bounds, description } = SETTING_TABLE[name]
--- a/packages/entry/src/log-events.ts
+++ b/packages/entry/src/log-events.ts
@@ -1,4 +1,4 @@
-/** Names of the log events of the process; docs/operations.md describes them. */
+/** Names of the log events of the process; docs/request-path-operations.md describes them. */
 export const LOG_EVENTS = {
   stateChanged: 'instance.stateChanged',
   listening: 'api.listening',
--- a/packages/entry/src/store-budget-sharing.ts
+++ b/packages/entry/src/store-budget-sharing.ts
@@ -1,5 +1,5 @@
 import type { MemberDirectory } from '@hibiscusledge/peer/member-directory.js'
-import type { BudgetedStore } from '@hibiscusledge/platform/budgeted-store.js'
+import type { BudgetedStore } from '@hibiscusledge/store/budgeted-store.js'
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import type { Settings } from './setting-table.js'
 
--- a/packages/entry/src/store-table-editor.ts
+++ b/packages/entry/src/store-table-editor.ts
@@ -1,4 +1,4 @@
-import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
 import type { TableTexts } from '@hibiscusledge/tables/table-set.js'
--- a/packages/entry/tests/pages.test.ts
+++ b/packages/entry/tests/pages.test.ts
@@ -11,12 +11,12 @@
 }
 
 test('the page of operations has the table of settings as the program reads it', (t) => {
-  t.true(readPage('operations.md').includes(formatSettingsPage()), 'replace the table with the output of formatSettingsPage')
+  t.true(readPage('request-path-operations.md').includes(formatSettingsPage()), 'replace the table with the output of formatSettingsPage')
 })
 
 test('the pages describe every error code, finding, log event and metric', (t) => {
   const api = readPage('api.md')
-  const operations = readPage('operations.md')
+  const operations = readPage('request-path-operations.md')
   for (const { status, code } of Object.values(API_ERRORS)) t.regex(api, new RegExp(`^\\| ${status} \\|[^|]*\`${code}\``, 'm'))
   for (const { code } of Object.values(API_FINDINGS)) t.true(api.includes(`\`${code}\``), code)
   for (const { code } of Object.values(SETTING_FINDINGS)) t.true(operations.includes(`\`${code}\``), code)
--- a/packages/entry/tests/store-table-editor.test.ts
+++ b/packages/entry/tests/store-table-editor.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { InMemoryStore } from '@hibiscusledge/platform/in-memory-store.js'
+import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
 import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
 import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
 import { StoreTableEditor } from '../src/store-table-editor.js'
--- /dev/null
+++ b/packages/jobs/src/advice-desk.ts
@@ -0,0 +1,95 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import { AdviceBook } from './advice-book.js'
+import type { AdviceDispatcher } from './advice-dispatcher.js'
+import { MAXIMUM_ASKED, selectAsked, type AdviceCandidate } from './advice-selection.js'
+import { JOB_EVENTS } from './job-events.js'
+import { JOB_METRICS } from './job-metrics.js'
+import type { AdvicePolicy, JobStep } from './job.js'
+import { PermittedShare } from './permitted-share.js'
+import type { Urgency } from './step-order.js'
+
+/** Pause before the policy is asked again after no helper got an answer. */
+const RETRY_MS = 300
+
+/** A step for which the policy of its queue is asked. */
+export interface AdvisedStep {
+  readonly stepName: string
+  readonly queue: string
+  readonly policy: AdvicePolicy
+  readonly step: JobStep
+  /** Tasks that need a target now; the others of a gang count. */
+  readonly taskCount: number
+  readonly urgency: Urgency
+}
+
+/** Asks the policy service about steps: about which targets, and when again. */
+export class AdviceDesk {
+  readonly book = new AdviceBook()
+  readonly #clock: Clock
+  readonly #logger: EventLogger
+  readonly #metrics: MetricSink
+  readonly #dispatcher: AdviceDispatcher
+  readonly #onAnswered: () => void
+  readonly #shares = new PermittedShare()
+  #questionCount = 0
+
+  constructor (clock: Clock, logger: EventLogger, metrics: MetricSink, dispatcher: AdviceDispatcher, onAnswered: () => void) {
+    this.#clock = clock
+    this.#logger = logger
+    this.#metrics = metrics
+    this.#dispatcher = dispatcher
+    this.#onAnswered = onAnswered
+  }
+
+  stop (): void {
+    this.#dispatcher.stop()
+  }
+
+  /** Asks about a step for the first time. */
+  askFirst (advised: AdvisedStep, candidates: readonly AdviceCandidate[]): void {
+    this.#ask(advised, this.#select(advised, candidates, this.#shares.read(advised.queue)))
+  }
+
+  /**
+   * Asks about targets that were not asked about: when those with room now are likely to hold the step, or when `isStuck`,
+   * since the targets that are permitted so far could not hold it even if they were empty.
+   */
+  askAboutOthers (advised: AdvisedStep, unasked: readonly AdviceCandidate[], isStuck: () => boolean): void {
+    const share = this.#shares.read(advised.queue)
+    const roomy = unasked.filter(({ freeSlots }) => freeSlots > 0)
+    const expectedSlots = roomy.reduce((sum, { freeSlots }) => sum + freeSlots, 0) * share
+    const needed = advised.step.isGang ? advised.taskCount : 1
+    if (expectedSlots >= needed) this.#ask(advised, this.#select(advised, roomy, share))
+    else if (unasked.length > 0 && isStuck()) this.#ask(advised, this.#select(advised, unasked, share))
+  }
+
+  /** Asks again about targets that are permitted, since tickets expire: those just chosen, and some beside them. */
+  refreshTickets (advised: AdvisedStep, chosenIds: readonly string[], permitted: readonly AdviceCandidate[]): void {
+    const ids = new Set([...chosenIds, ...this.#select(advised, permitted, 1)])
+    this.#ask(advised, [...ids].slice(0, MAXIMUM_ASKED))
+  }
+
+  #select ({ step, taskCount, policy }: AdvisedStep, candidates: readonly AdviceCandidate[], permittedShare: number): string[] {
+    return selectAsked(candidates, step, taskCount, policy, permittedShare, this.#questionCount++)
+  }
+
+  #ask ({ stepName, policy, urgency, queue }: AdvisedStep, asked: readonly string[]): void {
+    const nowMs = this.#clock.readMonotonicMs()
+    if (asked.length === 0 || this.book.isWaiting(stepName, nowMs)) return
+    this.book.markAsking(stepName)
+    const knewAll = asked.every((id) => this.book.isPermitted(stepName, id))
+    void this.#dispatcher.fetchAdvice(stepName, asked, policy, urgency).then((permitted) => {
+      const answeredAtMs = this.#clock.readMonotonicMs()
+      this.#metrics.recordTiming(JOB_METRICS.advice, answeredAtMs - nowMs)
+      if (permitted === undefined) return this.book.recordFailure(stepName, answeredAtMs + RETRY_MS)
+      this.#logger.logInfo(JOB_EVENTS.adviceReceived, {
+        step: stepName, asked: asked.length, permitted: permitted.length, afterMs: Math.round(answeredAtMs - nowMs)
+      })
+      if (!knewAll) this.#shares.record(queue, asked.length, permitted.length)
+      this.book.recordAnswer(stepName, asked, permitted, answeredAtMs + policy.validityMs)
+      this.#onAnswered()
+    })
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/advice-dispatcher.ts
@@ -0,0 +1,147 @@
+import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { toInstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import { z } from 'zod'
+import type { AdvisedTarget } from './advice-gateway.js'
+import { JOB_EVENTS } from './job-events.js'
+import { JOB_MESSAGES } from './job-messages.js'
+import type { AdvicePolicy } from './job.js'
+import { compareUrgency, type Urgency } from './step-order.js'
+
+/** Calls longer than this go only to the first helpers of the list, so that short calls find others free. */
+const LONG_CALL_MS = 250
+/** Share of the helpers that take long calls. */
+const LONG_CALL_HELPER_SHARE = 0.6
+/** A helper gets its next call when it is expected to be free this soon, which hides the way of the message. */
+const LOOK_AHEAD_MS = 10
+/** Added to the expected time of a call before it counts as lost. */
+const CALL_SLACK_MS = 800
+/** Attempts for one question, each at another helper where there is one. */
+const MAXIMUM_ATTEMPTS = 3
+const POLL_MS = 20
+
+const answerSchema = z.array(z.object({ targetId: z.string(), ticket: z.string() }))
+
+/** A question to the policy service, as sent to a helper. */
+export interface AdviceQuestion {
+  readonly stepName: string
+  readonly targetIds: readonly string[]
+  readonly timeoutMs: number
+}
+
+interface PendingQuestion {
+  readonly stepName: string
+  readonly targetIds: readonly string[]
+  readonly costMs: number
+  readonly urgency: Urgency
+  readonly tried: Set<string>
+  readonly resolve: (answer: readonly AdvisedTarget[] | undefined) => void
+}
+
+interface Helper { busyUntilMs: number, openCalls: number }
+
+/**
+ * Spreads the questions to the policy service over all instances: the service works one call at a time for each
+ * calling instance. A question waits here, by urgency, until an instance is free, so that an instance that has just
+ * connected takes its part and a long backlog never forms behind one of them.
+ */
+export class AdviceDispatcher {
+  readonly #clock: Clock
+  readonly #logger: EventLogger
+  readonly #network: PeerNetwork
+  readonly #helpers = new Map<string, Helper>()
+  #pending: PendingQuestion[] = []
+  #timer: Timer | undefined
+
+  constructor (clock: Clock, logger: EventLogger, network: PeerNetwork) {
+    this.#clock = clock
+    this.#logger = logger
+    this.#network = network
+  }
+
+  /** Asks which of the targets may run the step; undefined when no helper got an answer. */
+  async fetchAdvice (
+    stepName: string, targetIds: readonly string[], policy: AdvicePolicy, urgency: Urgency
+  ): Promise<readonly AdvisedTarget[] | undefined> {
+    const costMs = policy.decisionMs + policy.perTargetMs * targetIds.length
+    return await new Promise((resolve) => {
+      this.#pending.push({ stepName, targetIds, costMs, urgency, tried: new Set(), resolve })
+      this.#dispatchPending()
+    })
+  }
+
+  /** Drops all questions that wait. */
+  stop (): void {
+    this.#timer?.cancel()
+    this.#pending = []
+  }
+
+  #dispatchPending (): void {
+    this.#pending.sort((left, right) => compareUrgency(left.urgency, right.urgency))
+    this.#pending = this.#pending.filter((question) => {
+      const helper = this.#findFreeHelper(question)
+      if (helper !== undefined) void this.#askHelper(helper, question)
+      return helper === undefined
+    })
+    if (this.#pending.length === 0 || this.#timer !== undefined) return
+    this.#timer = this.#clock.startTimer(POLL_MS, () => {
+      this.#timer = undefined
+      this.#dispatchPending()
+    })
+  }
+
+  async #askHelper (name: string, question: PendingQuestion): Promise<void> {
+    const { stepName, targetIds, costMs } = question
+    const helper = this.#ensureHelper(name)
+    const sentAtMs = this.#clock.readMonotonicMs()
+    helper.busyUntilMs = Math.max(sentAtMs, helper.busyUntilMs) + costMs
+    helper.openCalls++
+    question.tried.add(name)
+    const timeoutMs = helper.busyUntilMs - sentAtMs + CALL_SLACK_MS
+    const body: AdviceQuestion = { stepName, targetIds, timeoutMs }
+    const result = await this.#network.sendRequest(toInstanceId(name), JOB_MESSAGES.askAdvice, body, timeoutMs)
+    helper.openCalls--
+    if (helper.openCalls === 0) helper.busyUntilMs = this.#clock.readMonotonicMs()
+    const parsed = result.ok ? answerSchema.safeParse(result.val) : undefined
+    if (parsed?.success === true) question.resolve(parsed.data)
+    else this.#retry(question, name, result.err ? result.val.message : 'the helper got no advice')
+    this.#dispatchPending()
+  }
+
+  #retry (question: PendingQuestion, helper: string, reason: string): void {
+    this.#logger.logWarning(JOB_EVENTS.adviceFailed, { step: question.stepName, helper, reason })
+    if (question.tried.size >= MAXIMUM_ATTEMPTS) question.resolve(undefined)
+    else this.#pending.push(question)
+  }
+
+  #findFreeHelper (question: PendingQuestion): string | undefined {
+    const candidates = this.#listCandidates(question.costMs)
+    const untried = candidates.filter((name) => !question.tried.has(name))
+    const names = untried.length > 0 ? untried : candidates
+    let best: string | undefined
+    let bestBusyUntilMs = this.#clock.readMonotonicMs() + LOOK_AHEAD_MS
+    for (const name of names) {
+      const { busyUntilMs } = this.#ensureHelper(name)
+      if (busyUntilMs >= bestBusyUntilMs) continue
+      best = name
+      bestBusyUntilMs = busyUntilMs
+    }
+    return best
+  }
+
+  #listCandidates (costMs: number): string[] {
+    const names = [...this.#network.listConnected().map((peer) => peer.instance as string).sort(), this.#network.self.instance as string]
+    if (costMs < LONG_CALL_MS) return names
+    return names.slice(0, Math.max(1, Math.ceil(names.length * LONG_CALL_HELPER_SHARE)))
+  }
+
+  #ensureHelper (name: string): Helper {
+    let helper = this.#helpers.get(name)
+    if (helper === undefined) {
+      helper = { busyUntilMs: 0, openCalls: 0 }
+      this.#helpers.set(name, helper)
+    }
+    return helper
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job-acceptor.ts
@@ -0,0 +1,226 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
+import type { StoreError } from '@hibiscusledge/store/store-error.js'
+import { JOB_EVENTS } from './job-events.js'
+import { formatFinishedKey, formatJobKey, OWNER_KEY } from './job-keys.js'
+import type { Job } from './job.js'
+import { encodeJob } from './job-record.js'
+
+/** Jobs in one transaction: each takes two conditions and a put. */
+const MAXIMUM_BATCH = 10
+/** Pause between reads that tell when the store is back. */
+const PROBE_PERIOD_MS = 60
+/** While the store has been away for longer, a job is refused at once unless another instance can store it. */
+const REFUSE_AT_ONCE_AFTER_MS = 400
+
+/** After another instance could not store a job either, none is asked for this long: the store is away for more than this one. */
+const RELAY_PAUSE_MS = 300
+
+export const ACCEPTANCE_OUTCOMES = {
+  /** The job is stored, now or by an earlier request. */
+  stored: 'stored',
+  /** Nothing was stored, and nothing will be. */
+  notStored: 'notStored',
+  /** The store may have the job, now or later. */
+  unknown: 'unknown'
+} as const
+export type AcceptanceOutcome = typeof ACCEPTANCE_OUTCOMES[keyof typeof ACCEPTANCE_OUTCOMES]
+
+/** Until when a job may be tried, on the monotonic clock. */
+export interface AcceptanceDeadlines {
+  /** A job of which nothing has been sent to the store is refused after this. */
+  readonly refuseAtMs: number
+  /** A job that may be stored is tried until this, since the caller can't tell either. */
+  readonly giveUpAtMs: number
+}
+
+interface PendingJob {
+  readonly id: string
+  readonly record: string
+  readonly deadlines: AcceptanceDeadlines
+  /** Another instance has passed the job on, so it is tried here only. */
+  readonly isPassedOn: boolean
+  mayBeStored: boolean
+  /** Calls that may store the job and have no answer yet. */
+  openCalls: number
+  isSettled: boolean
+  /** Written by itself after a conflict or a lost answer, so that one job doesn't decide about others. */
+  isAlone: boolean
+  timer: Timer | undefined
+  readonly resolve: (outcome: AcceptanceOutcome) => void
+}
+
+export interface JobAcceptorOptions {
+  readonly clock: Clock
+  readonly logger: EventLogger
+  readonly store: KeyValueStore
+  /** Called with the record and the revision of each job that this instance knows to have just stored. */
+  readonly onStored: (record: string, revision: number) => void
+  /** Has another instance store a job; undefined when there is none to ask. */
+  readonly relay: (id: string, record: string, deadlines: AcceptanceDeadlines) => Promise<AcceptanceOutcome | undefined>
+}
+
+/**
+ * Stores accepted jobs in groups, one transaction at a time. While the store refuses this instance, other instances
+ * are asked to store them, and a read tells when the store is back, so that no write is left with an unknown outcome.
+ */
+export class JobAcceptor {
+  readonly #options: JobAcceptorOptions
+  #queue: PendingJob[] = []
+  readonly #parked = new Set<PendingJob>()
+  #isWriting = false
+  /** Monotonic time since which the store has not answered; undefined while it does. */
+  #troubleSinceMs: number | undefined
+  #relayNotBeforeMs = Number.NEGATIVE_INFINITY
+
+  constructor (options: JobAcceptorOptions) {
+    this.#options = options
+  }
+
+  /** Stores a job. */
+  async acceptJob (job: Job, deadlines: AcceptanceDeadlines): Promise<AcceptanceOutcome> {
+    return await this.#storeRecord(job.id, encodeJob(job), deadlines, false)
+  }
+
+  /**
+   * Stores the record of a job for an instance that can't reach the store. When this one can't either, the answer is given
+   * at once and the job goes no further: instances that wait for each other could no longer tell that nothing was sent.
+   */
+  async storeForOther (id: string, record: string, deadlines: AcceptanceDeadlines): Promise<AcceptanceOutcome> {
+    if (this.#troubleSinceMs !== undefined) return ACCEPTANCE_OUTCOMES.notStored
+    return await this.#storeRecord(id, record, deadlines, true)
+  }
+
+  async #storeRecord (id: string, record: string, deadlines: AcceptanceDeadlines, isPassedOn: boolean): Promise<AcceptanceOutcome> {
+    return await new Promise((resolve) => {
+      const pending: PendingJob = {
+        id, record, deadlines, isPassedOn, mayBeStored: false, openCalls: 0, isSettled: false, isAlone: false, timer: undefined, resolve
+      }
+      this.#startTimer(pending, deadlines.refuseAtMs)
+      if (this.#troubleSinceMs !== undefined) return this.#park(pending)
+      this.#queue.push(pending)
+      void this.#writeQueue()
+    })
+  }
+
+  async #writeQueue (): Promise<void> {
+    if (this.#isWriting) return
+    this.#isWriting = true
+    while (this.#queue.length > 0 && this.#troubleSinceMs === undefined) await this.#writeBatch(this.#takeBatch())
+    this.#isWriting = false
+  }
+
+  #takeBatch (): PendingJob[] {
+    const first = this.#queue[0]
+    if (first?.isAlone === true) return this.#queue.splice(0, 1)
+    // The same id twice in one transaction would be one key twice.
+    const ids = new Set<string>()
+    const batch: PendingJob[] = []
+    for (const pending of this.#queue) {
+      if (batch.length >= MAXIMUM_BATCH || pending.isAlone || ids.has(pending.id)) break
+      ids.add(pending.id)
+      batch.push(pending)
+    }
+    this.#queue.splice(0, batch.length)
+    return batch
+  }
+
+  async #writeBatch (batch: readonly PendingJob[]): Promise<void> {
+    const { store } = this.#options
+    for (const pending of batch) pending.openCalls++
+    const result = await store.commitTransaction({
+      // A finished job leaves only its final state, which a late attempt must find.
+      comparisons: batch.flatMap(({ id }) => [formatJobKey(id), formatFinishedKey(id)]).map((key) => ({ key, modRevision: 0 })),
+      mutations: batch.map(({ id, record }) => ({ type: 'put', key: formatJobKey(id), value: record }))
+    }, 'critical')
+    for (const pending of batch) pending.openCalls--
+    if (result.err) return this.#beginTrouble(batch, result.val)
+    if (result.val.isCommitted) {
+      for (const pending of batch) this.#options.onStored(pending.record, result.val.revision)
+      for (const pending of batch) this.#settle(pending, ACCEPTANCE_OUTCOMES.stored)
+      return
+    }
+    // The key exists: this job, or an earlier attempt of this one, is stored. It may even have finished.
+    const [only] = batch
+    if (batch.length === 1 && only !== undefined) return this.#settle(only, ACCEPTANCE_OUTCOMES.stored)
+    for (const pending of batch) pending.isAlone = true
+    this.#queue.push(...batch)
+  }
+
+  #beginTrouble (batch: readonly PendingJob[], error: StoreError): void {
+    const { logger, clock } = this.#options
+    logger.logWarning(JOB_EVENTS.writeFailed, { code: error.code, jobs: batch.length, isEffectUnknown: error.isEffectUnknown })
+    this.#troubleSinceMs = clock.readMonotonicMs()
+    for (const pending of batch) {
+      pending.mayBeStored ||= error.isEffectUnknown
+      pending.isAlone = true
+    }
+    for (const pending of [...batch, ...this.#queue.splice(0)]) this.#park(pending)
+    void this.#awaitStore()
+  }
+
+  /** Reads until the store answers, then writes what waits. */
+  async #awaitStore (): Promise<void> {
+    const { store, clock } = this.#options
+    while ((await store.readKey(OWNER_KEY, 'critical')).err) {
+      await new Promise<void>((resolve) => { clock.startTimer(PROBE_PERIOD_MS, resolve) })
+    }
+    this.#troubleSinceMs = undefined
+    this.#queue.push(...[...this.#parked].filter((pending) => !pending.isSettled))
+    this.#parked.clear()
+    void this.#writeQueue()
+  }
+
+  /** Keeps a job until the store is back, unless another instance can store it. */
+  #park (pending: PendingJob): void {
+    if (pending.isSettled) return
+    if (pending.isPassedOn && !pending.mayBeStored) return this.#settle(pending, ACCEPTANCE_OUTCOMES.notStored)
+    this.#parked.add(pending)
+    if (pending.isPassedOn) return
+    if (this.#options.clock.readMonotonicMs() < this.#relayNotBeforeMs) return this.#refuseIfLongAway(pending)
+    void this.#relay(pending).then(() => { this.#refuseIfLongAway(pending) })
+  }
+
+  #refuseIfLongAway (pending: PendingJob): void {
+    const awayMs = this.#options.clock.readMonotonicMs() - (this.#troubleSinceMs ?? Infinity)
+    if (awayMs < REFUSE_AT_ONCE_AFTER_MS || pending.mayBeStored || !this.#parked.has(pending)) return
+    this.#settle(pending, ACCEPTANCE_OUTCOMES.notStored)
+  }
+
+  async #relay (pending: PendingJob): Promise<void> {
+    pending.openCalls++
+    const outcome = await this.#options.relay(pending.id, pending.record, pending.deadlines)
+    pending.openCalls--
+    if (outcome === ACCEPTANCE_OUTCOMES.notStored) this.#relayNotBeforeMs = this.#options.clock.readMonotonicMs() + RELAY_PAUSE_MS
+    if (outcome === ACCEPTANCE_OUTCOMES.stored) this.#settle(pending, ACCEPTANCE_OUTCOMES.stored)
+    if (outcome === ACCEPTANCE_OUTCOMES.unknown) pending.mayBeStored = true
+  }
+
+  #settle (pending: PendingJob, outcome: AcceptanceOutcome): void {
+    if (pending.isSettled) return
+    pending.isSettled = true
+    pending.timer?.cancel()
+    this.#parked.delete(pending)
+    if (outcome !== ACCEPTANCE_OUTCOMES.stored) {
+      const event = outcome === ACCEPTANCE_OUTCOMES.unknown ? JOB_EVENTS.acceptanceUnknown : JOB_EVENTS.jobRefused
+      this.#options.logger.logWarning(event, { jobId: pending.id, reason: 'the store does not answer' })
+    }
+    pending.resolve(outcome)
+  }
+
+  #startTimer (pending: PendingJob, atMs: number): void {
+    const { clock } = this.#options
+    pending.timer = clock.startTimer(Math.max(0, atMs - clock.readMonotonicMs()), () => this.#expire(pending))
+  }
+
+  #expire (pending: PendingJob): void {
+    const mayBeStored = pending.mayBeStored || pending.openCalls > 0
+    if (!mayBeStored) {
+      this.#queue = this.#queue.filter((other) => other !== pending)
+      return this.#settle(pending, ACCEPTANCE_OUTCOMES.notStored)
+    }
+    if (this.#options.clock.readMonotonicMs() >= pending.deadlines.giveUpAtMs) return this.#settle(pending, ACCEPTANCE_OUTCOMES.unknown)
+    this.#startTimer(pending, pending.deadlines.giveUpAtMs)
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job-owner.ts
@@ -0,0 +1,292 @@
+import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import type { KeyValueStore, Mutation } from '@hibiscusledge/store/key-value-store.js'
+import { AdviceDispatcher } from './advice-dispatcher.js'
+import { JOB_EVENTS } from './job-events.js'
+import { formatWriteSequenceKey } from './job-keys.js'
+import { FinishedCleaner } from './finished-cleaner.js'
+import { JOB_STATES, type JobState } from './job.js'
+import { decodeJob } from './job-record.js'
+import { JOB_METRICS } from './job-metrics.js'
+import { JobTable } from './job-table.js'
+import type { Leadership, Ownership } from './leadership.js'
+import type { OwnerTimings } from './owner-timings.js'
+import { PlacementPlanner } from './placement-planner.js'
+import { buildMutations } from './progress-record.js'
+import { ProgressLanes } from './progress-lanes.js'
+import { recoverJobs } from './recover-jobs.js'
+import { RoundPacer } from './round-pacer.js'
+import type { TargetDescription, TargetDirectory, TargetGateway } from './target-gateway.js'
+import type { SessionHost } from './session-host.js'
+import { TargetSession } from './target-session.js'
+import { TaskSupervisor } from './task-supervisor.js'
+import { WorkFollower } from './work-follower.js'
+
+const TICK_MS = 100
+const RETIREMENT_REASONS = {
+  superseded: 'another owner has written to the store',
+  fenced: 'a target has seen a newer owner'
+} as const
+
+const RECOVERY_RETRY_MS = 200
+const FORGET_PERIOD_MS = 60_000
+
+export interface JobOwnerOptions {
+  readonly clock: Clock
+  readonly logger: EventLogger
+  readonly metrics: MetricSink
+  readonly store: KeyValueStore
+  readonly gateway: TargetGateway
+  readonly directory: TargetDirectory
+  readonly network: PeerNetwork
+  readonly timings: OwnerTimings
+  readonly ownership: Ownership
+  readonly leadership: Leadership
+  /** How long the state of a finished job can be asked for. */
+  readonly retentionMs: number
+}
+
+/** The owner of all targets: it alone places tasks and gives orders, from the takeover until another takes over. */
+export class JobOwner {
+  readonly #options: JobOwnerOptions
+  readonly #table = new JobTable()
+  readonly #sessions = new Map<string, TargetSession>()
+  readonly #writer: ProgressLanes
+  readonly #supervisor: TaskSupervisor
+  readonly #planner: PlacementPlanner
+  readonly #rounds: RoundPacer
+  readonly #host: SessionHost
+  readonly #work: WorkFollower
+  readonly #cleaner: FinishedCleaner
+  #timers: Timer[] = []
+  /** Revision up to which accepted work was read at the takeover. */
+  #workRevision = 0
+  #isReady = false
+  #isStopped = false
+
+  constructor (options: JobOwnerOptions) {
+    this.#options = options
+    const { clock, logger, metrics, store, ownership, leadership, timings } = options
+    this.#writer = new ProgressLanes({
+      clock,
+      logger,
+      metrics,
+      store,
+      ownerRevision: ownership.ownerRevision,
+      sequenceRevision: ownership.sequenceRevision,
+      writePeriodMs: timings.writePeriodMs,
+      buildMutations: (jobId) => this.#buildMutations(jobId),
+      isAuthorized: () => leadership.isAuthorized(),
+      onSuperseded: () => leadership.retire(RETIREMENT_REASONS.superseded),
+      onFailed: () => leadership.confirm()
+    }, formatWriteSequenceKey)
+    const markChanged = (jobId: string): void => this.#writer.markChanged(jobId)
+    const runWhenStored = (callback: () => void): void => this.#writer.runWhenStored(callback)
+    this.#rounds = new RoundPacer(clock, () => this.#planner.runRound())
+    const requestRound = (): void => this.#rounds.request()
+    this.#supervisor = new TaskSupervisor({
+      clock,
+      logger,
+      metrics,
+      table: this.#table,
+      markChanged,
+      runWhenStored,
+      requestStop: (run) => this.#sessions.get(run.targetId)?.requestStop(run),
+      requestRound,
+      onFinished: (progress) => this.#planner.forgetJob(progress),
+      onStalled: (run) => this.#sessions.get(run.targetId)?.health.recordStall(clock.readMonotonicMs())
+    })
+    this.#planner = new PlacementPlanner({
+      clock,
+      logger,
+      metrics,
+      table: this.#table,
+      advice: new AdviceDispatcher(clock, logger, options.network),
+      term: ownership.term,
+      sessions: this.#sessions,
+      isAuthorized: () => leadership.isAuthorized(),
+      markChanged,
+      runWhenStored,
+      requestRound
+    })
+    this.#host = this.#createHost(markChanged, runWhenStored, requestRound)
+    this.#work = new WorkFollower(clock, logger, store, {
+      onJob: (id, record) => { if (!this.#table.has(id)) this.#adoptRecord(record) },
+      onCancel: (id) => this.cancelJob(id)
+    })
+    this.#cleaner = new FinishedCleaner(clock, store, ownership.ownerRevision, options.retentionMs)
+  }
+
+  /** Takes over: reads what is stored, then follows targets and new work. */
+  async start (): Promise<void> {
+    const { clock, logger, metrics, store, directory } = this.#options
+    const startedAtMs = clock.readMonotonicMs()
+    const recovery = await recoverJobs({
+      clock,
+      logger,
+      store,
+      table: this.#table,
+      supervisor: this.#supervisor,
+      adoptRun: (run) => this.#ensureSession(createPlaceholder(run.targetId)).adoptRun(run)
+    })
+    if (this.#isStopped) return
+    if (recovery.err) {
+      logger.logWarning(JOB_EVENTS.recoveryFailed, { code: recovery.val.code, message: recovery.val.message })
+      clock.startTimer(RECOVERY_RETRY_MS, () => { if (!this.#isStopped) void this.start() })
+      return
+    }
+    metrics.recordTiming(JOB_METRICS.recovery, clock.readMonotonicMs() - startedAtMs)
+    this.#workRevision = recovery.val.workRevision
+    this.#isReady = true
+    for (const id of recovery.val.cancelledIds) this.#supervisor.cancelJob(id)
+    this.#work.start(recovery.val.workRevision)
+    directory.follow({ onTargets: (targets) => this.#applyTargets(targets) })
+    this.#timers = [
+      clock.startInterval(TICK_MS, () => this.#runPeriodic()),
+      clock.startInterval(FORGET_PERIOD_MS, () => this.#forgetFinished())
+    ]
+  }
+
+  /** Stops at once and gives no further orders. */
+  stop (): void {
+    this.#isStopped = true
+    this.#work.stop()
+    this.#options.directory.stop()
+    this.#writer.stop()
+    this.#planner.stop()
+    this.#rounds.stop()
+    for (const timer of this.#timers) timer.cancel()
+    for (const session of this.#sessions.values()) session.stop()
+  }
+
+  /** Takes a job that another instance has just stored. One from before the takeover was read then, unless it has finished. */
+  adoptAnnounced (text: string, revision: number): void {
+    if (this.#isReady && revision > this.#workRevision) this.#adoptRecord(text)
+  }
+
+  cancelJob (id: string): void {
+    if (this.#isReady) this.#supervisor.cancelJob(id)
+  }
+
+  /** The state to show to callers; undefined when the job isn't known here. A final state is shown once it is stored. */
+  findState (id: string): JobState | undefined {
+    const finished = this.#table.findFinished(id)
+    if (finished !== undefined) return finished.state
+    const progress = this.#table.find(id)
+    if (progress === undefined) return undefined
+    if (progress.storedState !== undefined) return progress.storedState
+    return progress.hasBegun ? JOB_STATES.running : JOB_STATES.queued
+  }
+
+  /** Extends the leases of all targets as far as they go, before the authority to do so ends. */
+  extendLeases (): void {
+    for (const session of this.#sessions.values()) if (session.countRuns() > 0) session.requestLook()
+  }
+
+  isReady (): boolean {
+    return this.#isReady && !this.#isStopped
+  }
+
+  countWaiting (queue: string): number {
+    return this.#table.countWaiting(queue)
+  }
+
+  #adoptRecord (text: string): void {
+    const job = decodeJob(text)
+    if (job.err) return this.#options.logger.logError(JOB_EVENTS.recordMalformed, { message: job.val })
+    if (this.#table.has(job.val.id)) return
+    this.#supervisor.adoptJob(job.val, this.#options.clock.readMonotonicMs())
+    this.#rounds.request()
+  }
+
+  #createHost (markChanged: (jobId: string) => void, runWhenStored: (callback: () => void) => void, requestRound: () => void): SessionHost {
+    const { clock, logger, gateway, timings, ownership, leadership } = this.#options
+    return {
+      clock,
+      logger,
+      gateway,
+      timings,
+      fencingToken: ownership.fencingToken,
+      isAuthorized: () => leadership.isAuthorized(),
+      isStoreHealthy: () => leadership.isStoreHealthy(),
+      onRunEnded: (run, outcome, checkpoint) => this.#supervisor.onRunEnded(run, outcome, checkpoint),
+      onRunStarted: (run) => this.#supervisor.onRunStarted(run),
+      onCheckpoint: (run, checkpoint) => this.#supervisor.onCheckpoint(run, checkpoint),
+      onUnknownRun: (row, targetId) => this.#supervisor.createUnknownRun(row, targetId),
+      onTicketRefused: (run) => this.#planner.expireTicket(run),
+      runWhenStored,
+      onRoomChanged: requestRound,
+      onFenced: () => leadership.retire(RETIREMENT_REASONS.fenced)
+    }
+  }
+
+  #buildMutations (jobId: string): readonly Mutation[] {
+    const progress = this.#table.find(jobId)
+    return progress === undefined ? [] : buildMutations(progress, this.#options.clock.readWallMs())
+  }
+
+  #runPeriodic (): void {
+    for (const session of this.#sessions.values()) {
+      session.checkLapse()
+      this.#supervisor.stopStalledRuns(session.listRuns())
+      this.#supervisor.withdrawRuns(session.listRuns(), session.readLeavesAtMs())
+      if (!session.isObsolete()) continue
+      session.stop()
+      this.#sessions.delete(session.id)
+      this.#options.gateway.forgetTarget(session.id)
+      this.#options.logger.logInfo(JOB_EVENTS.targetRemoved, { target: session.id })
+    }
+    this.#supervisor.addDueOccurrences()
+    this.#publishGauges()
+    this.#rounds.request()
+  }
+
+  #forgetFinished (): void {
+    const { clock, leadership, retentionMs } = this.#options
+    this.#table.forgetFinished(clock.readMonotonicMs() - retentionMs)
+    if (leadership.isAuthorized()) void this.#cleaner.removeOld()
+  }
+
+  #publishGauges (): void {
+    const { metrics } = this.#options
+    let runs = 0
+    for (const session of this.#sessions.values()) runs += session.countRuns()
+    metrics.setGauge(JOB_METRICS.activeJobs, this.#table.countActive())
+    metrics.setGauge(JOB_METRICS.knownTargets, this.#sessions.size)
+    metrics.setGauge(JOB_METRICS.busyRuns, runs)
+  }
+
+  #applyTargets (targets: readonly TargetDescription[]): void {
+    if (this.#isStopped) return
+    const listed = new Set(targets.map((target) => target.id))
+    for (const target of targets) this.#ensureSession(target).setDescription(target)
+    for (const session of this.#sessions.values()) if (!listed.has(session.id)) session.markUnlisted()
+    this.#rounds.request()
+  }
+
+  #ensureSession (description: TargetDescription): TargetSession {
+    let session = this.#sessions.get(description.id)
+    if (session === undefined) {
+      session = new TargetSession(description, this.#host)
+      this.#sessions.set(description.id, session)
+      session.start()
+      this.#options.logger.logInfo(JOB_EVENTS.targetAdded, { target: description.id, service: description.service })
+    }
+    return session
+  }
+}
+
+/** Stands for a target that holds a run and that the directory hasn't listed yet. */
+function createPlaceholder (id: string): TargetDescription {
+  return {
+    id,
+    address: '',
+    service: '',
+    failureDomain: '',
+    isDraining: true,
+    capacity: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+    labels: []
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job-progress.ts
@@ -0,0 +1,96 @@
+import { computeChainMs, JOB_STATES, type Job, type JobState } from './job.js'
+import { StepProgress, type TaskProgress } from './step-progress.js'
+import type { TaskKey } from './task-run.js'
+
+/** Progress of one job, as its owner knows it. */
+export class JobProgress {
+  readonly job: Job
+  /** Monotonic time of the owner that corresponds to the acceptance. */
+  readonly acceptedAtMs: number
+  /** The job's objective on the owner's monotonic clock. */
+  objectiveMs: number
+  /** Steps by occurrence. Later occurrences are added when they are due. */
+  readonly occurrences: StepProgress[][] = []
+  hasBegun = false
+  isCancelled = false
+  hasFailed = false
+  /** The end of the job has been handled. */
+  isClosed = false
+  /** Final state that the store has confirmed. */
+  storedState: JobState | undefined
+
+  constructor (job: Job, acceptedAtMs: number) {
+    this.job = job
+    this.acceptedAtMs = acceptedAtMs
+    this.objectiveMs = acceptedAtMs + job.terms.stretch * computeChainMs(job.steps) + job.terms.targetDurationMs
+  }
+
+  /** Adds the next occurrence and returns its steps. */
+  addOccurrence (): StepProgress[] {
+    const occurrence = this.occurrences.length
+    const steps = this.job.steps.map((step, index) => new StepProgress(this.job.id, occurrence, index, step))
+    this.occurrences.push(steps)
+    return steps
+  }
+
+  /** Counts the objective from now, when an occurrence of a scheduled job is due. */
+  renewObjective (nowMs: number): void {
+    this.objectiveMs = nowMs + this.job.terms.stretch * computeChainMs(this.job.steps) + this.job.terms.targetDurationMs
+  }
+
+  /** Number of occurrences that the job has in all. */
+  readOccurrenceCount (): number {
+    return this.job.schedule?.occurrences ?? 1
+  }
+
+  /** Unix milliseconds at which an occurrence is due; 0 for a job without a schedule. */
+  computeDueWallMs (occurrence: number): number {
+    const { schedule } = this.job
+    return schedule === undefined ? 0 : schedule.firstDueMs + occurrence * schedule.intervalMs
+  }
+
+  /** Marks all tasks of all occurrences so far as done. */
+  markAllDone (): void {
+    for (const { step, task } of this.listTasks()) step.markDone(task)
+  }
+
+  findStep (occurrence: number, step: number): StepProgress | undefined {
+    return this.occurrences[occurrence]?.[step]
+  }
+
+  findTask (key: TaskKey): TaskProgress | undefined {
+    return this.findStep(key.occurrence, key.step)?.tasks[key.index]
+  }
+
+  /** Whether all steps that a step waits for are complete. */
+  isReady (occurrence: number, step: StepProgress): boolean {
+    const steps = this.occurrences[occurrence] ?? []
+    return step.step.after.every((earlier) => steps[earlier]?.isComplete() === true)
+  }
+
+  /** State as known in memory, which may be ahead of the store. */
+  readState (): JobState {
+    if (this.isCancelled) return JOB_STATES.cancelled
+    if (this.hasFailed) return JOB_STATES.failed
+    const isComplete = this.occurrences.length === this.readOccurrenceCount() &&
+      this.occurrences.every((steps) => steps.every((step) => step.isComplete()))
+    if (isComplete) return JOB_STATES.completed
+    return this.hasBegun ? JOB_STATES.running : JOB_STATES.queued
+  }
+
+  /** Whether the job takes no further runs. */
+  isOver (): boolean {
+    const state = this.readState()
+    return state !== JOB_STATES.queued && state !== JOB_STATES.running
+  }
+
+  hasRuns (): boolean {
+    return this.occurrences.some((steps) => steps.some((step) => step.hasRuns()))
+  }
+
+  * listTasks (): Generator<{ step: StepProgress, task: TaskProgress }> {
+    for (const steps of this.occurrences) {
+      for (const step of steps) for (const task of step.tasks) yield { step, task }
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job-reader.ts
@@ -0,0 +1,73 @@
+import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
+import { toInstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
+import { z } from 'zod'
+import { formatCancelKey, formatFinishedKey, formatJobKey, formatProgressKey } from './job-keys.js'
+import { JOB_MESSAGES } from './job-messages.js'
+import { isFinalState, JOB_STATES, type JobState } from './job.js'
+import { decodeFinished, decodeProgress } from './progress-record.js'
+
+/** The owner answers from memory; after this the store is read instead. */
+const OWNER_TIMEOUT_MS = 300
+
+const stateSchema = z.object({ state: z.enum(JOB_STATES) })
+const countSchema = z.object({ waiting: z.number().int().nonnegative() })
+
+/** Reads the state of jobs: from the owner, or from the store when the owner can't be asked. */
+export class JobReader {
+  readonly #network: PeerNetwork
+  readonly #store: KeyValueStore
+  readonly #readOwner: () => string | undefined
+
+  constructor (network: PeerNetwork, store: KeyValueStore, readOwner: () => string | undefined) {
+    this.#network = network
+    this.#store = store
+    this.#readOwner = readOwner
+  }
+
+  /** The state of a job, undefined when it was never accepted; an error when that can't be told now. */
+  async readState (id: string): Promise<Result<JobState | undefined, string>> {
+    const answer = await this.#askOwner(JOB_MESSAGES.readJob, { id })
+    const parsed = stateSchema.safeParse(answer)
+    if (parsed.success) return Ok(parsed.data.state)
+    return await this.#readStored(id)
+  }
+
+  /** Jobs of a queue that have not begun; undefined when the owner can't be asked. */
+  async countWaiting (queue: string): Promise<number | undefined> {
+    const parsed = countSchema.safeParse(await this.#askOwner(JOB_MESSAGES.countWaiting, { queue }))
+    return parsed.success ? parsed.data.waiting : undefined
+  }
+
+  async #askOwner (kind: string, body: unknown): Promise<unknown> {
+    const owner = this.#readOwner()
+    if (owner === undefined) return undefined
+    const result = await this.#network.sendRequest(toInstanceId(owner), kind, body, OWNER_TIMEOUT_MS)
+    return result.ok ? result.val : undefined
+  }
+
+  async #readStored (id: string): Promise<Result<JobState | undefined, string>> {
+    const job = await this.#store.readKey(formatJobKey(id), 'critical')
+    if (job.err) return Err(job.val.message)
+    if (job.val === undefined) return await this.#readFinished(id)
+    const [cancel, progress] = await Promise.all([
+      this.#store.readKey(formatCancelKey(id), 'critical'), this.#store.readKey(formatProgressKey(id), 'critical')
+    ])
+    if (cancel.err) return Err(cancel.val.message)
+    if (progress.err) return Err(progress.val.message)
+    const record = progress.val === undefined ? undefined : decodeProgress(progress.val.value)
+    if (record?.err === true) return Err(record.val)
+    const state = record?.ok === true ? record.val.state : JOB_STATES.queued
+    if (isFinalState(state)) return Ok(state)
+    return Ok(cancel.val !== undefined ? JOB_STATES.cancelled : state)
+  }
+
+  /** A job that has no record of its own has finished, or was never accepted. Read after it, since finishing removes the record. */
+  async #readFinished (id: string): Promise<Result<JobState | undefined, string>> {
+    const finished = await this.#store.readKey(formatFinishedKey(id), 'critical')
+    if (finished.err) return Err(finished.val.message)
+    if (finished.val === undefined) return Ok(undefined)
+    return decodeFinished(finished.val.value).map((record) => record.state)
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/job-service.ts
@@ -0,0 +1,277 @@
+import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
+import type { PortProbe } from '@hibiscusledge/peer/port-probe.js'
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { toInstanceId, type InstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import type { Result } from '@hibiscusledge/runtime/result.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
+import { z } from 'zod'
+import type { AdviceGateway, AdvisedTarget } from './advice-gateway.js'
+import { ACCEPTANCE_OUTCOMES, JobAcceptor, type AcceptanceDeadlines, type AcceptanceOutcome } from './job-acceptor.js'
+import { CANCEL_OUTCOMES, JobCanceller, type CancelOutcome } from './job-canceller.js'
+import { OWNER_KEY } from './job-keys.js'
+import { JOB_EVENTS } from './job-events.js'
+import { JOB_METRICS } from './job-metrics.js'
+import { JOB_MESSAGES } from './job-messages.js'
+import { JobOwner } from './job-owner.js'
+import { JobReader } from './job-reader.js'
+import type { Job, JobState } from './job.js'
+import { Leadership, type OwnerRecord, type Ownership } from './leadership.js'
+import type { OwnerTimings } from './owner-timings.js'
+import { serveOrder } from './order-message.js'
+import { OwnerWatch } from './owner-watch.js'
+import { SpreadTargetGateway } from './spread-target-gateway.js'
+import type { TargetDirectory, TargetGateway } from './target-gateway.js'
+
+const idSchema = z.object({ id: z.string() })
+const queueSchema = z.object({ queue: z.string() })
+const announcementSchema = z.object({ record: z.string(), revision: z.number() })
+const relaySchema = z.object({ id: z.string(), record: z.string(), waitMs: z.number().nonnegative() })
+const outcomeSchema = z.object({ outcome: z.enum(ACCEPTANCE_OUTCOMES) })
+const cancelSchema = z.object({ outcome: z.enum(CANCEL_OUTCOMES) })
+const storeSchema = z.object({ isReached: z.boolean() })
+const leaseSchema = z.object({ lease: z.string() })
+const questionSchema = z.object({ stepName: z.string(), targetIds: z.array(z.string()), timeoutMs: z.number().positive() })
+
+/** How long another instance is given to store something or to reach the store. */
+const RELAY_TIMEOUT_MS = 700
+const STORE_CHECK_TIMEOUT_MS = 300
+const RECOVERY_FAILED_REASON = 'the jobs could not be taken over'
+const RETIREMENT_REASON = 'the store refuses this instance and answers another'
+
+/** A network whose addresses can be set. */
+export interface AddressableNetwork extends PeerNetwork {
+  setAddresses (addresses: ReadonlyMap<InstanceId, string>): void
+}
+
+export interface JobServiceOptions {
+  readonly instance: string
+  /** Where the other instances reach this one's peer listener. */
+  readonly peerAddress: string
+  readonly incarnation: string
+  /** Processor time of this instance, in cores. */
+  readonly cores: number
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: EventLogger
+  readonly metrics: MetricSink
+  readonly store: KeyValueStore
+  readonly network: AddressableNetwork
+  readonly probe: PortProbe
+  readonly targets: TargetGateway
+  readonly directory: TargetDirectory
+  /** Undefined where no queue has a policy. */
+  readonly advice: AdviceGateway | undefined
+  readonly timings: OwnerTimings
+  readonly retentionMs: number
+}
+
+/** The jobs as one instance serves them: it accepts, reads and cancels, and may own the targets. */
+export class JobService {
+  readonly #options: JobServiceOptions
+  readonly #acceptor: JobAcceptor
+  readonly #canceller: JobCanceller
+  readonly #reader: JobReader
+  readonly #leadership: Leadership
+  readonly #ownerWatch: OwnerWatch
+  #owner: JobOwner | undefined
+  #ownerRecord: OwnerRecord | undefined
+
+  constructor (options: JobServiceOptions) {
+    this.#options = options
+    const { clock, logger, store, network, random } = options
+    const onStored = (record: string, revision: number): void => this.#notifyOwner(JOB_MESSAGES.announceJob, { record, revision })
+    this.#acceptor = new JobAcceptor({
+      clock, logger, store, onStored, relay: async (id, record, deadlines) => await this.#relayJob(id, record, deadlines)
+    })
+    this.#canceller = new JobCanceller(clock, store, (id) => this.#notifyOwner(JOB_MESSAGES.announceCancel, { id }),
+      async (id) => await this.#relayCancel(id))
+    this.#reader = new JobReader(network, store, () => this.#ownerRecord?.instance)
+    this.#leadership = new Leadership({
+      instance: options.instance,
+      address: options.peerAddress,
+      incarnation: options.incarnation,
+      cores: options.cores,
+      clock,
+      random,
+      logger,
+      store,
+      handler: {
+        onAcquired: (ownership) => this.#startOwner(ownership),
+        onLost: () => this.#stopOwner(),
+        onOwnerChanged: (record) => this.#followOwner(record),
+        onStoreSilent: () => this.#owner?.extendLeases(),
+        onRenewalFailed: (lease) => { void this.#offerOwnership(lease) }
+      }
+    })
+    this.#ownerWatch = new OwnerWatch({
+      clock, logger, network, store, probe: options.probe, readOtherOwner: () => this.#leadership.isOwner() ? undefined : this.#ownerRecord
+    })
+    this.#registerHandlers()
+  }
+
+  start (): void {
+    this.#leadership.start()
+    this.#ownerWatch.start()
+  }
+
+  /** Gives up ownership in order: nothing more is started, then another instance may take over. */
+  async drain (): Promise<void> {
+    this.#stopOwner()
+    await this.#leadership.release()
+  }
+
+  stop (): void {
+    this.#stopOwner()
+    this.#leadership.stop()
+    this.#ownerWatch.stop()
+  }
+
+  isOwner (): boolean {
+    return this.#leadership.isOwner()
+  }
+
+  async acceptJob (job: Job, deadlines: AcceptanceDeadlines): Promise<AcceptanceOutcome> {
+    const { clock, metrics } = this.#options
+    const startedAtMs = clock.readMonotonicMs()
+    const outcome = await this.#acceptor.acceptJob(job, deadlines)
+    metrics.recordTiming(JOB_METRICS.acceptance, clock.readMonotonicMs() - startedAtMs, { outcome })
+    return outcome
+  }
+
+  async cancelJob (id: string, deadlineMs: number): Promise<CancelOutcome> {
+    return await this.#canceller.cancelJob(id, deadlineMs)
+  }
+
+  async readState (id: string): Promise<Result<JobState | undefined, string>> {
+    return await this.#reader.readState(id)
+  }
+
+  async countWaiting (queue: string): Promise<number | undefined> {
+    return await this.#reader.countWaiting(queue)
+  }
+
+  #notifyOwner (kind: string, body: unknown): void {
+    const owner = this.#ownerRecord?.instance
+    if (owner !== undefined) this.#options.network.sendNotice(toInstanceId(owner), kind, body)
+  }
+
+  #startOwner (ownership: Ownership): void {
+    const { clock, logger, metrics, store, targets, directory, network, timings, retentionMs } = this.#options
+    this.#stopOwner()
+    metrics.incrementCounter(JOB_METRICS.ownershipChanges, 1, { change: 'acquired' })
+    this.#owner = new JobOwner({
+      clock,
+      logger,
+      metrics,
+      store,
+      gateway: new SpreadTargetGateway(network, targets),
+      directory,
+      network,
+      timings,
+      ownership,
+      leadership: this.#leadership,
+      retentionMs
+    })
+    this.#owner.start().catch((error: unknown) => {
+      // An owner that can't begin must not keep its lease.
+      logger.logError(JOB_EVENTS.recoveryFailed, { message: String(error) })
+      this.#leadership.retire(RECOVERY_FAILED_REASON)
+    })
+  }
+
+  #stopOwner (): void {
+    if (this.#owner !== undefined) this.#options.metrics.incrementCounter(JOB_METRICS.ownershipChanges, 1, { change: 'ended' })
+    this.#owner?.stop()
+    this.#owner = undefined
+  }
+
+  #followOwner (record: OwnerRecord | undefined): void {
+    // Until another owner is known, the links to the last one stay.
+    if (record === undefined || record.instance === this.#ownerRecord?.instance) {
+      if (record !== undefined) this.#ownerRecord = record
+      return
+    }
+    this.#ownerRecord = record
+    const isSelf = record.instance === this.#options.instance
+    this.#options.network.setAddresses(new Map(isSelf ? [] : [[toInstanceId(record.instance), record.address]]))
+  }
+
+  #registerHandlers (): void {
+    const { network } = this.#options
+    network.registerHandler(JOB_MESSAGES.announceJob, async (body) => {
+      const { record, revision } = announcementSchema.parse(body)
+      this.#owner?.adoptAnnounced(record, revision)
+    })
+    network.registerHandler(JOB_MESSAGES.announceCancel, async (body) => { this.#owner?.cancelJob(idSchema.parse(body).id) })
+    network.registerHandler(JOB_MESSAGES.readJob, async (body) => {
+      const { id } = idSchema.parse(body)
+      return this.#owner?.isReady() === true ? { state: this.#owner.findState(id) } : {}
+    })
+    network.registerHandler(JOB_MESSAGES.countWaiting, async (body) => {
+      const { queue } = queueSchema.parse(body)
+      return this.#owner?.isReady() === true ? { waiting: this.#owner.countWaiting(queue) } : {}
+    })
+    network.registerHandler(JOB_MESSAGES.relayJob, async (body) => ({ outcome: await this.#storeForOther(relaySchema.parse(body)) }))
+    network.registerHandler(JOB_MESSAGES.relayCancel, async (body) => {
+      return { outcome: await this.#canceller.tryCancel(idSchema.parse(body).id) ?? CANCEL_OUTCOMES.unknown }
+    })
+    network.registerHandler(JOB_MESSAGES.checkStore, async () => ({ isReached: (await this.#options.store.readKey(OWNER_KEY, 'critical')).ok }))
+    network.registerHandler(JOB_MESSAGES.endOwnership, async (body) => {
+      await this.#options.store.revokeLease(leaseSchema.parse(body).lease)
+    })
+    network.registerHandler(JOB_MESSAGES.sendOrder, async (body) => await serveOrder(this.#options.targets, body))
+    network.registerHandler(JOB_MESSAGES.askAdvice, async (body) => await this.#askAdvice(questionSchema.parse(body)))
+  }
+
+  /** Connected instances, the owner first. */
+  #listPeers (): InstanceId[] {
+    const owner = this.#ownerRecord?.instance
+    const peers = this.#options.network.listConnected().map((peer) => peer.instance)
+    return [...peers.filter((peer) => peer === owner), ...peers.filter((peer) => peer !== owner)]
+  }
+
+  async #relayJob (id: string, record: string, deadlines: AcceptanceDeadlines): Promise<AcceptanceOutcome | undefined> {
+    const [peer] = this.#listPeers()
+    if (peer === undefined) return undefined
+    const waitMs = Math.max(0, Math.min(RELAY_TIMEOUT_MS, deadlines.refuseAtMs - this.#options.clock.readMonotonicMs()))
+    const result = await this.#options.network.sendRequest(peer, JOB_MESSAGES.relayJob, { id, record, waitMs }, waitMs + RELAY_TIMEOUT_MS)
+    const parsed = result.ok ? outcomeSchema.safeParse(result.val) : undefined
+    if (parsed?.success === true) return parsed.data.outcome
+    return result.err && result.val.code === 'notConnected' ? undefined : ACCEPTANCE_OUTCOMES.unknown
+  }
+
+  async #storeForOther ({ id, record, waitMs }: z.infer<typeof relaySchema>): Promise<AcceptanceOutcome> {
+    const deadlineMs = this.#options.clock.readMonotonicMs() + waitMs
+    return await this.#acceptor.storeForOther(id, record, { refuseAtMs: deadlineMs, giveUpAtMs: deadlineMs })
+  }
+
+  async #relayCancel (id: string): Promise<CancelOutcome | undefined> {
+    const [peer] = this.#listPeers()
+    if (peer === undefined) return undefined
+    const result = await this.#options.network.sendRequest(peer, JOB_MESSAGES.relayCancel, { id }, RELAY_TIMEOUT_MS)
+    const parsed = result.ok ? cancelSchema.safeParse(result.val) : undefined
+    return parsed?.success === true ? parsed.data.outcome : undefined
+  }
+
+  /** When the store answers another instance and not this one, the other may take over at once. */
+  async #offerOwnership (lease: string): Promise<void> {
+    const { network } = this.#options
+    const answers = await Promise.all(this.#listPeers().map(async (peer) => {
+      const result = await network.sendRequest(peer, JOB_MESSAGES.checkStore, {}, STORE_CHECK_TIMEOUT_MS)
+      const parsed = result.ok ? storeSchema.safeParse(result.val) : undefined
+      return parsed?.success === true && parsed.data.isReached ? peer : undefined
+    }))
+    const peer = answers.find((answer) => answer !== undefined)
+    if (peer === undefined || this.#leadership.isStoreHealthy() || !this.#leadership.isOwner()) return
+    this.#leadership.retire(RETIREMENT_REASON)
+    network.sendNotice(peer, JOB_MESSAGES.endOwnership, { lease })
+  }
+
+  async #askAdvice (question: z.infer<typeof questionSchema>): Promise<readonly AdvisedTarget[] | undefined> {
+    const result = await this.#options.advice?.fetchAdvice(question.stepName, question.targetIds, question.timeoutMs)
+    return result?.ok === true ? result.val : undefined
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/leadership.ts
@@ -0,0 +1,276 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import type { KeyValueStore, StoredValue, Watch } from '@hibiscusledge/store/key-value-store.js'
+import { z } from 'zod'
+import { computeAcquireDelayMs } from './acquire-delay.js'
+import { JOB_EVENTS } from './job-events.js'
+import { formatWriteSequenceKey, OWNER_KEY, TERM_KEY } from './job-keys.js'
+import { LANE_COUNT } from './progress-lanes.js'
+
+const LEASE_TTL_MS = 1_200
+const RENEWAL_PERIOD_MS = 300
+/** Authority ends this long before the lease can lapse at the store. */
+const AUTHORITY_MARGIN_MS = 200
+/** Period of the reads that back up the watch of the owner key. */
+const CHECK_PERIOD_MS = 1_000
+/** A difference between wall and steady time that changes by more than this shows that the instance was suspended. */
+const SUSPENSION_MS = 250
+const WATCH_RETRY_MS = 200
+const TERM_TEXT = /^\d+$/
+
+const ownerSchema = z.object({ instance: z.string(), address: z.string(), incarnation: z.string(), lease: z.string() })
+
+/** Who owns the targets, as stored. */
+export type OwnerRecord = z.infer<typeof ownerSchema>
+
+/** An ownership that this instance has acquired. */
+export interface Ownership {
+  /** Rises with each change of the owner. */
+  readonly fencingToken: number
+  /** Number of owners before this one. */
+  readonly term: number
+  readonly ownerRevision: number
+  readonly sequenceRevision: number
+}
+
+export interface LeadershipHandler {
+  onAcquired (ownership: Ownership): void
+  /** Another instance may own the targets from now on. */
+  onLost (): void
+  onOwnerChanged (owner: OwnerRecord | undefined): void
+  /** The store did not answer a renewal; authority ends soon unless the next one succeeds. */
+  onStoreSilent (): void
+  /** The owner's lease could not be renewed twice. Its id lets another instance end it. */
+  onRenewalFailed (lease: string): void
+}
+
+export interface LeadershipOptions {
+  readonly instance: string
+  readonly address: string
+  readonly incarnation: string
+  /** Processor time of this instance, in cores. */
+  readonly cores: number
+  readonly clock: Clock
+  readonly random: RandomSource
+  readonly logger: EventLogger
+  readonly store: KeyValueStore
+  readonly handler: LeadershipHandler
+}
+
+/** Competes for the ownership of all targets and keeps its lease. */
+export class Leadership {
+  readonly #options: LeadershipOptions
+  #watch: Watch | undefined
+  #timers: Timer[] = []
+  #isStopped = false
+  #isAcquiring = false
+  #lease: string | undefined
+  #isOwner = false
+  #authorityUntilMs = 0
+  #wallOffsetMs: number
+  #isRenewing = false
+  #lastRenewalFailed = false
+  #failedRenewals = 0
+  #knownRevision = 0
+  #mayCompete = true
+
+  constructor (options: LeadershipOptions) {
+    this.#options = options
+    this.#wallOffsetMs = this.#readWallOffset()
+  }
+
+  start (): void {
+    const { clock } = this.#options
+    this.#openWatch(0)
+    this.#timers = [
+      clock.startInterval(RENEWAL_PERIOD_MS, () => { void this.#renew() }),
+      clock.startInterval(CHECK_PERIOD_MS, () => { if (!this.#isOwner) void this.#check() })
+    ]
+    void this.#check()
+  }
+
+  /** Whether orders may be given now. Call it right before each order. */
+  isAuthorized (): boolean {
+    this.#checkSuspension()
+    return this.#isOwner && this.#options.clock.readMonotonicMs() < this.#authorityUntilMs
+  }
+
+  isOwner (): boolean {
+    return this.#isOwner
+  }
+
+  /** Whether the last renewal was answered. */
+  isStoreHealthy (): boolean {
+    return !this.#lastRenewalFailed
+  }
+
+  /** Gives the ownership up at once and competes no more. */
+  async release (): Promise<void> {
+    this.#mayCompete = false
+    const lease = this.#lease
+    if (!this.#isOwner || lease === undefined) return
+    this.#isOwner = false
+    this.#authorityUntilMs = 0
+    const result = await this.#options.store.revokeLease(lease)
+    this.#options.logger.logInfo(JOB_EVENTS.ownershipReleased, { isRevoked: result.ok })
+  }
+
+  /** Renews the lease now, since a write has failed. */
+  confirm (): void {
+    void this.#renew()
+  }
+
+  /** Gives no more orders and lets another instance take over. */
+  retire (reason: string): void {
+    this.#handleLoss(reason)
+  }
+
+  stop (): void {
+    this.#isStopped = true
+    this.#watch?.close()
+    for (const timer of this.#timers) timer.cancel()
+  }
+
+  #readWallOffset (): number {
+    return this.#options.clock.readWallMs() - this.#options.clock.readMonotonicMs()
+  }
+
+  /** The steady clock stands still while an instance is suspended, so only the wall clock shows that the lease may be over. */
+  #checkSuspension (): void {
+    const offsetMs = this.#readWallOffset()
+    const jumpMs = offsetMs - this.#wallOffsetMs
+    if (Math.abs(jumpMs) < SUSPENSION_MS) return
+    this.#wallOffsetMs = offsetMs
+    if (!this.#isOwner) return
+    this.#authorityUntilMs = 0
+    this.#options.logger.logWarning(JOB_EVENTS.ownershipUnconfirmed, { reason: 'the clocks moved apart', jumpMs: Math.round(jumpMs) })
+    void this.#renew()
+  }
+
+  #openWatch (fromRevision: number): void {
+    if (this.#isStopped) return
+    this.#watch = this.#options.store.watchPrefix(OWNER_KEY, fromRevision, {
+      onEvents: (events) => {
+        for (const event of events) {
+          if (event.type === 'put') this.#applyOwner(event.value, event.value.modRevision)
+          else this.#applyOwner(undefined, event.modRevision)
+        }
+      },
+      onClosed: (reason) => {
+        this.#options.logger.logWarning(JOB_EVENTS.watchClosed, { prefix: OWNER_KEY, reason })
+        this.#options.clock.startTimer(WATCH_RETRY_MS, () => { this.#openWatch(0) })
+        void this.#check()
+      }
+    })
+  }
+
+  async #check (): Promise<void> {
+    const result = await this.#options.store.readKey(OWNER_KEY, 'background')
+    if (result.err || this.#isStopped) return
+    this.#applyOwner(result.val, result.val?.modRevision ?? this.#knownRevision)
+  }
+
+  #applyOwner (value: StoredValue | undefined, revision: number): void {
+    if (revision < this.#knownRevision) return
+    this.#knownRevision = revision
+    const record = value === undefined ? undefined : parseOwner(value.value)
+    this.#options.handler.onOwnerChanged(record)
+    if (value === undefined) return this.#acquireSoon()
+    if (record === undefined || this.#isOwner || record.instance !== this.#options.instance) return
+    // An earlier process of this instance held the lease. It has ended, since this one has its address.
+    const isEarlierProcess = record.incarnation !== this.#options.incarnation && record.address === this.#options.address
+    if (isEarlierProcess) void this.#options.store.revokeLease(record.lease)
+  }
+
+  #acquireSoon (): void {
+    if (this.#isOwner) return this.#handleLoss('the owner key vanished')
+    if (this.#isAcquiring || !this.#mayCompete || this.#isStopped) return
+    this.#isAcquiring = true
+    const { clock, random, cores } = this.#options
+    clock.startTimer(computeAcquireDelayMs(cores, random), () => {
+      void this.#acquire().finally(() => { this.#isAcquiring = false })
+    })
+  }
+
+  async #acquire (): Promise<void> {
+    const { store, clock, instance, address, incarnation } = this.#options
+    const sentAtMs = clock.readMonotonicMs()
+    const wallOffsetMs = this.#readWallOffset()
+    const [lease, termValue] = await Promise.all([store.grantLease(LEASE_TTL_MS / 1_000), store.readKey(TERM_KEY, 'critical')])
+    if (lease.err || termValue.err || !this.#mayCompete) return
+    const term = termValue.val === undefined ? 0 : TERM_TEXT.test(termValue.val.value) ? Number(termValue.val.value) : undefined
+    if (term === undefined) return this.#options.logger.logError(JOB_EVENTS.recordMalformed, { key: TERM_KEY })
+    const record: OwnerRecord = { instance, address, incarnation, lease: lease.val }
+    const result = await store.commitTransaction({
+      comparisons: [{ key: OWNER_KEY, modRevision: 0 }, { key: TERM_KEY, modRevision: termValue.val?.modRevision ?? 0 }],
+      mutations: [
+        { type: 'put', key: OWNER_KEY, value: JSON.stringify(record), leaseId: lease.val },
+        { type: 'put', key: TERM_KEY, value: String(term + 1) },
+        ...Array.from({ length: LANE_COUNT }, (_, lane) => ({ type: 'put', key: formatWriteSequenceKey(lane), value: '0' }) as const)
+      ]
+    }, 'critical')
+    if (result.err || !result.val.isCommitted) {
+      // Without an answer the key may be ours: giving the lease back keeps it from blocking the others.
+      await store.revokeLease(lease.val)
+      return
+    }
+    const { revision } = result.val
+    this.#lease = lease.val
+    this.#isOwner = true
+    this.#knownRevision = revision
+    this.#lastRenewalFailed = false
+    this.#wallOffsetMs = wallOffsetMs
+    this.#authorityUntilMs = sentAtMs + LEASE_TTL_MS - AUTHORITY_MARGIN_MS
+    this.#options.logger.logInfo(JOB_EVENTS.ownershipAcquired, { term, fencingToken: revision })
+    this.#options.handler.onOwnerChanged(record)
+    this.#options.handler.onAcquired({ fencingToken: revision, term, ownerRevision: revision, sequenceRevision: revision })
+  }
+
+  async #renew (): Promise<void> {
+    const lease = this.#lease
+    if (!this.#isOwner || lease === undefined || this.#isRenewing) return
+    this.#checkSuspension()
+    this.#isRenewing = true
+    const sentAtMs = this.#options.clock.readMonotonicMs()
+    const wallOffsetMs = this.#wallOffsetMs
+    const result = await this.#options.store.renewLease(lease)
+    this.#isRenewing = false
+    if (!this.#isOwner) return
+    if (result.err && result.val.code === 'leaseNotFound') return this.#handleLoss('the lease has lapsed')
+    const hadFailed = this.#lastRenewalFailed
+    this.#lastRenewalFailed = result.err
+    this.#failedRenewals = result.err ? this.#failedRenewals + 1 : 0
+    if (result.err) {
+      // A single answer may be lost; a second failure at once tells that this instance is refused.
+      if (this.#failedRenewals === 1) this.confirm()
+      if (!hadFailed) this.#options.handler.onStoreSilent()
+      if (!hadFailed) this.#options.logger.logWarning(JOB_EVENTS.ownershipUnconfirmed, { reason: result.val.message })
+      if (this.#failedRenewals > 1) this.#options.handler.onRenewalFailed(lease)
+      return
+    }
+    if (hadFailed) this.#options.logger.logInfo(JOB_EVENTS.ownershipConfirmed, {})
+    this.#checkSuspension()
+    // An answer to a renewal sent before a suspension says nothing about the time since.
+    if (wallOffsetMs !== this.#wallOffsetMs) return
+    this.#authorityUntilMs = sentAtMs + LEASE_TTL_MS - AUTHORITY_MARGIN_MS
+  }
+
+  #handleLoss (reason: string): void {
+    if (!this.#isOwner) return
+    this.#isOwner = false
+    this.#authorityUntilMs = 0
+    this.#options.logger.logWarning(JOB_EVENTS.ownershipLost, { reason })
+    this.#options.handler.onLost()
+    void this.#check()
+  }
+}
+
+function parseOwner (text: string): OwnerRecord | undefined {
+  try {
+    const parsed = ownerSchema.safeParse(JSON.parse(text))
+    return parsed.success ? parsed.data : undefined
+  } catch {
+    return undefined
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/owner-watch.ts
@@ -0,0 +1,71 @@
+import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
+import type { PortProbe } from '@hibiscusledge/peer/port-probe.js'
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
+import { JOB_EVENTS } from './job-events.js'
+import type { OwnerRecord } from './leadership.js'
+
+const CHECK_PERIOD_MS = 100
+const PROBE_TIMEOUT_MS = 300
+/** An instance ends a lease at most this often, since a broken path between two instances can look like an ended process. */
+const END_PERIOD_MS = 10_000
+
+export interface OwnerWatchOptions {
+  readonly clock: Clock
+  readonly logger: EventLogger
+  readonly network: PeerNetwork
+  readonly store: KeyValueStore
+  readonly probe: PortProbe
+  /** The owner, unless this instance is the owner itself. */
+  readonly readOtherOwner: () => OwnerRecord | undefined
+}
+
+/**
+ * Notices when the owner's process has ended: its link closes and its port refuses connections. Its lease is then ended,
+ * so that another instance takes over without waiting for the lease to lapse. A mistake costs a change of owner and no
+ * more: an owner without its key can store no intent, and targets refuse its token once the next owner has looked.
+ */
+export class OwnerWatch {
+  readonly #options: OwnerWatchOptions
+  #timer: Timer | undefined
+  /** Incarnation of the owner to which a link was seen. */
+  #linkedIncarnation: string | undefined
+  #isProbing = false
+  #notBeforeMs = 0
+
+  constructor (options: OwnerWatchOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#timer = this.#options.clock.startInterval(CHECK_PERIOD_MS, () => { void this.#check() })
+  }
+
+  stop (): void {
+    this.#timer?.cancel()
+  }
+
+  async #check (): Promise<void> {
+    const { clock, network, probe, readOtherOwner } = this.#options
+    const owner = readOtherOwner()
+    if (owner === undefined || this.#isProbing || clock.readMonotonicMs() < this.#notBeforeMs) return
+    if (network.listConnected().some((peer) => peer.instance === owner.instance)) {
+      this.#linkedIncarnation = owner.incarnation
+      return
+    }
+    if (this.#linkedIncarnation !== owner.incarnation) return
+    this.#isProbing = true
+    const isRefused = await probe.isRefused(owner.address, PROBE_TIMEOUT_MS)
+    this.#isProbing = false
+    if (isRefused && readOtherOwner()?.incarnation === owner.incarnation) await this.#endLease(owner)
+  }
+
+  async #endLease (owner: OwnerRecord): Promise<void> {
+    const { clock, store, logger } = this.#options
+    this.#linkedIncarnation = undefined
+    this.#notBeforeMs = clock.readMonotonicMs() + END_PERIOD_MS
+    const result = await store.revokeLease(owner.lease)
+    logger.logWarning(JOB_EVENTS.ownerEnded, { owner: owner.instance, isRevoked: result.ok })
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/placement-planner.ts
@@ -0,0 +1,302 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import { AdviceDesk, type AdvisedStep } from './advice-desk.js'
+import type { AdviceDispatcher } from './advice-dispatcher.js'
+import type { AdviceCandidate } from './advice-selection.js'
+import { JOB_EVENTS } from './job-events.js'
+import { JOB_METRICS } from './job-metrics.js'
+import type { AdvicePolicy, JobStep } from './job.js'
+import type { JobProgress } from './job-progress.js'
+import type { JobTable, ReadyStep } from './job-table.js'
+import { PlacementRound, type Placement, type WaitingStep } from './placement-round.js'
+import { compareUrgency, computeUrgency, type Urgency } from './step-order.js'
+import type { StepProgress, TaskProgress } from './step-progress.js'
+import type { TargetSession } from './target-session.js'
+import type { TargetView } from './target-view.js'
+import { computeCountedSize, countSlots } from './task-room.js'
+import { formatStepName, RUN_PHASES, type TaskRun } from './task-run.js'
+import { WaitingDemand } from './waiting-demand.js'
+
+/** Room between the run numbers of one owner and the next. */
+const RUNS_PER_TERM = 1_000
+/** How often a waiting step checks whether other targets are worth a question to the policy service. */
+const CHECK_OTHERS_PERIOD_MS = 200
+/** Steps that make this check in one round. */
+const CHECKS_PER_ROUND = 10
+/** Added to a run's estimate for starting it and noticing its end. */
+const RUN_OVERHEAD_MS = 60
+const RACK_LABEL = /^r\d/
+
+export interface PlacementPlannerOptions {
+  readonly clock: Clock
+  readonly logger: EventLogger
+  readonly metrics: MetricSink
+  readonly table: JobTable
+  readonly advice: AdviceDispatcher
+  readonly term: number
+  readonly sessions: ReadonlyMap<string, TargetSession>
+  readonly isAuthorized: () => boolean
+  readonly markChanged: (jobId: string) => void
+  readonly runWhenStored: (callback: () => void) => void
+  readonly requestRound: () => void
+}
+
+/** What all steps of a service share in one round. */
+interface RoundState {
+  readonly nowMs: number
+  /** Targets of the service that stay, those that may get work now first. */
+  readonly staying: readonly string[]
+}
+
+interface PlannedRun {
+  readonly session: TargetSession
+  readonly run: TaskRun
+  readonly task: TaskProgress
+  readonly ticket: string | undefined
+}
+
+/** Chooses targets for the ready steps in order of urgency, asks for advice, and starts what was placed. */
+export class PlacementPlanner {
+  readonly #options: PlacementPlannerOptions
+  readonly #desk: AdviceDesk
+  #checksLeft = CHECKS_PER_ROUND
+
+  constructor (options: PlacementPlannerOptions) {
+    this.#options = options
+    const { clock, logger, metrics, advice, requestRound } = options
+    this.#desk = new AdviceDesk(clock, logger, metrics, advice, requestRound)
+  }
+
+  /** Places what fits now. Orders are sent once the store has the intents. */
+  runRound (): void {
+    const { clock, table, sessions, isAuthorized } = this.#options
+    if (!isAuthorized()) return
+    const nowMs = clock.readMonotonicMs()
+    const targets = [...sessions.values()].filter((session) => session.isUsable(nowMs)).map((session) => buildView(session, nowMs))
+    const round = new PlacementRound(nowMs, targets)
+    const demand = new WaitingDemand(targets)
+    this.#checksLeft = CHECKS_PER_ROUND
+    const staying = this.#groupStaying(nowMs)
+    const ordered = [...table.listReady()].filter(({ step }) => step.countPending() > 0)
+      .map((ready) => ({ ready, urgency: computeUrgency(ready.progress, nowMs) }))
+      .sort((left, right) => compareUrgency(left.urgency, right.urgency))
+    for (const { ready, urgency } of ordered) {
+      const { service } = ready.progress.job.terms
+      if (demand.isMet(service)) continue
+      demand.add(service, ready.step.countPending() * ready.step.step.size.cpuMillis)
+      this.#placeStep(round, ready, urgency, { nowMs, staying: staying.get(service) ?? [] })
+    }
+  }
+
+  stop (): void {
+    this.#desk.stop()
+  }
+
+  /** A target has refused the ticket of a run, so the policy is asked again. */
+  expireTicket (run: TaskRun): void {
+    this.#desk.book.expireTicket(formatStepName(run.task), run.targetId)
+  }
+
+  /** Drops what is known of a job's steps. */
+  forgetJob (progress: JobProgress): void {
+    for (const steps of progress.occurrences) for (const step of steps) this.#desk.book.forget(readStepName(step))
+  }
+
+  #placeStep (round: PlacementRound, ready: ReadyStep, urgency: Urgency, { nowMs, staying }: RoundState): void {
+    const { progress, step } = ready
+    const { terms } = progress.job
+    const stepName = readStepName(step)
+    const { book } = this.#desk
+    if (terms.advice !== undefined && !book.hasAnswer(stepName)) {
+      if (book.isWaiting(stepName, nowMs)) return
+      return this.#desk.askFirst(describeAdvised(ready, terms.advice, urgency), this.#listCandidates(round, ready, staying))
+    }
+    if (nowMs < step.notBeforeMs) return
+    const pending = step.listPending()
+    const waiting: WaitingStep = {
+      stepName,
+      service: terms.service,
+      step: step.step,
+      pending: pending.map((task) => task.key.index),
+      avoided: step.failedOn,
+      mustAvoid: this.#shouldAvoidFailed(ready, stepName, staying),
+      countByTarget: countByTarget(step),
+      permittedIds: terms.advice === undefined ? undefined : book.listPermitted(stepName),
+      keepsRoom: true
+    }
+    const placements = this.#placeWithTickets(round, waiting, nowMs)
+    if (placements.length > 0) return this.#startPlaced(round, ready, placements, urgency, nowMs)
+    if (terms.advice === undefined || book.isWaiting(stepName, nowMs) || !book.shouldCheckOthers(stepName, nowMs)) return
+    if (this.#checksLeft-- <= 0) return
+    book.pauseOthers(stepName, nowMs + CHECK_OTHERS_PERIOD_MS)
+    this.#askAboutOthers(round, ready, terms.advice, urgency, staying)
+  }
+
+  /** Places a step where its tickets hold, if it fits there, and else on any permitted target. */
+  #placeWithTickets (round: PlacementRound, waiting: WaitingStep, nowMs: number): Placement[] {
+    if (waiting.permittedIds === undefined) return round.place(waiting)
+    const ticketed = this.#desk.book.listTicketed(waiting.stepName, nowMs)
+    const placements = ticketed.length === 0 ? [] : round.place({ ...waiting, permittedIds: ticketed, keepsRoom: false })
+    return placements.length > 0 ? placements : round.place(waiting)
+  }
+
+  /** A step that waits for room may be helped by targets that the policy wasn't asked about. */
+  #askAboutOthers (
+    round: PlacementRound, ready: ReadyStep, policy: AdvicePolicy, urgency: Urgency, staying: readonly string[]
+  ): void {
+    const advised = describeAdvised(ready, policy, urgency)
+    const unasked = this.#desk.book.listUnasked(advised.stepName, staying)
+    this.#desk.askAboutOthers(advised, this.#listCandidates(round, ready, unasked),
+      () => !this.#hasSlots(ready.step, this.#desk.book.listPermitted(advised.stepName)))
+  }
+
+  #listCandidates (round: PlacementRound, { step }: ReadyStep, targetIds: readonly string[]): AdviceCandidate[] {
+    return targetIds.flatMap((id) => {
+      const session = this.#options.sessions.get(id)
+      if (session === undefined || !hasLabel(session, step.step)) return []
+      const rack = findRack(session.readDescription().labels)
+      return [{ id, capacity: session.room.readCapacity(), rack, freeSlots: round.countFreeSlots(id, step.step) }]
+    })
+  }
+
+  /** Whether the step's pending tasks would fit on targets that take work now, are permitted and have not failed them. */
+  #hasSlots (step: StepProgress, targetIds: readonly string[]): boolean {
+    const nowMs = this.#options.clock.readMonotonicMs()
+    const needed = step.step.isGang ? step.tasks.length : 1
+    let slots = 0
+    for (const id of targetIds) {
+      const session = this.#options.sessions.get(id)
+      if (session?.isUsable(nowMs) !== true || step.failedOn.has(id) || !hasLabel(session, step.step)) continue
+      slots += countSlots(session.room.readCapacity(), step.step)
+    }
+    return slots >= needed
+  }
+
+  /** Whether targets on which the step has failed are to be left out: only while others can hold it, or may be found. */
+  #shouldAvoidFailed ({ progress, step }: ReadyStep, stepName: string, staying: readonly string[]): boolean {
+    if (step.gangFailures === 0 && !step.listPending().some((task) => task.failures > 0)) return false
+    if (progress.job.terms.advice === undefined) return this.#hasSlots(step, staying)
+    return this.#hasSlots(step, this.#desk.book.listPermitted(stepName)) || this.#desk.book.listUnasked(stepName, staying).length > 0
+  }
+
+  /** Targets that stay, by service; those that may get work now come first. */
+  #groupStaying (nowMs: number): Map<string, string[]> {
+    const staying = [...this.#options.sessions.values()].filter((session) => session.isStaying())
+    const groups = new Map<string, string[]>()
+    for (const isUsable of [true, false]) {
+      for (const session of staying) {
+        if (session.isUsable(nowMs) !== isUsable) continue
+        const { service } = session.readDescription()
+        const group = groups.get(service)
+        if (group === undefined) groups.set(service, [session.id])
+        else group.push(session.id)
+      }
+    }
+    return groups
+  }
+
+  #startPlaced (
+    round: PlacementRound, ready: ReadyStep, placements: readonly Placement[], urgency: Urgency, nowMs: number
+  ): void {
+    const { progress, step } = ready
+    const { book } = this.#desk
+    const stepName = readStepName(step)
+    const policy = progress.job.terms.advice
+    const tickets = placements.map(({ targetId }) => policy === undefined ? undefined : book.findTicket(stepName, targetId, nowMs))
+    if (policy !== undefined) {
+      const missing = placements.filter((_, index) => tickets[index] === undefined)
+      if (missing.length > 0) {
+        const permitted = this.#listCandidates(round, ready, book.listPermitted(stepName))
+        this.#desk.refreshTickets(describeAdvised(ready, policy, urgency), placements.map(({ targetId }) => targetId), permitted)
+      }
+      if (missing.length > 0 && step.step.isGang) return
+    }
+    const checkpoint = step.step.isGang ? findGangCheckpoint(step) : undefined
+    const planned = placements.flatMap((placement, index): PlannedRun[] => {
+      const ticket = tickets[index]
+      if (policy !== undefined && ticket === undefined) return []
+      const task = step.tasks[placement.index]
+      const session = this.#options.sessions.get(placement.targetId)
+      if (task === undefined || session === undefined) return []
+      if (checkpoint !== undefined) task.checkpoint = checkpoint
+      return [{ session, run: this.#createRun(step, task, placement.targetId, nowMs), task, ticket }]
+    })
+    if (planned.length === 0) return
+    for (const { session, run, task } of planned) {
+      task.run = run
+      session.reserve(run)
+    }
+    const waitedMs = nowMs - (step.readyAtMs ?? nowMs)
+    this.#options.metrics.recordTiming(JOB_METRICS.placementWait, waitedMs, { queue: progress.job.terms.queue })
+    this.#options.logger.logInfo(JOB_EVENTS.taskPlaced, {
+      jobId: progress.job.id,
+      step: stepName,
+      waitedMs: Math.round(waitedMs),
+      runs: planned.map(({ run }) => [run.task.index, run.number, run.targetId])
+    })
+    this.#options.markChanged(progress.job.id)
+    this.#options.runWhenStored(() => { this.#startRuns(ready, planned) })
+  }
+
+  #startRuns ({ progress }: ReadyStep, planned: readonly PlannedRun[]): void {
+    for (const { session, run, task, ticket } of planned) {
+      void session.startRun(run, { specification: progress.job.specification, checkpoint: task.checkpoint, ticket })
+    }
+  }
+
+  #createRun (step: StepProgress, task: TaskProgress, targetId: string, nowMs: number): TaskRun {
+    task.runCount++
+    return {
+      task: task.key,
+      number: this.#options.term * RUNS_PER_TERM + task.runCount,
+      targetId,
+      size: computeCountedSize(step.step.size, step.step.usesIdleCapacity),
+      phase: RUN_PHASES.reserved,
+      sentAtMs: nowMs,
+      expectedEndMs: nowMs + step.step.estimatedMs + RUN_OVERHEAD_MS,
+      isStopWanted: false,
+      isStopAcknowledged: false,
+      percent: 0,
+      percentChangedAtMs: nowMs
+    }
+  }
+}
+
+function describeAdvised ({ progress, step }: ReadyStep, policy: AdvicePolicy, urgency: Urgency): AdvisedStep {
+  return {
+    stepName: readStepName(step), queue: progress.job.terms.queue, policy, step: step.step, taskCount: step.countPending(), urgency
+  }
+}
+
+function readStepName (step: StepProgress): string {
+  const key = step.tasks[0]?.key
+  return key === undefined ? '' : formatStepName(key)
+}
+
+function countByTarget (step: StepProgress): Map<string, number> {
+  const counts = new Map<string, number>()
+  if (step.step.maximumPerTarget === 0) return counts
+  for (const { run } of step.tasks) if (run !== undefined) counts.set(run.targetId, (counts.get(run.targetId) ?? 0) + 1)
+  return counts
+}
+
+/** The checkpoint that all members of a gang resume from. */
+function findGangCheckpoint (step: StepProgress): string {
+  return step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? ''
+}
+
+function hasLabel (session: TargetSession, { requiredLabel }: JobStep): boolean {
+  return requiredLabel === undefined || session.readDescription().labels.includes(requiredLabel)
+}
+
+function findRack (labels: readonly string[]): string | undefined {
+  return labels.find((label) => RACK_LABEL.test(label))
+}
+
+function buildView (session: TargetSession, nowMs: number): TargetView {
+  const { id, service, labels, capacity } = session.readDescription()
+  const soonestEndMs = nowMs + RUN_OVERHEAD_MS
+  const runs = [...session.listRuns()].map((run) => ({ size: run.size, expectedEndMs: Math.max(soonestEndMs, run.expectedEndMs) }))
+  return { id, service, labels, capacity, rack: findRack(labels), free: session.room.readFree(), runs }
+}
--- /dev/null
+++ b/packages/jobs/src/placement-round.ts
@@ -0,0 +1,231 @@
+import type { JobStep, TaskSize } from './job.js'
+import { addSizes, computeCountedSize, countSlots, hasRoom, subtractSizes } from './task-room.js'
+import type { TargetView } from './target-view.js'
+
+/** A step that waits for room. */
+export interface WaitingStep {
+  readonly stepName: string
+  readonly service: string
+  readonly step: JobStep
+  /** Indexes of the pending tasks. */
+  readonly pending: readonly number[]
+  /** Targets on which tasks of the step have failed. */
+  readonly avoided: ReadonlySet<string>
+  /** Whether avoided targets are left out while there are others; else they come last. */
+  readonly mustAvoid: boolean
+  /** Tasks of the step that are on each target already, where the step limits them. */
+  readonly countByTarget: ReadonlyMap<string, number>
+  /** Targets that the policy permits; undefined where there is no policy. */
+  readonly permittedIds: readonly string[] | undefined
+  /** Whether a gang that doesn't fit keeps the room in which it will fit first. */
+  readonly keepsRoom: boolean
+}
+
+export interface Placement {
+  readonly index: number
+  readonly targetId: string
+}
+
+interface Hold { readonly size: TaskSize, readonly fromMs: number }
+
+interface Slot { readonly targetId: string, readonly atMs: number }
+
+/** How much worse a target is on which the task has failed, or which is far from the data. */
+const AVOIDED_PENALTY = 10
+const FAR_PENALTY = 5
+/** Gangs that keep room for themselves in one round. */
+const MAXIMUM_HELD_GANGS = 4
+const NOTHING_FREE: TaskSize = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+
+/**
+ * One round of placement over the targets' room. Steps are offered in order of urgency. A gang that doesn't fit keeps
+ * the room in which it will fit first; later steps may use that room only if they end before.
+ */
+export class PlacementRound {
+  readonly #nowMs: number
+  readonly #targets: ReadonlyMap<string, TargetView>
+  readonly #free = new Map<string, TaskSize>()
+  readonly #holds = new Map<string, Hold[]>()
+  readonly #largestFree = new Map<string, TaskSize>()
+  #heldGangs = 0
+
+  constructor (nowMs: number, targets: readonly TargetView[]) {
+    this.#nowMs = nowMs
+    this.#targets = new Map(targets.map((target) => [target.id, target]))
+    for (const target of targets) this.#free.set(target.id, target.free)
+  }
+
+  /** Places what fits of a step: all or nothing for a gang. The room is taken for the rest of the round. */
+  place (waiting: WaitingStep): Placement[] {
+    const size = computeCountedSize(waiting.step.size, waiting.step.usesIdleCapacity)
+    const canKeepRoom = waiting.keepsRoom && waiting.step.isGang && this.#heldGangs < MAXIMUM_HELD_GANGS
+    if (!canKeepRoom && !hasRoom(this.#readLargestFree(waiting.service), size)) return []
+    const candidates = this.#listCandidates(waiting)
+    if (!waiting.step.isGang) return this.#placeEach(waiting, candidates)
+    const placements = this.#placeGang(waiting, candidates)
+    if (placements.length === 0 && waiting.keepsRoom) this.#holdRoom(waiting, candidates)
+    return placements
+  }
+
+  /** Tasks of a step that would fit on a target with what is free in this round; 0 for a target that takes no work. */
+  countFreeSlots (targetId: string, step: JobStep): number {
+    const free = this.#free.get(targetId)
+    return free === undefined ? 0 : countSlots(free, step)
+  }
+
+  #listCandidates (waiting: WaitingStep): TargetView[] {
+    const { requiredLabel } = waiting.step
+    const candidates = this.#listPermitted(waiting.permittedIds).filter((target) => target.service === waiting.service &&
+      (requiredLabel === undefined || target.labels.includes(requiredLabel)))
+    if (!waiting.mustAvoid) return candidates
+    const others = candidates.filter((target) => !waiting.avoided.has(target.id))
+    return others.length > 0 ? others : candidates
+  }
+
+  #listPermitted (permittedIds: readonly string[] | undefined): TargetView[] {
+    if (permittedIds === undefined) return [...this.#targets.values()]
+    return permittedIds.flatMap((id) => this.#targets.get(id) ?? [])
+  }
+
+  #placeEach (waiting: WaitingStep, candidates: readonly TargetView[]): Placement[] {
+    const placements: Placement[] = []
+    const counts = new Map(waiting.countByTarget)
+    for (const index of waiting.pending) {
+      const target = this.#chooseTarget(waiting, candidates, counts)
+      if (target === undefined) break
+      this.#take(target.id, waiting.step)
+      counts.set(target.id, (counts.get(target.id) ?? 0) + 1)
+      placements.push({ index, targetId: target.id })
+    }
+    return placements
+  }
+
+  #placeGang (waiting: WaitingStep, candidates: readonly TargetView[]): Placement[] {
+    if (waiting.step.prefersOneRack) {
+      for (const rack of new Set(candidates.map((target) => target.rack))) {
+        const placements = this.#tryAll(waiting, candidates.filter((target) => target.rack === rack))
+        if (placements.length > 0) return placements
+      }
+    }
+    return this.#tryAll(waiting, candidates)
+  }
+
+  #tryAll (waiting: WaitingStep, candidates: readonly TargetView[]): Placement[] {
+    const before = new Map(candidates.map((target) => [target.id, this.#readFree(target.id)]))
+    const placements = this.#placeEach(waiting, candidates)
+    if (placements.length === waiting.pending.length) return placements
+    for (const [id, free] of before) this.#free.set(id, free)
+    this.#largestFree.clear()
+    return []
+  }
+
+  #chooseTarget (
+    waiting: WaitingStep, candidates: readonly TargetView[], counts: ReadonlyMap<string, number>
+  ): TargetView | undefined {
+    let best: TargetView | undefined
+    let bestScore = Number.POSITIVE_INFINITY
+    const { step } = waiting
+    const size = computeCountedSize(step.size, step.usesIdleCapacity)
+    for (const target of candidates) {
+      if (step.maximumPerTarget > 0 && (counts.get(target.id) ?? 0) >= step.maximumPerTarget) continue
+      const free = this.#readFree(target.id)
+      if (!hasRoom(free, size) || this.#isHeldAgainst(target, size, step.estimatedMs)) continue
+      const score = scoreFit(subtractSizes(free, size), target.capacity) + (waiting.avoided.has(target.id) ? AVOIDED_PENALTY : 0) +
+        (step.dataRack !== undefined && step.dataRack !== target.rack ? FAR_PENALTY : 0)
+      if (score >= bestScore) continue
+      best = target
+      bestScore = score
+    }
+    return best
+  }
+
+  #readFree (targetId: string): TaskSize {
+    return this.#free.get(targetId) ?? NOTHING_FREE
+  }
+
+  /** The most that is free of each resource on any target of a service. */
+  #readLargestFree (service: string): TaskSize {
+    let largest = this.#largestFree.get(service)
+    if (largest !== undefined) return largest
+    largest = NOTHING_FREE
+    for (const target of this.#targets.values()) {
+      if (target.service === service) largest = takeLarger(largest, this.#readFree(target.id))
+    }
+    this.#largestFree.set(service, largest)
+    return largest
+  }
+
+  #take (targetId: string, step: JobStep): void {
+    this.#largestFree.clear()
+    this.#free.set(targetId, subtractSizes(this.#readFree(targetId), computeCountedSize(step.size, step.usesIdleCapacity)))
+  }
+
+  /** Whether a task of this length would take room that a gang waits for. */
+  #isHeldAgainst (target: TargetView, size: TaskSize, durationMs: number): boolean {
+    const holds = this.#holds.get(target.id)
+    if (holds === undefined) return false
+    return holds.some((hold) => this.#nowMs + durationMs > hold.fromMs &&
+      !hasRoom(subtractSizes(this.#computeFreeAt(target, hold.fromMs), hold.size), size))
+  }
+
+  #computeFreeAt (target: TargetView, atMs: number): TaskSize {
+    return target.runs.filter((run) => run.expectedEndMs <= atMs).reduce((free, run) => addSizes(free, run.size), this.#readFree(target.id))
+  }
+
+  /** Keeps the room in which the gang will fit first. */
+  #holdRoom (waiting: WaitingStep, candidates: readonly TargetView[]): void {
+    if (this.#heldGangs >= MAXIMUM_HELD_GANGS) return
+    const { step } = waiting
+    const slots = candidates.flatMap((target) => this.#listSlots(target, step)).sort((left, right) => left.atMs - right.atMs)
+    const needed = slots.slice(0, waiting.pending.length)
+    const last = needed[waiting.pending.length - 1]
+    if (last === undefined) return
+    this.#heldGangs++
+    const sizes = new Map<string, TaskSize>()
+    for (const slot of needed) {
+      const held = sizes.get(slot.targetId)
+      sizes.set(slot.targetId, held === undefined ? step.size : addSizes(held, step.size))
+    }
+    for (const [targetId, size] of sizes) {
+      const holds = this.#holds.get(targetId) ?? []
+      this.#holds.set(targetId, [...holds, { size, fromMs: last.atMs }])
+    }
+  }
+
+  /** Times at which one more task of the step fits on the target. */
+  #listSlots (target: TargetView, step: JobStep): Slot[] {
+    const slots: Slot[] = []
+    const held = (this.#holds.get(target.id) ?? []).reduce((free, hold) => subtractSizes(free, hold.size), this.#readFree(target.id))
+    let free = held
+    let atMs = this.#nowMs
+    const runs = [...target.runs].sort((left, right) => left.expectedEndMs - right.expectedEndMs)
+    const limit = step.maximumPerTarget > 0 ? step.maximumPerTarget : Number.POSITIVE_INFINITY
+    for (let next = 0; slots.length < limit;) {
+      if (hasRoom(free, step.size)) {
+        slots.push({ targetId: target.id, atMs })
+        free = subtractSizes(free, step.size)
+        continue
+      }
+      const run = runs[next++]
+      if (run === undefined) break
+      free = addSizes(free, run.size)
+      atMs = Math.max(this.#nowMs, run.expectedEndMs)
+    }
+    return slots
+  }
+}
+
+function takeLarger (left: TaskSize, right: TaskSize): TaskSize {
+  return {
+    cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
+    memoryMb: Math.max(left.memoryMb, right.memoryMb),
+    accelerators: Math.max(left.accelerators, right.accelerators)
+  }
+}
+
+/** Scores what is left on a target: less is better, so that whole targets stay free for large tasks. */
+function scoreFit (left: TaskSize, capacity: TaskSize): number {
+  const cpuShare = capacity.cpuMillis > 0 ? left.cpuMillis / capacity.cpuMillis : 0
+  const memoryShare = capacity.memoryMb > 0 ? left.memoryMb / capacity.memoryMb : 0
+  return cpuShare + memoryShare
+}
--- /dev/null
+++ b/packages/jobs/src/progress-lanes.ts
@@ -0,0 +1,42 @@
+import { ProgressWriter, type ProgressWriterOptions } from './progress-writer.js'
+
+/** Number of write sequences of an owner. */
+export const LANE_COUNT = 4
+/** A write that takes longer shows a slow store, whose throughput one transaction at a time would bound. */
+const SLOW_WRITE_MS = 60
+
+/**
+ * Writes progress in one lane while the store is quick, and in several at once while it is slow. Each lane has a write
+ * sequence of its own; a job stays in its lane until all of its changes are stored, so that its writes keep their order.
+ */
+export class ProgressLanes {
+  readonly #lanes: readonly ProgressWriter[]
+
+  constructor (options: Omit<ProgressWriterOptions, 'sequenceKey'>, formatSequenceKey: (lane: number) => string) {
+    this.#lanes = Array.from({ length: LANE_COUNT }, (_, lane) => new ProgressWriter({ ...options, sequenceKey: formatSequenceKey(lane) }))
+  }
+
+  markChanged (jobId: string): void {
+    const lane = this.#lanes.find((candidate) => candidate.hasUnstored(jobId)) ?? this.#chooseLane()
+    lane?.markChanged(jobId)
+  }
+
+  /** Calls back once all changes marked so far are stored. */
+  runWhenStored (callback: () => void): void {
+    let open = this.#lanes.length
+    const finish = (): void => {
+      if (--open === 0) callback()
+    }
+    for (const lane of this.#lanes) lane.runWhenStored(finish)
+  }
+
+  stop (): void {
+    for (const lane of this.#lanes) lane.stop()
+  }
+
+  #chooseLane (): ProgressWriter | undefined {
+    const [first] = this.#lanes
+    if (first === undefined || !first.isSlow(SLOW_WRITE_MS)) return first
+    return this.#lanes.reduce((best, lane) => lane.countUnstored() < best.countUnstored() ? lane : best, first)
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/progress-writer.ts
@@ -0,0 +1,198 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import type { KeyValueStore, Mutation, Transaction } from '@hibiscusledge/store/key-value-store.js'
+import { JOB_EVENTS } from './job-events.js'
+import { OWNER_KEY } from './job-keys.js'
+import { JOB_METRICS } from './job-metrics.js'
+
+/** Entries of a transaction that the store accepts, less the two conditions and the write sequence. */
+const MAXIMUM_MUTATIONS = 29
+const RETRY_MS = 50
+
+interface Barrier { readonly sequence: number, readonly callback: () => void }
+
+export interface ProgressWriterOptions {
+  readonly clock: Clock
+  readonly logger: EventLogger
+  readonly metrics: MetricSink
+  readonly store: KeyValueStore
+  readonly ownerRevision: number
+  /** Key that only this writer of this owner writes. */
+  readonly sequenceKey: string
+  readonly sequenceRevision: number
+  readonly writePeriodMs: number
+  /** What the store is to hold of a job as it is now. */
+  readonly buildMutations: (jobId: string) => readonly Mutation[]
+  readonly isAuthorized: () => boolean
+  /** Another owner has taken over. */
+  readonly onSuperseded: () => void
+  /** A write failed, which may be the first sign that the store is out of reach. */
+  readonly onFailed: () => void
+}
+
+/**
+ * Writes the progress of changed jobs in groups, one transaction at a time. Each transaction requires this owner's
+ * key and the write sequence of the transaction before it, so that one carried out late changes nothing.
+ */
+export class ProgressWriter {
+  readonly #options: ProgressWriterOptions
+  readonly #dirty = new Map<string, number>()
+  #inFlight = new Map<string, number>()
+  #barriers: Barrier[] = []
+  #nextSequence = 1
+  #sequenceRevision: number
+  #writeCount = 0
+  #isWriting = false
+  #isStopped = false
+  #timer: Timer | undefined
+  #lastWriteMs = Number.NEGATIVE_INFINITY
+  #lastDurationMs = 0
+
+  constructor (options: ProgressWriterOptions) {
+    this.#options = options
+    this.#sequenceRevision = options.sequenceRevision
+  }
+
+  markChanged (jobId: string): void {
+    if (!this.#dirty.has(jobId)) this.#dirty.set(jobId, this.#nextSequence++)
+    this.#schedule()
+  }
+
+  /** Whether changes of the job wait or are being written. */
+  hasUnstored (jobId: string): boolean {
+    return this.#dirty.has(jobId) || this.#inFlight.has(jobId)
+  }
+
+  countUnstored (): number {
+    return this.#dirty.size + this.#inFlight.size
+  }
+
+  /** Whether the last write, or the one under way, has taken longer than this. */
+  isSlow (limitMs: number): boolean {
+    const openMs = this.#isWriting ? this.#options.clock.readMonotonicMs() - this.#lastWriteMs : 0
+    return Math.max(this.#lastDurationMs, openMs) > limitMs
+  }
+
+  /** Calls back once all changes marked so far are stored. */
+  runWhenStored (callback: () => void): void {
+    if (this.#dirty.size === 0 && this.#inFlight.size === 0) return callback()
+    this.#barriers.push({ sequence: this.#nextSequence - 1, callback })
+  }
+
+  stop (): void {
+    this.#isStopped = true
+    this.#timer?.cancel()
+    this.#barriers = []
+  }
+
+  /** Waits until all is stored, for an orderly end of ownership. */
+  async drain (): Promise<void> {
+    await new Promise<void>((resolve) => { this.runWhenStored(resolve) })
+  }
+
+  #schedule (): void {
+    if (this.#isWriting || this.#isStopped || this.#timer !== undefined || this.#dirty.size === 0) return
+    const { clock, writePeriodMs } = this.#options
+    const delayMs = Math.max(0, this.#lastWriteMs + writePeriodMs - clock.readMonotonicMs())
+    this.#timer = clock.startTimer(delayMs, () => {
+      this.#timer = undefined
+      void this.#write()
+    })
+  }
+
+  async #write (): Promise<void> {
+    if (!this.#options.isAuthorized()) return this.#retryLater()
+    this.#isWriting = true
+    this.#lastWriteMs = this.#options.clock.readMonotonicMs()
+    const isStored = await this.#commit(this.#takeBatch())
+    this.#lastDurationMs = this.#options.clock.readMonotonicMs() - this.#lastWriteMs
+    this.#options.metrics.recordTiming(JOB_METRICS.progressWrite, this.#lastDurationMs)
+    this.#isWriting = false
+    if (this.#isStopped) return
+    if (!isStored) {
+      this.#options.onFailed()
+      this.#restoreInFlight()
+      return this.#retryLater()
+    }
+    this.#inFlight = new Map()
+    this.#releaseBarriers()
+    this.#schedule()
+  }
+
+  /** Takes as many changed jobs as one transaction holds, those that changed first before the others. */
+  #takeBatch (): Mutation[] {
+    const batch: Mutation[] = []
+    this.#inFlight = new Map()
+    for (const [jobId, sequence] of this.#dirty) {
+      const mutations = this.#options.buildMutations(jobId)
+      if (batch.length + mutations.length > MAXIMUM_MUTATIONS) break
+      batch.push(...mutations)
+      this.#inFlight.set(jobId, sequence)
+    }
+    for (const jobId of this.#inFlight.keys()) this.#dirty.delete(jobId)
+    return batch
+  }
+
+  async #commit (batch: readonly Mutation[]): Promise<boolean> {
+    const { store, logger, ownerRevision, sequenceKey } = this.#options
+    const marker = String(++this.#writeCount)
+    const mutations: Mutation[] = [{ type: 'put', key: sequenceKey, value: marker }, ...batch]
+    const transaction: Transaction = {
+      comparisons: [{ key: OWNER_KEY, modRevision: ownerRevision }, { key: sequenceKey, modRevision: this.#sequenceRevision }],
+      mutations
+    }
+    const result = await store.commitTransaction(transaction, 'critical')
+    if (result.err) {
+      const { code, isEffectUnknown } = result.val
+      logger.logWarning(JOB_EVENTS.writeFailed, { code, records: this.#inFlight.size, isEffectUnknown })
+      return isEffectUnknown ? await this.#resolveUnknown(marker) : false
+    }
+    if (result.val.isCommitted) {
+      this.#sequenceRevision = result.val.revision
+      return true
+    }
+    return await this.#resolveUnknown(marker)
+  }
+
+  /** Finds out whether a transaction without a clear answer was carried out. */
+  async #resolveUnknown (marker: string): Promise<boolean> {
+    const { store, ownerRevision, onSuperseded, logger } = this.#options
+    const { sequenceKey } = this.#options
+    const [owner, sequence] = await Promise.all([store.readKey(OWNER_KEY, 'critical'), store.readKey(sequenceKey, 'critical')])
+    if (owner.err || sequence.err) return false
+    if (owner.val?.modRevision !== ownerRevision) {
+      logger.logWarning(JOB_EVENTS.writeSuperseded, { ownerRevision, foundRevision: owner.val?.modRevision })
+      if (!this.#isStopped) onSuperseded()
+      return false
+    }
+    const found = sequence.val
+    if (found === undefined || found.modRevision === this.#sequenceRevision) return false
+    // Only this owner writes the sequence, so the change is its own; an older marker is a late write of an earlier attempt.
+    this.#sequenceRevision = found.modRevision
+    return found.value === marker
+  }
+
+  #restoreInFlight (): void {
+    const later = [...this.#dirty].filter(([jobId]) => !this.#inFlight.has(jobId))
+    const restored = [...this.#inFlight, ...later]
+    this.#dirty.clear()
+    for (const [jobId, sequence] of restored) this.#dirty.set(jobId, sequence)
+    this.#inFlight = new Map()
+  }
+
+  #retryLater (): void {
+    if (this.#isStopped || this.#timer !== undefined) return
+    this.#timer = this.#options.clock.startTimer(RETRY_MS, () => {
+      this.#timer = undefined
+      void this.#write()
+    })
+  }
+
+  #releaseBarriers (): void {
+    const oldest = Math.min(...this.#dirty.values(), Number.POSITIVE_INFINITY)
+    const released = this.#barriers.filter((barrier) => barrier.sequence < oldest)
+    this.#barriers = this.#barriers.filter((barrier) => barrier.sequence >= oldest)
+    for (const barrier of released) barrier.callback()
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/queue-table.ts
@@ -0,0 +1,38 @@
+import type { JobTerms } from './job.js'
+
+/** A queue that callers reach at a host and a path prefix. */
+export interface Queue {
+  readonly host: string
+  readonly prefix: string
+  readonly terms: JobTerms
+}
+
+/** Limits on requests of callers. */
+export interface RequestLimits {
+  readonly maximumHeaderBytes: number
+  readonly maximumBodyBytes: number
+  readonly headerTimeoutMs: number
+  readonly idleTimeoutMs: number
+}
+
+/** The operators' configuration: the queues in force. */
+export interface QueueConfiguration {
+  readonly version: number
+  readonly queues: readonly Queue[]
+  readonly limits: RequestLimits
+}
+
+/** Finds queues by host and path. */
+export class QueueTable {
+  readonly #byHost = new Map<string, Queue[]>()
+
+  constructor (queues: readonly Queue[]) {
+    for (const queue of queues) this.#byHost.set(queue.host, [...this.#byHost.get(queue.host) ?? [], queue])
+    for (const list of this.#byHost.values()) list.sort((left, right) => right.prefix.length - left.prefix.length)
+  }
+
+  /** The queue with the longest prefix that the path begins with. */
+  findQueue (host: string, path: string): Queue | undefined {
+    return this.#byHost.get(host)?.find((queue) => path.startsWith(queue.prefix))
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/recover-jobs.ts
@@ -0,0 +1,120 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
+import type { StoreError } from '@hibiscusledge/store/store-error.js'
+import { JOB_EVENTS } from './job-events.js'
+import { parseWorkKey, PROGRESS_PREFIX, WORK_KEY_KINDS, WORK_PREFIX } from './job-keys.js'
+import { decodeJob } from './job-record.js'
+import { JOB_STATES } from './job.js'
+import type { JobProgress } from './job-progress.js'
+import type { JobTable } from './job-table.js'
+import { decodeProgress, type ProgressRecord } from './progress-record.js'
+import type { TaskSupervisor } from './task-supervisor.js'
+import { computeCountedSize } from './task-room.js'
+import { RUN_PHASES, type TaskRun } from './task-run.js'
+
+/** Jobs read without a pause. Renewals of the lease take their turn in the pauses, however many jobs there are. */
+const JOBS_WITHOUT_PAUSE = 20
+/** A job is never taken to be older than this, since the clocks of instances may differ by seconds. */
+const MAXIMUM_AGE_MS = 60_000
+
+export interface RecoveryParts {
+  readonly clock: Clock
+  readonly logger: EventLogger
+  readonly store: KeyValueStore
+  readonly table: JobTable
+  readonly supervisor: TaskSupervisor
+  /** Tracks a run that an earlier owner may have started. */
+  readonly adoptRun: (run: TaskRun) => void
+}
+
+/** What a new owner has read. */
+export interface Recovery {
+  /** Revision from which changes of accepted work are to be followed. */
+  readonly workRevision: number
+  readonly cancelledIds: readonly string[]
+}
+
+/** Reads all jobs and their progress, as a new owner finds them. */
+export async function recoverJobs (parts: RecoveryParts): Promise<Result<Recovery, StoreError>> {
+  const { store, logger } = parts
+  const [progressListing, workListing] = await Promise.all([store.listPrefix(PROGRESS_PREFIX, 'critical'), store.listPrefix(WORK_PREFIX, 'critical')])
+  if (progressListing.err) return Err(progressListing.val)
+  if (workListing.err) return Err(workListing.val)
+  const records = new Map(progressListing.val.values.map((value) => [value.key.slice(PROGRESS_PREFIX.length), value.value]))
+  const cancelledIds: string[] = []
+  let jobCount = 0
+  for (const { key, value } of workListing.val.values) {
+    if (++jobCount % JOBS_WITHOUT_PAUSE === 0) await pause(parts.clock)
+    const parsed = parseWorkKey(key)
+    if (parsed === undefined) continue
+    if (parsed.kind === WORK_KEY_KINDS.cancel) cancelledIds.push(parsed.id)
+    else recoverJob(parts, parsed.id, value, records.get(parsed.id))
+  }
+  logger.logInfo(JOB_EVENTS.recovered, { records: records.size, work: workListing.val.values.length, revision: workListing.val.revision })
+  return Ok({ workRevision: workListing.val.revision, cancelledIds })
+}
+
+async function pause (clock: Clock): Promise<void> {
+  await new Promise<void>((resolve) => { clock.startTimer(0, resolve) })
+}
+
+function recoverJob (parts: RecoveryParts, id: string, text: string, progressText: string | undefined): void {
+  const { table, logger, clock, supervisor } = parts
+  if (table.has(id)) return
+  const record = progressText === undefined ? undefined : decodeProgress(progressText)
+  if (record?.err === true) {
+    // Without its progress the job would run again from its beginning.
+    table.quarantine(id)
+    return logger.logError(JOB_EVENTS.recordMalformed, { jobId: id, message: record.val })
+  }
+  const job = decodeJob(text)
+  if (job.err) return logger.logError(JOB_EVENTS.recordMalformed, { jobId: id, message: job.val })
+  const ageMs = Math.min(MAXIMUM_AGE_MS, Math.max(0, clock.readWallMs() - job.val.acceptedAtMs))
+  const progress = supervisor.adoptJob(job.val, clock.readMonotonicMs() - ageMs)
+  if (record !== undefined) applyRecord(parts, progress, record.val)
+}
+
+function applyRecord ({ clock, table, supervisor, adoptRun }: RecoveryParts, progress: JobProgress, record: ProgressRecord): void {
+  while (progress.occurrences.length < record.occurrences) progress.addOccurrence()
+  progress.hasBegun = record.state !== 'queued'
+  for (const stepRecord of record.steps) {
+    const step = progress.findStep(stepRecord.occurrence, stepRecord.step)
+    if (step === undefined) continue
+    step.gangFailures = stepRecord.gangFailures
+    for (const task of step.tasks) if (stepRecord.done === true || stepRecord.done.includes(task.key.index)) step.markDone(task)
+    for (const [index, failures] of stepRecord.failures) assignTask(step.tasks[index], { failures })
+    for (const [index, checkpoint] of stepRecord.checkpoints) assignTask(step.tasks[index], { checkpoint })
+    for (const [index, number, targetId] of stepRecord.runs) {
+      const task = step.tasks[index]
+      if (task === undefined) continue
+      const run: TaskRun = {
+        task: task.key,
+        number,
+        targetId,
+        size: computeCountedSize(step.step.size, step.step.usesIdleCapacity),
+        phase: RUN_PHASES.unsettled,
+        sentAtMs: Number.NEGATIVE_INFINITY,
+        expectedEndMs: clock.readMonotonicMs() + step.step.estimatedMs,
+        isStopWanted: false,
+        isStopAcknowledged: false,
+        percent: 0,
+        percentChangedAtMs: clock.readMonotonicMs()
+      }
+      task.run = run
+      adoptRun(run)
+    }
+  }
+  if (record.state === JOB_STATES.failed) progress.hasFailed = true
+  if (record.state === JOB_STATES.cancelled) progress.isCancelled = true
+  // The record of a completed job names only the steps of which runs are still listed.
+  if (record.state === JOB_STATES.completed) progress.markAllDone()
+  const nowMs = clock.readMonotonicMs()
+  progress.occurrences.forEach((_, occurrence) => table.updateReady(progress, occurrence, nowMs))
+  supervisor.closeIfOver(progress)
+}
+
+function assignTask (task: { failures: number, checkpoint: string } | undefined, values: { failures?: number, checkpoint?: string }): void {
+  if (task !== undefined) Object.assign(task, values)
+}
--- /dev/null
+++ b/packages/jobs/src/spread-target-gateway.ts
@@ -0,0 +1,98 @@
+import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
+import { toInstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import { Err, type Result } from '@hibiscusledge/runtime/result.js'
+import { JOB_MESSAGES } from './job-messages.js'
+import { decodeOrderAnswer, decodeOrderReport, type OrderMessage } from './order-message.js'
+import {
+  ORDER_ERROR_CODES, type LookOrder, type OrderAnswer, type OrderError, type StartOrder, type StopOrder, type TargetEndpoint,
+  type TargetGateway, type TargetReport
+} from './target-gateway.js'
+
+/** Up to so many targets the owner sends its orders itself, which takes one message less. */
+const DIRECT_TARGETS = 64
+/** Longest time in which another instance answers an order, over the time that a look waits. */
+const REPLY_TIMEOUT_MS = 900
+
+/**
+ * Sends an owner's orders through the other instances when there are many targets: talking HTTP to all of them takes more
+ * processor time than one instance has. Each target is assigned to one instance and moves to another when that one can't be
+ * asked or gets no answer from the target. An order whose reply is lost counts as unanswered, as if the target had not answered.
+ */
+export class SpreadTargetGateway implements TargetGateway {
+  readonly #network: PeerNetwork
+  readonly #direct: TargetGateway
+  readonly #known = new Set<string>()
+  /** Instance that a target is assigned to. */
+  readonly #helpers = new Map<string, string>()
+  /** Assignments made to each instance. They are not taken back, so that a target moves to another one. */
+  readonly #loads = new Map<string, number>()
+
+  constructor (network: PeerNetwork, direct: TargetGateway) {
+    this.#network = network
+    this.#direct = direct
+  }
+
+  async startRun (target: TargetEndpoint, order: StartOrder): Promise<Result<OrderAnswer, OrderError>> {
+    const reply = await this.#sendThroughHelper({ kind: 'start', target: toEndpoint(target), order }, 0)
+    return reply === undefined ? await this.#direct.startRun(target, order) : this.#checkAnswer(target, reply.andThen(decodeOrderAnswer))
+  }
+
+  async stopRun (target: TargetEndpoint, order: StopOrder): Promise<Result<OrderAnswer, OrderError>> {
+    const reply = await this.#sendThroughHelper({ kind: 'stop', target: toEndpoint(target), order }, 0)
+    return reply === undefined ? await this.#direct.stopRun(target, order) : this.#checkAnswer(target, reply.andThen(decodeOrderAnswer))
+  }
+
+  async fetchReport (target: TargetEndpoint, order: LookOrder): Promise<Result<TargetReport, OrderError>> {
+    const reply = await this.#sendThroughHelper({ kind: 'look', target: toEndpoint(target), order }, order.waitMs)
+    return reply === undefined ? await this.#direct.fetchReport(target, order) : this.#checkAnswer(target, reply.andThen(decodeOrderReport))
+  }
+
+  forgetTarget (targetId: string): void {
+    this.#release(targetId)
+    this.#known.delete(targetId)
+    this.#direct.forgetTarget(targetId)
+  }
+
+  /** The reply of the instance that the target is assigned to; undefined when the owner is to send the order itself. */
+  async #sendThroughHelper (message: OrderMessage, waitMs: number): Promise<Result<unknown, OrderError> | undefined> {
+    const { id, address } = message.target
+    this.#known.add(id)
+    if (address === '' || this.#known.size <= DIRECT_TARGETS) return undefined
+    const helper = this.#helpers.get(id) ?? this.#assign(id)
+    if (helper === undefined) return undefined
+    const reply = await this.#network.sendRequest(toInstanceId(helper), JOB_MESSAGES.sendOrder, message, REPLY_TIMEOUT_MS + waitMs)
+    if (reply.ok) return reply
+    this.#release(id)
+    if (reply.val.code === 'notConnected') return undefined
+    return Err({ code: ORDER_ERROR_CODES.noAnswer, message: `no reply from ${helper}: ${reply.val.message}` })
+  }
+
+  /** Moves a target to another instance when this one gets no answer from it. */
+  #checkAnswer<Value> (target: TargetEndpoint, result: Result<Value, OrderError>): Result<Value, OrderError> {
+    if (result.err && result.val.code === ORDER_ERROR_CODES.noAnswer) this.#release(target.id)
+    return result
+  }
+
+  #assign (targetId: string): string | undefined {
+    let best: string | undefined
+    for (const { instance } of this.#network.listConnected()) {
+      if (best === undefined || this.#readLoad(instance) < this.#readLoad(best)) best = instance
+    }
+    if (best === undefined) return undefined
+    this.#helpers.set(targetId, best)
+    this.#loads.set(best, this.#readLoad(best) + 1)
+    return best
+  }
+
+  #release (targetId: string): void {
+    this.#helpers.delete(targetId)
+  }
+
+  #readLoad (instance: string): number {
+    return this.#loads.get(instance) ?? 0
+  }
+}
+
+function toEndpoint ({ id, address }: TargetEndpoint): TargetEndpoint {
+  return { id, address }
+}
--- /dev/null
+++ b/packages/jobs/src/target-clock.ts
@@ -0,0 +1,26 @@
+/** A target's steady clock may run slower than ours by this share. */
+export const CLOCK_DRIFT_SHARE = 0.02
+
+/** Estimates a target's clock from its answers. */
+export class TargetClock {
+  #targetMs: number | undefined
+  #receivedAtMs = 0
+
+  /** Takes the clock of an answer. An answer that arrives out of order doesn't set the estimate back. */
+  update (targetMs: number, receivedAtMs: number): void {
+    const estimateMs = this.estimate(receivedAtMs)
+    if (estimateMs !== undefined && estimateMs > targetMs) return
+    this.#targetMs = targetMs
+    this.#receivedAtMs = receivedAtMs
+  }
+
+  /** Lower bound of the target's clock; undefined before the first answer. */
+  estimate (nowMs: number): number | undefined {
+    if (this.#targetMs === undefined) return undefined
+    return this.#targetMs + (nowMs - this.#receivedAtMs) * (1 - CLOCK_DRIFT_SHARE)
+  }
+
+  reset (): void {
+    this.#targetMs = undefined
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/target-session.ts
@@ -0,0 +1,366 @@
+import { EarlierOrders } from './earlier-orders.js'
+import { EndAcknowledgement } from './end-acknowledgement.js'
+import { JOB_EVENTS } from './job-events.js'
+import { LookTimer } from './look-timer.js'
+import { computeEarlierLeaseBoundMs, computeLeaseBoundMs } from './owner-timings.js'
+import type { SessionHost } from './session-host.js'
+import { TargetClock } from './target-clock.js'
+import { ORDER_ERROR_CODES, type EndRow, type OrderError, type RunningRow, type TargetDescription, type TargetReport } from './target-gateway.js'
+import { TargetHealth } from './target-health.js'
+import { TaskRoom } from './task-room.js'
+import { formatRowKey, formatRunKey, formatTaskName, RUN_OUTCOMES, RUN_PHASES, type RunOutcome, type TaskRun } from './task-run.js'
+
+export interface StartTerms {
+  readonly specification: string
+  readonly checkpoint: string
+  readonly ticket?: string | undefined
+}
+
+/** The owner's dealings with one target: orders, looks, the lease, and the room that runs hold there. */
+export class TargetSession {
+  readonly room: TaskRoom
+  readonly health = new TargetHealth()
+  #description: TargetDescription
+  readonly #host: SessionHost
+  readonly #runs = new Map<string, TaskRun>()
+  readonly #clock = new TargetClock()
+  readonly #earlierOrders: EarlierOrders
+  readonly #ends: EndAcknowledgement
+  readonly #lookTimer: LookTimer
+  #startedAtMs: number | undefined
+  /** Monotonic time until which a draining target stays at least. */
+  #leavesAtMs: number | undefined
+  #isListed = true
+  #isKnown = false
+  #isStopped = false
+  /** Monotonic time by which every lease given to this target has surely run out. */
+  #leaseBoundMs: number
+  #lastAnswerMs: number
+  #failedLooks = 0
+
+  constructor (description: TargetDescription, host: SessionHost) {
+    this.#description = description
+    this.#host = host
+    this.room = new TaskRoom(description.capacity)
+    this.#earlierOrders = new EarlierOrders(host)
+    this.#ends = new EndAcknowledgement(host.timings.rememberedEnds)
+    this.#lookTimer = new LookTimer(host.clock, async () => await this.#inspectInTurn())
+    const nowMs = host.clock.readMonotonicMs()
+    this.#lastAnswerMs = nowMs
+    this.#leaseBoundMs = nowMs + computeEarlierLeaseBoundMs(host.timings)
+  }
+
+  get id (): string { return this.#description.id }
+
+  readDescription (): TargetDescription { return this.#description }
+
+  listRuns (): Iterable<TaskRun> { return this.#runs.values() }
+
+  countRuns (): number { return this.#runs.size }
+
+  /** Whether the target may get work: it has answered this owner lately, stays, and is sound. */
+  isUsable (nowMs: number): boolean {
+    return this.#isKnown && this.isStaying() && this.#earlierOrders.isEmpty() &&
+      nowMs - this.#lastAnswerMs < this.#host.timings.silenceMs && this.health.shouldTakeWork(nowMs, this.#runs.size)
+  }
+
+  /** Whether the target is listed and not about to leave. */
+  isStaying (): boolean {
+    return this.#isListed && !this.#description.isDraining
+  }
+
+  /** Monotonic time until which the target stays at least; undefined when it isn't about to leave or doesn't tell. */
+  readLeavesAtMs (): number | undefined {
+    return this.#leavesAtMs
+  }
+
+  /** Whether nothing is left to follow here. */
+  isObsolete (): boolean {
+    return !this.#isListed && this.#runs.size === 0
+  }
+
+  start (): void {
+    this.#lookTimer.schedule(0)
+  }
+
+  stop (): void {
+    this.#isStopped = true
+    this.#lookTimer.stop()
+  }
+
+  setDescription (description: TargetDescription): void {
+    const { isDraining, remainingMs } = description
+    if (!isDraining || remainingMs === undefined) this.#leavesAtMs = undefined
+    else if (remainingMs !== this.#description.remainingMs) this.#leavesAtMs = this.#host.clock.readMonotonicMs() + remainingMs
+    const hasMoved = description.address !== this.#description.address
+    this.#description = description
+    this.#isListed = true
+    this.room.setCapacity(description.capacity)
+    const isNewLife = (description.startedAtMs ?? 0) > (this.#startedAtMs ?? Number.POSITIVE_INFINITY)
+    if (hasMoved || isNewLife) this.#lookTimer.schedule(0)
+  }
+
+  markUnlisted (): void {
+    this.#isListed = false
+  }
+
+  /** Tracks a run that an earlier owner may have started. */
+  adoptRun (run: TaskRun): void {
+    this.#addRun(run)
+  }
+
+  /** Takes room for a run that is about to be started. */
+  reserve (run: TaskRun): void {
+    this.#addRun(run)
+  }
+
+  /** Gives back the room of a run whose order was never sent. */
+  withdraw (run: TaskRun): void {
+    this.#removeRun(run)
+  }
+
+  /** Sends the order to start a reserved run. */
+  async startRun (run: TaskRun, terms: StartTerms): Promise<void> {
+    const { clock, gateway, timings, fencingToken } = this.#host
+    if (this.#isStopped || this.#runs.get(formatRunKey(run)) !== run) return
+    const nowMs = clock.readMonotonicMs()
+    const targetNowMs = this.#clock.estimate(nowMs)
+    const isAllowed = this.#host.isAuthorized() && !run.isStopWanted
+    if (targetNowMs === undefined || !isAllowed) return this.#settle(run, RUN_OUTCOMES.notStarted, '')
+    run.phase = RUN_PHASES.sent
+    run.sentAtMs = nowMs
+    this.#extendLeaseBound(nowMs, timings.startValidityMs)
+    const result = await gateway.startRun(this.#description, {
+      taskName: formatTaskName(run.task),
+      run: run.number,
+      specification: terms.specification,
+      validUntilMs: Math.floor(targetNowMs + timings.startValidityMs),
+      fencingToken,
+      checkpoint: terms.checkpoint,
+      ticket: terms.ticket
+    })
+    if (this.#isStopped || this.#runs.get(formatRunKey(run)) !== run) return
+    if (result.ok) return this.#onStartAnswered(run, result.val.targetClockMs)
+    this.#onStartFailed(run, result.val)
+  }
+
+  /** Asks the target to stop a run, until it answers. */
+  requestStop (run: TaskRun): void {
+    if (run.isStopWanted) return
+    run.isStopWanted = true
+    if (run.phase === RUN_PHASES.reserved) return
+    void this.#sendStop(run)
+  }
+
+  /** Gives up runs whose lease has surely run out, and stops those that hang. */
+  checkLapse (): void {
+    const nowMs = this.#host.clock.readMonotonicMs()
+    this.#earlierOrders.prune()
+    if (this.#runs.size === 0 || nowMs < this.#leaseBoundMs) return
+    const silentMs = Math.round(nowMs - this.#lastAnswerMs)
+    this.#host.logger.logWarning(JOB_EVENTS.targetLapsed, { target: this.id, runs: this.#runs.size, silentMs })
+    this.#isKnown = false
+    for (const run of [...this.#runs.values()]) this.#settle(run, RUN_OUTCOMES.lapsed, '')
+  }
+
+  /** Looks at the target soon, without waiting for an end. */
+  requestLook (): void {
+    void this.#inspect(0)
+  }
+
+  #addRun (run: TaskRun): void {
+    this.#runs.set(formatRunKey(run), run)
+    this.room.take(run.size)
+  }
+
+  #removeRun (run: TaskRun): boolean {
+    if (this.#runs.get(formatRunKey(run)) !== run) return false
+    this.#runs.delete(formatRunKey(run))
+    this.room.release(run.size)
+    return true
+  }
+
+  #settle (run: TaskRun, outcome: RunOutcome, checkpoint: string): void {
+    if (!this.#removeRun(run)) return
+    const nowMs = this.#host.clock.readMonotonicMs()
+    const mayStillArrive = outcome === RUN_OUTCOMES.lapsed && run.phase === RUN_PHASES.unsettled
+    if (mayStillArrive) this.#earlierOrders.add(run)
+    this.#ends.rememberRun(formatRunKey(run))
+    if (outcome === RUN_OUTCOMES.done || outcome === RUN_OUTCOMES.failed) {
+      const isNowSuspected = this.health.recordEnd(nowMs, run.task.jobId, outcome === RUN_OUTCOMES.failed)
+      if (isNowSuspected) this.#host.logger.logWarning(JOB_EVENTS.targetSuspected, { target: this.id })
+    }
+    this.#host.onRunEnded(run, outcome, checkpoint)
+    this.#host.onRoomChanged()
+  }
+
+  #onStartAnswered (run: TaskRun, targetClockMs: number): void {
+    this.#clock.update(targetClockMs, this.#host.clock.readMonotonicMs())
+    this.#markRunning(run)
+    if (run.isStopWanted) void this.#sendStop(run)
+  }
+
+  #markRunning (run: TaskRun): void {
+    if (run.phase === RUN_PHASES.running) return
+    run.phase = RUN_PHASES.running
+    this.#host.onRunStarted(run)
+  }
+
+  #onStartFailed (run: TaskRun, error: OrderError): void {
+    const { logger, clock } = this.#host
+    const fields = { jobId: run.task.jobId, task: formatTaskName(run.task), run: run.number, target: this.id, code: error.code }
+    if (error.code === ORDER_ERROR_CODES.noAnswer) {
+      logger.logWarning(JOB_EVENTS.startUnanswered, { ...fields, message: error.message })
+      run.phase = RUN_PHASES.unsettled
+      // The look tells whether the run is there; if not, it sends the order to stop.
+      this.requestLook()
+      return
+    }
+    logger.logWarning(JOB_EVENTS.startRefused, fields)
+    if (error.code === ORDER_ERROR_CODES.unhealthy) this.health.recordRefusal(clock.readMonotonicMs())
+    if (error.code === ORDER_ERROR_CODES.fenced) this.#host.onFenced()
+    if (error.code === ORDER_ERROR_CODES.invalidTicket) this.#host.onTicketRefused(run)
+    this.#settle(run, RUN_OUTCOMES.notStarted, '')
+  }
+
+  async #sendStop (run: TaskRun): Promise<void> {
+    const { gateway, fencingToken, clock, timings, logger } = this.#host
+    logger.logInfo(JOB_EVENTS.taskStopped, { jobId: run.task.jobId, task: formatTaskName(run.task), run: run.number, target: this.id })
+    const result = await gateway.stopRun(this.#description, { taskName: formatTaskName(run.task), run: run.number, fencingToken })
+    if (this.#isStopped || this.#runs.get(formatRunKey(run)) !== run) return
+    if (result.ok) {
+      run.isStopAcknowledged = true
+      if (run.phase === RUN_PHASES.unsettled) this.requestLook()
+      return
+    }
+    if (result.val.code === ORDER_ERROR_CODES.fenced) return this.#host.onFenced()
+    clock.startTimer(timings.stopRetryMs, () => {
+      if (!this.#isStopped && !run.isStopAcknowledged && this.#runs.get(formatRunKey(run)) === run) void this.#sendStop(run)
+    })
+  }
+
+  async #inspectInTurn (): Promise<void> {
+    const { clock, timings, runWhenStored } = this.#host
+    const hadEnds = await this.#inspect(this.#isKnown ? timings.lookWaitMs : 0)
+    if (this.#failedLooks > 0) return this.#lookTimer.schedule(timings.lookRetryMs)
+    if (!hadEnds) return this.#lookTimer.schedule(0)
+    // The target answers at once while ends are unacknowledged, so the next look waits until they are stored.
+    const notBeforeMs = clock.readMonotonicMs() + timings.lookPauseMs
+    runWhenStored(() => this.#lookTimer.schedule(Math.max(0, notBeforeMs - clock.readMonotonicMs())))
+  }
+
+  async #inspect (waitMs: number): Promise<boolean> {
+    const { clock, gateway, timings, fencingToken } = this.#host
+    const sentAtMs = clock.readMonotonicMs()
+    const targetNowMs = this.#clock.estimate(sentAtMs)
+    const leaseMs = this.#host.isStoreHealthy() ? timings.leaseMs : timings.maximumLeaseMs
+    // A target that doesn't answer may still get the look: its lease must run out before its tasks run elsewhere.
+    const isExtending = targetNowMs !== undefined && this.#failedLooks === 0 && this.#host.isAuthorized()
+    if (isExtending) this.#extendLeaseBound(sentAtMs, leaseMs)
+    const result = await gateway.fetchReport(this.#description, {
+      fencingToken,
+      acknowledgedEnd: this.#ends.readStored(),
+      leaseUntilMs: isExtending ? Math.floor(targetNowMs + leaseMs) : undefined,
+      waitMs
+    })
+    if (this.#isStopped) return false
+    if (result.ok) return this.#applyReport(result.val, sentAtMs)
+    this.#onLookFailed(result.val)
+    return false
+  }
+
+  #extendLeaseBound (nowMs: number, leaseMs: number): void {
+    this.#leaseBoundMs = Math.max(this.#leaseBoundMs, nowMs + computeLeaseBoundMs(leaseMs))
+  }
+
+  #onLookFailed (error: OrderError): void {
+    const { code, message } = error
+    if (this.#failedLooks++ === 0) this.#host.logger.logWarning(JOB_EVENTS.targetLost, { target: this.id, code, message })
+    if (error.code === ORDER_ERROR_CODES.fenced) this.#host.onFenced()
+  }
+
+  #applyReport (report: TargetReport, sentAtMs: number): boolean {
+    const nowMs = this.#host.clock.readMonotonicMs()
+    const isFirst = !this.#isKnown
+    if (this.#startedAtMs !== undefined && report.startedAtMs < this.#startedAtMs) return false
+    if (this.#startedAtMs !== undefined && report.startedAtMs > this.#startedAtMs) this.#beginNewLife()
+    this.#startedAtMs = report.startedAtMs
+    const hasReturned = isFirst || this.#failedLooks > 0
+    if (hasReturned) this.#host.logger.logInfo(JOB_EVENTS.targetReached, { target: this.id, running: report.running.length })
+    this.#failedLooks = 0
+    this.#isKnown = true
+    this.#lastAnswerMs = nowMs
+    this.#clock.update(report.targetClockMs, nowMs)
+    const endedRows = this.#ends.selectNew(report.ended)
+    const runningKeys = new Set(report.running.map((row) => formatRowKey(row)))
+    for (const row of report.running) this.#applyRunning(row, nowMs)
+    for (const row of endedRows) this.#applyEnd(row)
+    for (const run of [...this.#runs.values()]) this.#checkAbsent(run, runningKeys, sentAtMs)
+    this.#earlierOrders.stopAll(this.#description)
+    if (endedRows.length > 0) this.#ends.acknowledge(endedRows, this.#host.runWhenStored)
+    if (isFirst) this.#host.onRoomChanged()
+    return endedRows.length > 0
+  }
+
+  #applyRunning (row: RunningRow, nowMs: number): void {
+    const key = formatRowKey(row)
+    if (this.#ends.hasEnded(key)) return
+    let run = this.#runs.get(key)
+    if (run === undefined) {
+      run = this.#host.onUnknownRun(row, this.id)
+      if (run === undefined) return
+      this.#addRun(run)
+      void this.#sendStop(run)
+      return
+    }
+    this.#markRunning(run)
+    if (row.percent !== run.percent) {
+      run.percent = row.percent
+      run.percentChangedAtMs = nowMs
+    }
+    if (row.checkpoint !== '') this.#host.onCheckpoint(run, row.checkpoint)
+  }
+
+  #applyEnd (row: EndRow): void {
+    const run = this.#runs.get(formatRowKey(row))
+    if (run === undefined) return
+    const hasRun = row.outcome === RUN_OUTCOMES.done || row.outcome === RUN_OUTCOMES.failed
+    if (hasRun) this.#markRunning(run)
+    this.#settle(run, row.outcome, row.checkpoint)
+  }
+
+  /** Settles a run that the target lists neither as running nor as ended. */
+  #checkAbsent (run: TaskRun, runningKeys: ReadonlySet<string>, sentAtMs: number): void {
+    if (runningKeys.has(formatRunKey(run)) || run.phase === RUN_PHASES.reserved || run.sentAtMs >= sentAtMs) return
+    if (run.phase === RUN_PHASES.running) {
+      // The order was answered before the look was sent, so the run has ended and its end is forgotten.
+      if (sentAtMs - run.sentAtMs > this.#host.timings.orderTimeoutMs) this.#settle(run, RUN_OUTCOMES.lapsed, '')
+      return
+    }
+    if (run.phase !== RUN_PHASES.unsettled) return
+    const isFromEarlierOwner = run.sentAtMs === Number.NEGATIVE_INFINITY
+    // The target has seen this owner's token, so it refuses an order of an earlier owner that is still on its way.
+    if (isFromEarlierOwner || run.isStopAcknowledged) return this.#settle(run, RUN_OUTCOMES.notStarted, '')
+    this.requestStop(run)
+  }
+
+  /** The target has started again: it runs nothing, and knows no token and no earlier order. */
+  #beginNewLife (): void {
+    this.#host.logger.logWarning(JOB_EVENTS.targetRestarted, { target: this.id, runs: this.#runs.size })
+    this.#ends.reset()
+    this.#clock.reset()
+    for (const run of [...this.#runs.values()]) {
+      const mayStillArrive = run.phase === RUN_PHASES.sent || run.phase === RUN_PHASES.unsettled
+      if (run.phase === RUN_PHASES.reserved) continue
+      if (!mayStillArrive || run.sentAtMs === Number.NEGATIVE_INFINITY) {
+        this.#settle(run, RUN_OUTCOMES.lapsed, '')
+        continue
+      }
+      // An order to the earlier life may reach this one, which would take it.
+      run.phase = RUN_PHASES.unsettled
+      run.isStopAcknowledged = false
+      run.isStopWanted = true
+      void this.#sendStop(run)
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/task-room.ts
@@ -0,0 +1,79 @@
+import type { JobStep, TaskSize } from './job.js'
+
+/** Room on a target for tasks. */
+export class TaskRoom {
+  #capacity: TaskSize
+  #usedCpuMillis = 0
+  #usedMemoryMb = 0
+  #usedAccelerators = 0
+
+  constructor (capacity: TaskSize) {
+    this.#capacity = capacity
+  }
+
+  setCapacity (capacity: TaskSize): void {
+    this.#capacity = capacity
+  }
+
+  take (size: TaskSize): void {
+    this.#usedCpuMillis += size.cpuMillis
+    this.#usedMemoryMb += size.memoryMb
+    this.#usedAccelerators += size.accelerators
+  }
+
+  release (size: TaskSize): void {
+    this.#usedCpuMillis -= size.cpuMillis
+    this.#usedMemoryMb -= size.memoryMb
+    this.#usedAccelerators -= size.accelerators
+  }
+
+  readFree (): TaskSize {
+    return {
+      cpuMillis: this.#capacity.cpuMillis - this.#usedCpuMillis,
+      memoryMb: this.#capacity.memoryMb - this.#usedMemoryMb,
+      accelerators: this.#capacity.accelerators - this.#usedAccelerators
+    }
+  }
+
+  readCapacity (): TaskSize {
+    return this.#capacity
+  }
+}
+
+/** Whether a task of this size fits into the free room. */
+export function hasRoom (free: TaskSize, size: TaskSize): boolean {
+  return free.cpuMillis >= size.cpuMillis && free.memoryMb >= size.memoryMb && free.accelerators >= size.accelerators
+}
+
+export function addSizes (left: TaskSize, right: TaskSize): TaskSize {
+  return {
+    cpuMillis: left.cpuMillis + right.cpuMillis,
+    memoryMb: left.memoryMb + right.memoryMb,
+    accelerators: left.accelerators + right.accelerators
+  }
+}
+
+export function subtractSizes (left: TaskSize, right: TaskSize): TaskSize {
+  return {
+    cpuMillis: left.cpuMillis - right.cpuMillis,
+    memoryMb: left.memoryMb - right.memoryMb,
+    accelerators: left.accelerators - right.accelerators
+  }
+}
+
+/** The part of a step's task that counts against a target's room. */
+export function computeCountedSize (size: TaskSize, usesIdleCapacity: boolean): TaskSize {
+  return usesIdleCapacity ? { ...size, cpuMillis: 0 } : size
+}
+
+/** How many tasks of a step fit on an empty target. */
+export function countSlots (capacity: TaskSize, step: JobStep): number {
+  const size = computeCountedSize(step.size, step.usesIdleCapacity)
+  const counts = [
+    size.cpuMillis > 0 ? capacity.cpuMillis / size.cpuMillis : Number.POSITIVE_INFINITY,
+    size.memoryMb > 0 ? capacity.memoryMb / size.memoryMb : Number.POSITIVE_INFINITY,
+    size.accelerators > 0 ? capacity.accelerators / size.accelerators : Number.POSITIVE_INFINITY,
+    step.maximumPerTarget > 0 ? step.maximumPerTarget : Number.POSITIVE_INFINITY
+  ]
+  return Math.floor(Math.min(...counts))
+}
--- /dev/null
+++ b/packages/jobs/src/task-supervisor.ts
@@ -0,0 +1,243 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import { JOB_EVENTS } from './job-events.js'
+import { JOB_METRICS } from './job-metrics.js'
+import type { Job } from './job.js'
+import type { JobProgress } from './job-progress.js'
+import type { JobTable } from './job-table.js'
+import { shouldMoveRun } from './evacuation.js'
+import type { StepProgress, TaskProgress } from './step-progress.js'
+import type { RunningRow } from './target-gateway.js'
+import { computeCountedSize } from './task-room.js'
+import { formatTaskName, parseTaskName, RUN_OUTCOMES, RUN_PHASES, type RunOutcome, type TaskRun } from './task-run.js'
+
+/** A run whose progress stands still for this long hangs. */
+const STALL_MS = 2_500
+/** After so many failures a task waits before its next attempt, so that a bad target is found out before the last. */
+const PATIENT_AFTER_FAILURES = 2
+const RETRY_PAUSE_MS = 400
+/** Run time in parts of the estimate before a run without progress counts as hanging. */
+const STALL_ESTIMATE_FACTOR = 1
+
+export interface TaskSupervisorOptions {
+  readonly clock: Clock
+  readonly logger: EventLogger
+  readonly metrics: MetricSink
+  readonly table: JobTable
+  readonly markChanged: (jobId: string) => void
+  readonly runWhenStored: (callback: () => void) => void
+  readonly requestStop: (run: TaskRun) => void
+  readonly requestRound: () => void
+  /** All about the job is stored, and nothing of it runs. */
+  readonly onFinished: (progress: JobProgress) => void
+  readonly onStalled: (run: TaskRun) => void
+}
+
+/** Follows jobs from their acceptance to their end: what each end of a run means for its task, step and job. */
+export class TaskSupervisor {
+  readonly #options: TaskSupervisorOptions
+
+  constructor (options: TaskSupervisorOptions) {
+    this.#options = options
+  }
+
+  /** Takes over a job. `acceptedAtMs` is on the owner's monotonic clock. */
+  adoptJob (job: Job, acceptedAtMs: number): JobProgress {
+    const { table, logger, clock } = this.#options
+    const progress = table.add(job, acceptedAtMs)
+    if (job.schedule === undefined) {
+      progress.addOccurrence()
+      table.updateReady(progress, 0, clock.readMonotonicMs())
+    }
+    const ageMs = Math.round(clock.readMonotonicMs() - acceptedAtMs)
+    logger.logInfo(JOB_EVENTS.jobAdopted, { jobId: job.id, queue: job.terms.queue, steps: job.steps.length, ageMs })
+    return progress
+  }
+
+  /** Adds the occurrences of scheduled jobs that are due. */
+  addDueOccurrences (): void {
+    const { clock, table } = this.#options
+    const wallMs = clock.readWallMs()
+    const nowMs = clock.readMonotonicMs()
+    for (const progress of table.listActive()) {
+      if (progress.job.schedule === undefined || progress.isOver()) continue
+      const next = progress.occurrences.length
+      if (next >= progress.readOccurrenceCount() || progress.computeDueWallMs(next) > wallMs) continue
+      progress.addOccurrence()
+      progress.renewObjective(nowMs)
+      table.updateReady(progress, next, nowMs)
+      this.#options.markChanged(progress.job.id)
+      this.#options.requestRound()
+    }
+  }
+
+  cancelJob (id: string): void {
+    const progress = this.#options.table.find(id)
+    if (progress === undefined || progress.isOver()) return
+    progress.isCancelled = true
+    this.#options.logger.logInfo(JOB_EVENTS.jobCancelled, { jobId: id })
+    this.#closeJob(progress)
+  }
+
+  /** Goes on with the end of a job that an earlier owner has begun to close. */
+  closeIfOver (progress: JobProgress): void {
+    if (progress.isOver()) this.#closeJob(progress)
+  }
+
+  onRunStarted (run: TaskRun): void {
+    const progress = this.#options.table.find(run.task.jobId)
+    if (progress === undefined || progress.hasBegun) return
+    progress.hasBegun = true
+  }
+
+  onCheckpoint (run: TaskRun, checkpoint: string): void {
+    const task = this.#options.table.find(run.task.jobId)?.findTask(run.task)
+    if (task !== undefined && !task.isDone) task.checkpoint = checkpoint
+  }
+
+  onRunEnded (run: TaskRun, outcome: RunOutcome, checkpoint: string): void {
+    const { table, logger, clock } = this.#options
+    logger.logInfo(JOB_EVENTS.taskEnded, {
+      jobId: run.task.jobId,
+      task: formatTaskName(run.task),
+      run: run.number,
+      target: run.targetId,
+      outcome,
+      afterMs: Number.isFinite(run.sentAtMs) ? Math.round(clock.readMonotonicMs() - run.sentAtMs) : undefined
+    })
+    this.#options.metrics.incrementCounter(JOB_METRICS.runsEnded, 1, { outcome })
+    const progress = table.find(run.task.jobId)
+    const step = progress?.findStep(run.task.occurrence, run.task.step)
+    const task = step?.tasks[run.task.index]
+    if (progress === undefined || step === undefined || task === undefined) return
+    if (task.run === run) task.run = undefined
+    if (checkpoint !== '' && !task.isDone) task.checkpoint = checkpoint
+    this.#options.markChanged(progress.job.id)
+    if (progress.isClosed) return this.#finishIfSettled(progress)
+    this.#applyOutcome(progress, step, task, run, outcome)
+  }
+
+  /** A run that a target lists and that this owner doesn't know. It is stopped, and its task waits for its end. */
+  createUnknownRun (row: RunningRow, targetId: string): TaskRun | undefined {
+    const key = parseTaskName(row.taskName)
+    if (key === undefined) return undefined
+    const nowMs = this.#options.clock.readMonotonicMs()
+    const step = this.#options.table.find(key.jobId)?.findStep(key.occurrence, key.step)
+    const size = step === undefined
+      ? { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+      : computeCountedSize(step.step.size, step.step.usesIdleCapacity)
+    const run: TaskRun = {
+      task: key,
+      number: row.run,
+      targetId,
+      size,
+      phase: RUN_PHASES.running,
+      sentAtMs: nowMs,
+      expectedEndMs: nowMs,
+      isStopWanted: true,
+      isStopAcknowledged: false,
+      percent: row.percent,
+      percentChangedAtMs: nowMs
+    }
+    const task = step?.tasks[key.index]
+    if (task !== undefined && task.run === undefined && !task.isDone) task.run = run
+    return run
+  }
+
+  /** Stops runs that make no progress, so that their tasks run elsewhere. */
+  stopStalledRuns (runs: Iterable<TaskRun>): void {
+    const nowMs = this.#options.clock.readMonotonicMs()
+    for (const run of runs) {
+      if (run.phase !== RUN_PHASES.running || run.isStopWanted || run.percent >= 100) continue
+      if (nowMs - Math.max(run.percentChangedAtMs, run.sentAtMs) < STALL_MS) continue
+      const step = this.#options.table.find(run.task.jobId)?.findStep(run.task.occurrence, run.task.step)
+      if (step === undefined || nowMs - run.sentAtMs < step.step.estimatedMs * STALL_ESTIMATE_FACTOR) continue
+      this.#options.onStalled(run)
+      this.#options.requestStop(run)
+    }
+  }
+
+  /** Stops runs that won't end before their target leaves, so that their tasks start elsewhere now. */
+  withdrawRuns (runs: Iterable<TaskRun>, leavesAtMs: number | undefined): void {
+    if (leavesAtMs === undefined) return
+    const nowMs = this.#options.clock.readMonotonicMs()
+    for (const run of runs) {
+      if (run.phase !== RUN_PHASES.running || run.isStopWanted) continue
+      const step = this.#options.table.find(run.task.jobId)?.findStep(run.task.occurrence, run.task.step)
+      if (step === undefined) continue
+      const { isLongRunning, estimatedMs } = step.step
+      if (!isLongRunning && !shouldMoveRun(run, estimatedMs, leavesAtMs, nowMs)) continue
+      this.#options.logger.logInfo(JOB_EVENTS.taskMoved, {
+        jobId: run.task.jobId,
+        task: formatTaskName(run.task),
+        run: run.number,
+        target: run.targetId,
+        percent: run.percent,
+        leavesInMs: Math.round(leavesAtMs - nowMs)
+      })
+      this.#options.requestStop(run)
+    }
+  }
+
+  #applyOutcome (progress: JobProgress, step: StepProgress, task: TaskProgress, run: TaskRun, outcome: RunOutcome): void {
+    const { isLongRunning, isGang } = step.step
+    if (outcome === RUN_OUTCOMES.done && !isLongRunning) {
+      step.markDone(task)
+      this.#options.table.updateReady(progress, run.task.occurrence, this.#options.clock.readMonotonicMs())
+    } else if (outcome === RUN_OUTCOMES.failed && !isLongRunning) {
+      this.#countFailure(progress, step, task, run)
+    }
+    if (isGang && outcome !== RUN_OUTCOMES.done && outcome !== RUN_OUTCOMES.failed) this.#stopOthers(step, run)
+    if (progress.isOver()) this.#closeJob(progress)
+    this.#options.requestRound()
+  }
+
+  #countFailure (progress: JobProgress, step: StepProgress, task: TaskProgress, run: TaskRun): void {
+    task.failures++
+    step.failedOn.add(run.targetId)
+    if (step.step.isGang && run.number > step.lastFailedRun) {
+      step.lastFailedRun = run.number
+      step.gangFailures++
+    }
+    const failures = step.step.isGang ? step.gangFailures : task.failures
+    if (failures >= progress.job.terms.maximumAttempts) progress.hasFailed = true
+    if (failures >= PATIENT_AFTER_FAILURES) step.notBeforeMs = this.#options.clock.readMonotonicMs() + RETRY_PAUSE_MS * (failures - 1)
+  }
+
+  /** The rest of a gang can't go on without a member. */
+  #stopOthers (step: StepProgress, ended: TaskRun): void {
+    for (const { run } of step.tasks) if (run !== undefined && run.number === ended.number) this.#options.requestStop(run)
+  }
+
+  #closeJob (progress: JobProgress): void {
+    if (progress.isClosed) return
+    progress.isClosed = true
+    const { id } = progress.job
+    const state = progress.readState()
+    this.#options.table.withdraw(progress)
+    if (state !== 'completed') for (const { task } of progress.listTasks()) if (task.run !== undefined) this.#options.requestStop(task.run)
+    this.#options.markChanged(id)
+    this.#options.runWhenStored(() => {
+      progress.storedState = state
+      const durationMs = this.#options.clock.readMonotonicMs() - progress.acceptedAtMs
+      this.#options.metrics.recordTiming(JOB_METRICS.jobDuration, durationMs, { queue: progress.job.terms.queue, state })
+      this.#options.logger.logInfo(JOB_EVENTS.jobEnded, {
+        jobId: id,
+        state,
+        afterMs: Math.round(durationMs),
+        objectiveMs: Math.round(progress.objectiveMs - progress.acceptedAtMs)
+      })
+      this.#finishIfSettled(progress)
+    })
+  }
+
+  #finishIfSettled (progress: JobProgress): void {
+    if (progress.storedState === undefined || progress.hasRuns()) return
+    const state = progress.storedState
+    this.#options.runWhenStored(() => {
+      this.#options.table.finish(progress, state, this.#options.clock.readMonotonicMs())
+      this.#options.onFinished(progress)
+    })
+  }
+}
--- /dev/null
+++ b/packages/jobs/src/work-follower.ts
@@ -0,0 +1,69 @@
+import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { KeyValueStore, StoredValue, Watch } from '@hibiscusledge/store/key-value-store.js'
+import { JOB_EVENTS } from './job-events.js'
+import { parseWorkKey, WORK_KEY_KINDS, WORK_PREFIX } from './job-keys.js'
+
+const RETRY_MS = 200
+/** New work is announced by the instance that took it; the watch finds what was not. */
+const PACE_MS = 700
+
+export interface WorkHandler {
+  onJob (id: string, record: string): void
+  onCancel (id: string): void
+}
+
+/** Follows the jobs and cancellations that instances store. */
+export class WorkFollower {
+  readonly #clock: Clock
+  readonly #logger: EventLogger
+  readonly #store: KeyValueStore
+  readonly #handler: WorkHandler
+  #watch: Watch | undefined
+  #timer: Timer | undefined
+  #isStopped = false
+
+  constructor (clock: Clock, logger: EventLogger, store: KeyValueStore, handler: WorkHandler) {
+    this.#clock = clock
+    this.#logger = logger
+    this.#store = store
+    this.#handler = handler
+  }
+
+  /** Follows all changes after a revision. */
+  start (afterRevision: number): void {
+    if (this.#isStopped) return
+    this.#watch = this.#store.watchPrefix(WORK_PREFIX, afterRevision + 1, {
+      onEvents: (events) => { for (const event of events) if (event.type === 'put') this.#apply(event.value) },
+      onClosed: (reason) => {
+        this.#logger.logWarning(JOB_EVENTS.watchClosed, { prefix: WORK_PREFIX, reason })
+        this.#listLater()
+      }
+    }, PACE_MS)
+  }
+
+  stop (): void {
+    this.#isStopped = true
+    this.#watch?.close()
+    this.#timer?.cancel()
+  }
+
+  #listLater (): void {
+    this.#timer = this.#clock.startTimer(RETRY_MS, () => { void this.#list() })
+  }
+
+  async #list (): Promise<void> {
+    const listing = await this.#store.listPrefix(WORK_PREFIX, 'critical')
+    if (this.#isStopped) return
+    if (listing.err) return this.#listLater()
+    for (const value of listing.val.values) this.#apply(value)
+    this.start(listing.val.revision)
+  }
+
+  #apply (value: StoredValue): void {
+    const key = parseWorkKey(value.key)
+    if (key === undefined) return
+    if (key.kind === WORK_KEY_KINDS.cancel) this.#handler.onCancel(key.id)
+    else this.#handler.onJob(key.id, value.value)
+  }
+}
--- /dev/null
+++ b/packages/jobs/tests/evacuation.test.ts
@@ -0,0 +1,68 @@
+import test from 'ava'
+import { shouldMoveRun } from '../src/evacuation.js'
+import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
+import { createJob, createStep } from './job-fixtures.js'
+import { FakeJobCell } from './fake-job-cell.js'
+
+const NOW_MS = 10_000
+
+function createRun (percent: number, startedAgoMs: number): TaskRun {
+  return {
+    task: { jobId: 'aa', occurrence: 0, step: 0, index: 0 },
+    number: 1_001,
+    targetId: 't0',
+    size: { cpuMillis: 1_000, memoryMb: 0, accelerators: 0 },
+    phase: RUN_PHASES.running,
+    sentAtMs: NOW_MS - startedAgoMs,
+    expectedEndMs: NOW_MS,
+    isStopWanted: false,
+    isStopAcknowledged: false,
+    percent,
+    percentChangedAtMs: NOW_MS
+  }
+}
+
+interface Case {
+  readonly title: string
+  readonly run: TaskRun
+  readonly estimatedMs: number
+  readonly leavesInMs: number
+  readonly expected: boolean
+}
+
+const cases: readonly Case[] = [
+  { title: 'a run that ends in time stays', run: createRun(50, 1_000), estimatedMs: 2_000, leavesInMs: 2_000, expected: false },
+  { title: 'a run that has just begun and is too long moves', run: createRun(0, 100), estimatedMs: 4_000, leavesInMs: 2_000, expected: true },
+  { title: 'a run that is slower than its estimate moves', run: createRun(20, 2_000), estimatedMs: 1_000, leavesInMs: 2_000, expected: true },
+  { title: 'a run close to its end stays though little time is left', run: createRun(95, 3_800), estimatedMs: 4_000, leavesInMs: 800, expected: false },
+  {
+    title: 'a run of an earlier owner is judged by its estimate',
+    run: { ...createRun(50, 0), sentAtMs: Number.NEGATIVE_INFINITY },
+    estimatedMs: 2_000,
+    leavesInMs: 2_000,
+    expected: false
+  }
+]
+
+for (const { title, run, estimatedMs, leavesInMs, expected } of cases) {
+  test(title, (t) => { t.is(shouldMoveRun(run, estimatedMs, NOW_MS + leavesInMs, NOW_MS), expected) })
+}
+
+// Pattern: targets are emptied and taken away. Guards against tasks that are lost with their target and wait for its lease to run out.
+test('a task that would be cut off runs elsewhere soon after its target says that it leaves', async (t) => {
+  const cell = new FakeJobCell(2)
+  cell.addInstance()
+  await cell.advanceUntil(() => cell.findOwner() !== undefined, 2_000)
+  await cell.clock.advanceBy(300)
+  const [only] = cell.instances
+  if (only === undefined) return t.fail()
+  t.is(await cell.submit(only, createJob('aa', [createStep({ estimatedMs: 6_000 })])), 'stored')
+  t.true(await cell.advanceUntil(() => cell.targets.starts.length === 1, 1_000))
+  const leaving = cell.targets.get(cell.targets.starts[0]?.targetId ?? '')
+  leaving.isDraining = true
+  leaving.remainingMs = 2_000
+  t.true(await cell.advanceUntil(() => cell.targets.starts.length === 2, 1_000))
+  t.not(cell.targets.starts[1]?.targetId, leaving.id)
+  t.true(await cell.advanceUntil(async () => await cell.readState(only, 'aa') === 'completed', 8_000))
+  t.deepEqual(cell.targets.violations, [])
+})
--- /dev/null
+++ b/packages/jobs/tests/fake-job-cell.ts
@@ -0,0 +1,143 @@
+import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import { Ok } from '@hibiscusledge/runtime/result.js'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
+import type { AdviceGateway } from '../src/advice-gateway.js'
+import type { Job, TaskSize } from '../src/job.js'
+import { JobService } from '../src/job-service.js'
+import { createOwnerTimings } from '../src/owner-timings.js'
+import type { TargetGateway } from '../src/target-gateway.js'
+import { parseTaskName } from '../src/task-run.js'
+import { FakeMesh } from './fake-peer-network.js'
+import { FakeTargets } from './fake-targets.js'
+
+const MAXIMUM_LEASE_MS = 6_000
+const NO_SIZE: TaskSize = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+
+/** One fake instance with its own client of the store and its own way to the targets. */
+export interface FakeInstance {
+  readonly name: string
+  readonly service: JobService
+  readonly store: InMemoryStore
+  readonly gateway: TargetGateway & { isCut: boolean }
+  /** Ends the instance without notice, as SIGKILL does. */
+  kill: () => void
+  /** Ends the instance together with its machine. */
+  powerOff: () => void
+}
+
+/** Several instances of the job service, a store and executors, all in one process on a clock that tests advance. */
+export class FakeJobCell {
+  readonly clock = new FakeClock()
+  readonly store = new InMemoryStore(this.clock)
+  readonly mesh = new FakeMesh()
+  readonly instances: FakeInstance[] = []
+  readonly targets: FakeTargets
+  readonly jobs = new Map<string, Job>()
+  /** Names of instances whose process has ended while their machine answers. */
+  readonly #ended = new Set<string>()
+  #instanceCount = 0
+
+  constructor (targetCount: number) {
+    this.targets = new FakeTargets(this.clock, targetCount, (name) => this.#readSize(name), (name) => this.#readDuration(name))
+  }
+
+  addInstance (advice?: AdviceGateway): FakeInstance {
+    const name = `i${this.#instanceCount++}`
+    const store = this.store.createClient()
+    const gateway = this.targets.createGateway()
+    const service = new JobService({
+      instance: name,
+      peerAddress: name,
+      incarnation: name,
+      cores: 1,
+      clock: this.clock,
+      random: new SeededRandomSource(this.#instanceCount),
+      logger: new SilentEventLogger(),
+      metrics: new SilentMetricSink(),
+      store,
+      network: this.mesh.createNetwork(name),
+      probe: { isRefused: async (address) => this.#ended.has(address) },
+      targets: gateway,
+      directory: this.targets.createDirectory(),
+      advice,
+      timings: createOwnerTimings(MAXIMUM_LEASE_MS),
+      retentionMs: 120_000
+    })
+    service.start()
+    const instance: FakeInstance = {
+      name,
+      service,
+      store,
+      gateway,
+      powerOff: () => {
+        instance.kill()
+        this.#ended.delete(name)
+      },
+      kill: () => {
+        service.stop()
+        this.#ended.add(name)
+        store.setDown(true)
+        gateway.isCut = true
+        this.mesh.removeNetwork(name)
+        this.instances.splice(this.instances.indexOf(instance), 1)
+      }
+    }
+    this.instances.push(instance)
+    return instance
+  }
+
+  /** Hands a job in at an instance and returns the outcome once time has passed. */
+  async submit (instance: FakeInstance, job: Job): Promise<string> {
+    this.jobs.set(job.id, job)
+    const nowMs = this.clock.readMonotonicMs()
+    const pending = instance.service.acceptJob(job, { refuseAtMs: nowMs + 1_000, giveUpAtMs: nowMs + 2_000 })
+    for (let step = 0; step < 3; step++) await this.clock.advanceBy(5)
+    const waited = await Promise.race([pending, Promise.resolve('pending' as const)])
+    if (waited !== 'pending') return waited
+    await this.clock.advanceBy(3_000)
+    return await pending
+  }
+
+  async readState (instance: FakeInstance, id: string): Promise<string | undefined> {
+    const pending = instance.service.readState(id)
+    await this.clock.advanceBy(5)
+    const state = await pending
+    return state.ok ? state.val : `error: ${state.val}`
+  }
+
+  /** Advances the clock until the condition holds; false when it doesn't within the time. */
+  async advanceUntil (condition: () => boolean | Promise<boolean>, limitMs: number): Promise<boolean> {
+    for (let passedMs = 0; passedMs < limitMs; passedMs += 20) {
+      if (await condition()) return true
+      await this.clock.advanceBy(20)
+    }
+    return await condition()
+  }
+
+  findOwner (): FakeInstance | undefined {
+    return this.instances.find((instance) => instance.service.isOwner())
+  }
+
+  #readSize (taskName: string): TaskSize {
+    const key = parseTaskName(taskName)
+    return (key === undefined ? undefined : this.jobs.get(key.jobId)?.steps[key.step]?.size) ?? NO_SIZE
+  }
+
+  #readDuration (taskName: string): number {
+    const key = parseTaskName(taskName)
+    return (key === undefined ? undefined : this.jobs.get(key.jobId)?.steps[key.step]?.estimatedMs) ?? 0
+  }
+}
+
+/** A policy service that permits the targets of a predicate. */
+export function createAdvice (isPermitted: (stepName: string, targetId: string) => boolean): AdviceGateway {
+  return {
+    fetchAdvice: async (stepName, targetIds) => {
+      const permitted = targetIds.filter((id) => isPermitted(stepName, id))
+      return Ok(permitted.map((targetId) => ({ targetId, ticket: `ticket-${targetId}` })))
+    }
+  }
+}
--- /dev/null
+++ b/packages/jobs/tests/fake-peer-network.ts
@@ -0,0 +1,44 @@
+import { type PeerHandler, type PeerIdentity } from '@hibiscusledge/peer/peer-network.js'
+import { toIncarnation, toInstanceId } from '@hibiscusledge/runtime/identifiers.js'
+import { Err, Ok } from '@hibiscusledge/runtime/result.js'
+import type { AddressableNetwork } from '../src/job-service.js'
+
+/** Links between fake instances: all of one mesh reach each other unless cut. */
+export class FakeMesh {
+  readonly #handlers = new Map<string, Map<string, PeerHandler>>()
+  readonly cut = new Set<string>()
+
+  createNetwork (name: string): AddressableNetwork {
+    const handlers = new Map<string, PeerHandler>()
+    this.#handlers.set(name, handlers)
+    const self: PeerIdentity = { instance: toInstanceId(name), incarnation: toIncarnation(name) }
+    const deliver = async (to: string, kind: string, body: unknown): Promise<unknown> => {
+      if (this.cut.has(name) || this.cut.has(to)) throw new Error('cut')
+      const handler = this.#handlers.get(to)?.get(kind)
+      if (handler === undefined) throw new Error(`no handler of ${kind}`)
+      return structuredClone(await handler(structuredClone(body), self, undefined))
+    }
+    return {
+      self,
+      sendRequest: async (to, kind, body) => {
+        try {
+          return Ok(await deliver(to, kind, body))
+        } catch (error) {
+          return Err({ code: 'timeout', message: String(error) })
+        }
+      },
+      sendNotice: (to, kind, body) => {
+        deliver(to, kind, body).catch(() => {})
+        return true
+      },
+      registerHandler: (kind, handler) => { handlers.set(kind, handler) },
+      listConnected: () => [...this.#handlers.keys()].filter((other) => other !== name && !this.cut.has(other))
+        .map((other) => ({ instance: toInstanceId(other), incarnation: toIncarnation(other) })),
+      setAddresses: () => {}
+    }
+  }
+
+  removeNetwork (name: string): void {
+    this.#handlers.delete(name)
+  }
+}
--- /dev/null
+++ b/packages/jobs/tests/fake-targets.ts
@@ -0,0 +1,270 @@
+import type { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
+import type { TaskSize } from '../src/job.js'
+import type {
+  EndRow, LookOrder, OrderAnswer, OrderError, StartOrder, StopOrder, TargetDescription, TargetDirectory, TargetDirectoryHandler,
+  TargetEndpoint, TargetGateway, TargetReport
+} from '../src/target-gateway.js'
+import type { RunOutcome } from '../src/task-run.js'
+
+const CAPACITY: TaskSize = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 }
+const ANSWER_MS = 2
+
+interface FakeRun { readonly order: StartOrder, readonly startedAtMs: number, readonly durationMs: number }
+
+/** Something that the fake executors saw and that a promise forbids. */
+export interface Violation { readonly kind: 'doubleRun' | 'startAfterDone' | 'overCapacity', readonly detail: string }
+
+/** How the next orders to a target are treated. */
+export interface TargetFaults {
+  /** Nothing reaches the target. */
+  isCut: boolean
+  /** Orders are carried out and their answers are lost. */
+  losesAnswers: boolean
+  /** Orders to start get no answer and are carried out after this time. */
+  startDelayMs: number
+  failsAll: boolean
+  hangs: boolean
+}
+
+/** One fake executor with the platform's rules for tokens, runs, leases and ends. */
+export class FakeTarget {
+  readonly faults: TargetFaults = { isCut: false, losesAnswers: false, startDelayMs: 0, failsAll: false, hangs: false }
+  readonly runs = new Map<string, FakeRun>()
+  isDraining = false
+  remainingMs: number | undefined
+  startedAtMs = 1
+  #token = 0
+  #leaseUntilMs = 0
+  #ends: EndRow[] = []
+  #endCount = 0
+  readonly #closedRuns = new Map<string, number>()
+  #bornAtMs: number
+  #life = 0
+  readonly #world: FakeTargets
+
+  constructor (readonly id: string, world: FakeTargets) {
+    this.#world = world
+    this.#bornAtMs = world.clock.readMonotonicMs()
+  }
+
+  describe (): TargetDescription {
+    return {
+      id: this.id,
+      address: this.id,
+      service: 'ledger',
+      failureDomain: 'a',
+      isDraining: this.isDraining,
+      remainingMs: this.isDraining ? this.remainingMs : undefined,
+      capacity: CAPACITY,
+      labels: ['a', 'r1'],
+      startedAtMs: this.startedAtMs
+    }
+  }
+
+  readClockMs (): number {
+    return Math.floor(this.#world.clock.readMonotonicMs() - this.#bornAtMs)
+  }
+
+  /** Starts the target again under the same id: it runs nothing and remembers nothing. */
+  restart (): void {
+    this.#life++
+    this.startedAtMs++
+    this.#bornAtMs = this.#world.clock.readMonotonicMs()
+    this.runs.clear()
+    this.#closedRuns.clear()
+    this.#ends = []
+    this.#endCount = 0
+    this.#token = 0
+    this.#leaseUntilMs = 0
+  }
+
+  start (order: StartOrder): Result<OrderAnswer, OrderError> {
+    if (order.fencingToken < this.#token) return this.#refuse('fenced')
+    this.#token = order.fencingToken
+    if (order.validUntilMs <= this.readClockMs()) return this.#refuse('tooLate')
+    if (this.runs.get(order.taskName)?.order.run === order.run) return this.#acknowledge()
+    if ((this.#closedRuns.get(order.taskName) ?? 0) >= order.run) return this.#refuse('outdatedRun')
+    this.#extendLease(order.validUntilMs)
+    const size = this.#world.readSize(order.taskName)
+    this.#world.recordStart(this, order)
+    const run: FakeRun = { order, startedAtMs: this.#world.clock.readMonotonicMs(), durationMs: this.#world.readDuration(order.taskName) }
+    this.runs.set(order.taskName, run)
+    const used = [...this.runs.keys()].reduce((sum, name) => sum + this.#world.readSize(name).cpuMillis, 0)
+    if (used > CAPACITY.cpuMillis) this.#world.violations.push({ kind: 'overCapacity', detail: `${this.id} ${used} after ${size.cpuMillis}` })
+    const life = this.#life
+    if (!this.faults.hangs) this.#world.clock.startTimer(run.durationMs, () => { if (life === this.#life) this.#finish(run) })
+    return this.#acknowledge()
+  }
+
+  stop (order: StopOrder): Result<OrderAnswer, OrderError> {
+    if (order.fencingToken < this.#token) return this.#refuse('fenced')
+    this.#token = order.fencingToken
+    const run = this.runs.get(order.taskName)
+    if (run !== undefined && run.order.run <= order.run) this.#end(run, 'stopped')
+    this.#closedRuns.set(order.taskName, Math.max(order.run, this.#closedRuns.get(order.taskName) ?? 0))
+    return this.#acknowledge()
+  }
+
+  inspect (order: LookOrder): Result<TargetReport, OrderError> {
+    if (order.fencingToken < this.#token) return this.#refuse('fenced')
+    this.#token = order.fencingToken
+    this.expireLease()
+    if (order.leaseUntilMs !== undefined) this.#extendLease(order.leaseUntilMs)
+    for (const end of this.#ends) if (end.number <= order.acknowledgedEnd && end.outcome === 'done') this.#world.doneTasks.add(end.taskName)
+    this.#ends = this.#ends.filter((end) => end.number > order.acknowledgedEnd)
+    const running = [...this.runs.values()].map(({ order: { taskName, run }, startedAtMs, durationMs }) => ({
+      taskName,
+      run,
+      checkpoint: '',
+      percent: this.faults.hangs ? 0 : Math.min(99, Math.floor((this.#world.clock.readMonotonicMs() - startedAtMs) * 100 / durationMs))
+    }))
+    return Ok({ targetClockMs: this.readClockMs(), startedAtMs: this.startedAtMs, running, ended: [...this.#ends] })
+  }
+
+  hasEnds (order: LookOrder): boolean {
+    return this.#ends.some((end) => end.number > order.acknowledgedEnd)
+  }
+
+  expireLease (): void {
+    if (this.readClockMs() < this.#leaseUntilMs) return
+    for (const run of [...this.runs.values()]) this.#end(run, 'lapsed')
+  }
+
+  #finish (run: FakeRun): void {
+    this.expireLease()
+    if (this.runs.get(run.order.taskName) !== run) return
+    this.#end(run, this.faults.failsAll || this.#world.failingTasks.has(run.order.taskName) ? 'failed' : 'done')
+  }
+
+  #end (run: FakeRun, outcome: RunOutcome): void {
+    this.runs.delete(run.order.taskName)
+    this.#closedRuns.set(run.order.taskName, Math.max(run.order.run, this.#closedRuns.get(run.order.taskName) ?? 0))
+    this.#ends.push({ number: ++this.#endCount, taskName: run.order.taskName, run: run.order.run, outcome, checkpoint: '' })
+    this.#world.notifyLooks()
+  }
+
+  #extendLease (untilMs: number): void {
+    this.#leaseUntilMs = Math.max(this.#leaseUntilMs, untilMs)
+  }
+
+  #acknowledge (): Result<OrderAnswer, OrderError> {
+    return Ok({ targetClockMs: this.readClockMs() })
+  }
+
+  #refuse (code: OrderError['code']): Result<never, OrderError> {
+    return Err({ code, message: code, targetClockMs: this.readClockMs() })
+  }
+}
+
+/** A set of fake executors, their directory and the gateway to them. Several owners may use it at once. */
+export class FakeTargets {
+  readonly targets = new Map<string, FakeTarget>()
+  readonly violations: Violation[] = []
+  /** Tasks whose end `done` was acknowledged. */
+  readonly doneTasks = new Set<string>()
+  readonly failingTasks = new Set<string>()
+  readonly starts: { readonly taskName: string, readonly run: number, readonly targetId: string, readonly atMs: number }[] = []
+  #wakers: (() => void)[] = []
+
+  constructor (
+    readonly clock: FakeClock,
+    count: number,
+    readonly readSize: (taskName: string) => TaskSize,
+    readonly readDuration: (taskName: string) => number
+  ) {
+    for (let index = 0; index < count; index++) this.targets.set(`t${index}`, new FakeTarget(`t${index}`, this))
+    clock.startInterval(50, () => { for (const target of this.targets.values()) target.expireLease() })
+  }
+
+  /** Adds a target that the directory lists from now on. */
+  add (id: string): void {
+    this.targets.set(id, new FakeTarget(id, this))
+  }
+
+  get (id: string): FakeTarget {
+    const target = this.targets.get(id)
+    if (target === undefined) throw new Error(`there is no target ${id}`)
+    return target
+  }
+
+  notifyLooks (): void {
+    for (const wake of this.#wakers.splice(0)) wake()
+  }
+
+  recordStart (target: FakeTarget, order: StartOrder): void {
+    for (const other of this.targets.values()) {
+      if (other.runs.has(order.taskName)) this.violations.push({ kind: 'doubleRun', detail: `${order.taskName} on ${other.id} and ${target.id}` })
+    }
+    if (this.doneTasks.has(order.taskName)) this.violations.push({ kind: 'startAfterDone', detail: order.taskName })
+    this.starts.push({ taskName: order.taskName, run: order.run, targetId: target.id, atMs: this.clock.readMonotonicMs() })
+  }
+
+  /** A gateway as one instance has it; `isCut` separates this instance from all targets. */
+  createGateway (): TargetGateway & { isCut: boolean } {
+    const world = this
+    return {
+      isCut: false,
+      async startRun (endpoint: TargetEndpoint, order: StartOrder) {
+        const target = world.targets.get(endpoint.id)
+        if (this.isCut || target === undefined || target.faults.isCut) return await world.expireCall(500)
+        const { startDelayMs } = target.faults
+        if (startDelayMs > 0) {
+          world.clock.startTimer(startDelayMs, () => { target.start(order) })
+          return await world.expireCall(500)
+        }
+        await world.wait(ANSWER_MS)
+        const answer = target.start(order)
+        return target.faults.losesAnswers ? await world.expireCall(500) : answer
+      },
+      async stopRun (endpoint: TargetEndpoint, order: StopOrder) {
+        const target = world.targets.get(endpoint.id)
+        if (this.isCut || target === undefined || target.faults.isCut) return await world.expireCall(500)
+        await world.wait(ANSWER_MS)
+        return target.stop(order)
+      },
+      async fetchReport (endpoint: TargetEndpoint, order: LookOrder) {
+        const target = world.targets.get(endpoint.id)
+        if (this.isCut || target === undefined || target.faults.isCut) return await world.expireCall(order.waitMs + 600)
+        await world.wait(ANSWER_MS)
+        const endMs = world.clock.readMonotonicMs() + order.waitMs
+        const first = target.inspect(order)
+        if (first.err) return first
+        while (!target.hasEnds(order) && world.clock.readMonotonicMs() < endMs) await world.waitForEnd(endMs)
+        return target.inspect({ ...order, leaseUntilMs: undefined })
+      },
+      forgetTarget () {}
+    }
+  }
+
+  createDirectory (): TargetDirectory {
+    let timer: { cancel: () => void } | undefined
+    return {
+      follow: (handler: TargetDirectoryHandler) => {
+        handler.onTargets(this.#describeAll())
+        timer = this.clock.startInterval(250, () => handler.onTargets(this.#describeAll()))
+      },
+      stop: () => timer?.cancel()
+    }
+  }
+
+  async wait (durationMs: number): Promise<void> {
+    await new Promise<void>((resolve) => { this.clock.startTimer(durationMs, resolve) })
+  }
+
+  async waitForEnd (endMs: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.#wakers.push(resolve)
+      this.clock.startTimer(endMs - this.clock.readMonotonicMs(), resolve)
+    })
+  }
+
+  async expireCall (durationMs: number): Promise<Result<never, OrderError>> {
+    await this.wait(durationMs)
+    return Err({ code: 'noAnswer', message: 'no answer in time' })
+  }
+
+  #describeAll (): TargetDescription[] {
+    return [...this.targets.values()].map((target) => target.describe())
+  }
+}
--- /dev/null
+++ b/packages/jobs/tests/job-acceptor.test.ts
@@ -0,0 +1,164 @@
+import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
+import test from 'ava'
+import { JobAcceptor, type AcceptanceOutcome } from '../src/job-acceptor.js'
+import { formatFinishedKey, formatJobKey } from '../src/job-keys.js'
+import { encodeJob } from '../src/job-record.js'
+import { createJob } from './job-fixtures.js'
+
+const REFUSE_MS = 1_000
+const GIVE_UP_MS = 2_500
+
+interface Fixture {
+  readonly clock: FakeClock
+  readonly store: InMemoryStore
+  readonly announced: string[]
+  readonly outcomes: Map<string, AcceptanceOutcome>
+  accept: (id: string) => void
+  acceptForOther: (id: string) => void
+}
+
+type Relay = (id: string) => Promise<AcceptanceOutcome | undefined>
+
+function createAcceptor (relay: (clock: FakeClock) => Relay = () => async () => undefined): Fixture {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  const announced: string[] = []
+  const outcomes = new Map<string, AcceptanceOutcome>()
+  const onStored = (record: string): void => { announced.push(record) }
+  const acceptor = new JobAcceptor({ clock, logger: new SilentEventLogger(), store, onStored, relay: relay(clock) })
+  const accept = (id: string): void => {
+    const nowMs = clock.readMonotonicMs()
+    void acceptor.acceptJob(createJob(id), { refuseAtMs: nowMs + REFUSE_MS, giveUpAtMs: nowMs + GIVE_UP_MS })
+      .then((outcome) => outcomes.set(id, outcome))
+  }
+  const acceptForOther = (id: string): void => {
+    const deadlineMs = clock.readMonotonicMs() + REFUSE_MS
+    void acceptor.storeForOther(id, encodeJob(createJob(id)), { refuseAtMs: deadlineMs, giveUpAtMs: deadlineMs })
+      .then((outcome) => outcomes.set(id, outcome))
+  }
+  return { clock, store, announced, outcomes, accept, acceptForOther }
+}
+
+test('jobs that come together are stored in few transactions', async (t) => {
+  const { clock, store, outcomes, accept, announced } = createAcceptor()
+  store.faults.delayMs = 5
+  for (let index = 0; index < 20; index++) accept(`j${index}`)
+  await clock.advanceBy(50)
+  t.true([...outcomes.values()].every((outcome) => outcome === 'stored'))
+  t.is(outcomes.size, 20)
+  t.is(announced.length, 20)
+  t.true(store.counts.writes <= 4)
+})
+
+test('a conflict of one job does not refuse the others of its transaction', async (t) => {
+  const { clock, store, outcomes, accept } = createAcceptor()
+  await store.commitTransaction({ comparisons: [], mutations: [{ type: 'put', key: formatJobKey('j1'), value: 'x' }] }, 'critical')
+  store.faults.delayMs = 5
+  for (const id of ['j0', 'j1', 'j2']) accept(id)
+  await clock.advanceBy(100)
+  t.deepEqual([...outcomes.entries()].sort(), [['j0', 'stored'], ['j1', 'stored'], ['j2', 'stored']])
+})
+
+test('a job that has finished is not stored again by a late attempt', async (t) => {
+  const { clock, store, outcomes, accept } = createAcceptor()
+  await store.commitTransaction({ comparisons: [], mutations: [{ type: 'put', key: formatFinishedKey('j1'), value: '{}' }] }, 'critical')
+  accept('j1')
+  await clock.advanceBy(50)
+  t.is(outcomes.get('j1'), 'stored')
+  const job = await store.readKey(formatJobKey('j1'), 'critical')
+  t.true(job.ok && job.val === undefined)
+})
+
+test('a refusal is only given for a job of which nothing was sent', async (t) => {
+  const { clock, store, outcomes, accept } = createAcceptor()
+  store.faults.loseNextReplies = 1
+  accept('sent')
+  await clock.advanceBy(1)
+  store.setDown(true)
+  await clock.advanceBy(500)
+  accept('unsent')
+  await clock.advanceBy(3_000)
+  t.is(outcomes.get('unsent'), 'notStored')
+  t.not(outcomes.get('sent'), 'notStored')
+})
+
+test('a job that another instance may be storing is not refused', async (t) => {
+  const { clock, store, outcomes, accept } = createAcceptor((clock) => async () => {
+    await new Promise<void>((resolve) => { clock.startTimer(1_500, resolve) })
+    return 'stored'
+  })
+  store.setDown(true)
+  accept('first')
+  await clock.advanceBy(1)
+  await clock.advanceBy(REFUSE_MS + 100)
+  t.is(outcomes.get('first'), undefined)
+  await clock.advanceBy(1_000)
+  t.is(outcomes.get('first'), 'stored')
+})
+
+test('while the store has been away for long, a job is refused at once', async (t) => {
+  const { clock, store, outcomes, accept } = createAcceptor()
+  store.setDown(true)
+  accept('first')
+  await clock.advanceBy(1)
+  await clock.advanceBy(600)
+  accept('second')
+  await clock.advanceBy(10)
+  t.is(outcomes.get('second'), 'notStored')
+  store.setDown(false)
+  await clock.advanceBy(200)
+  accept('third')
+  await clock.advanceBy(50)
+  t.is(outcomes.get('third'), 'stored')
+})
+
+// Guards against instances that pass one job on to each other until none can tell any more that nothing was sent.
+test('a job that another instance has passed on is answered at once and not passed on again', async (t) => {
+  let relayed = 0
+  const { clock, store, outcomes, acceptForOther } = createAcceptor(() => async () => {
+    relayed++
+    return undefined
+  })
+  store.setDown(true)
+  acceptForOther('first')
+  await clock.advanceBy(10)
+  acceptForOther('second')
+  await clock.advanceBy(10)
+  t.deepEqual([...outcomes.entries()], [['first', 'notStored'], ['second', 'notStored']])
+  t.is(relayed, 0)
+})
+
+test('a job that another instance has passed on and that may be stored is not refused', async (t) => {
+  const { clock, store, outcomes, acceptForOther } = createAcceptor()
+  store.faults.delayMs = 5
+  store.faults.loseNextReplies = 1
+  acceptForOther('sent')
+  await clock.advanceBy(6)
+  store.setDown(true)
+  await clock.advanceBy(REFUSE_MS + 500)
+  t.is(outcomes.get('sent'), 'unknown')
+})
+
+// Guards against a flood of messages between instances while the store is away, and against answers of unknown outcome to
+// callers with little time left, whose job is still being passed on.
+test('while no instance reaches the store, jobs are refused at once and hardly ever passed on', async (t) => {
+  let relayed = 0
+  const { clock, store, outcomes, accept } = createAcceptor((clock) => async () => {
+    relayed++
+    await new Promise<void>((resolve) => { clock.startTimer(10, resolve) })
+    return 'notStored'
+  })
+  store.setDown(true)
+  accept('first')
+  await clock.advanceBy(1)
+  await clock.advanceBy(600)
+  for (let index = 0; index < 50; index++) {
+    accept(`j${index}`)
+    await clock.advanceBy(15)
+    await clock.advanceBy(5)
+    t.is(outcomes.get(`j${index}`), 'notStored', `j${index}`)
+  }
+  t.true(relayed <= 1 + 4 * 2, String(relayed))
+})
--- /dev/null
+++ b/packages/jobs/tests/leadership.test.ts
@@ -0,0 +1,128 @@
+import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
+import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
+import test from 'ava'
+import { Leadership, type Ownership } from '../src/leadership.js'
+
+/** A clock whose steady time stands still for this instance while its wall time goes on, as when it is suspended. */
+class SuspendableClock implements Clock {
+  readonly #clock: FakeClock
+  #missedMs = 0
+
+  constructor (clock: FakeClock) { this.#clock = clock }
+
+  suspend (durationMs: number): void { this.#missedMs += durationMs }
+  readMonotonicMs (): number { return this.#clock.readMonotonicMs() - this.#missedMs }
+  readWallMs (): number { return this.#clock.readWallMs() }
+  startTimer (delayMs: number, callback: () => void): { cancel: () => void } { return this.#clock.startTimer(delayMs, callback) }
+  startInterval (periodMs: number, callback: () => void): { cancel: () => void } { return this.#clock.startInterval(periodMs, callback) }
+}
+
+interface Candidate {
+  readonly leadership: Leadership
+  readonly clock: SuspendableClock
+  readonly store: InMemoryStore
+  readonly acquired: Ownership[]
+  readonly losses: string[]
+}
+
+function createCandidate (clock: FakeClock, store: InMemoryStore, name: string, incarnation = name): Candidate {
+  const acquired: Ownership[] = []
+  const losses: string[] = []
+  const own = new SuspendableClock(clock)
+  const client = store.createClient()
+  const leadership = new Leadership({
+    instance: name,
+    address: name,
+    incarnation,
+    cores: 1,
+    clock: own,
+    random: new SeededRandomSource(name.length + 1),
+    logger: new SilentEventLogger(),
+    store: client,
+    handler: {
+      onAcquired: (ownership) => { acquired.push(ownership) },
+      onLost: () => { losses.push('lost') },
+      onOwnerChanged: () => {},
+      onStoreSilent: () => {},
+      onRenewalFailed: () => {}
+    }
+  })
+  leadership.start()
+  return { leadership, clock: own, store: client, acquired, losses }
+}
+
+test('one of several instances becomes the owner, and the next has a higher token and term', async (t) => {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  const candidates = ['a', 'bb', 'ccc'].map((name) => createCandidate(clock, store, name))
+  await clock.advanceBy(1_000)
+  const owners = candidates.filter((candidate) => candidate.leadership.isOwner())
+  t.is(owners.length, 1)
+  const [owner] = owners
+  await owner?.leadership.release()
+  await clock.advanceBy(1_000)
+  const next = candidates.find((candidate) => candidate.leadership.isOwner())
+  t.not(next, owner)
+  t.true((next?.acquired[0]?.fencingToken ?? 0) > (owner?.acquired[0]?.fencingToken ?? Infinity))
+  t.is(next?.acquired[0]?.term, 1)
+})
+
+test('an owner without the store stops giving orders before its lease can be over', async (t) => {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  const first = createCandidate(clock, store, 'a')
+  await clock.advanceBy(1_000)
+  t.true(first.leadership.isAuthorized())
+  first.store.setDown(true)
+  const second = createCandidate(clock, store, 'bb')
+  for (let passedMs = 0; passedMs < 4_000; passedMs += 20) {
+    await clock.advanceBy(20)
+    t.false(first.leadership.isAuthorized() && second.leadership.isAuthorized())
+  }
+  t.true(second.leadership.isAuthorized())
+})
+
+test('an owner that was suspended gives no order until the store confirms its lease', async (t) => {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  const first = createCandidate(clock, store, 'a')
+  await clock.advanceBy(1_000)
+  first.clock.suspend(700)
+  clock.skipBy(700)
+  t.false(first.leadership.isAuthorized())
+  await clock.advanceBy(600)
+  t.true(first.leadership.isAuthorized())
+})
+
+test('an owner that was suspended past its lease does not give orders beside the next owner', async (t) => {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  const first = createCandidate(clock, store, 'a')
+  await clock.advanceBy(1_000)
+  const second = createCandidate(clock, store, 'bb')
+  first.clock.suspend(5_000)
+  first.store.setDown(true)
+  await clock.advanceBy(5_000)
+  first.store.setDown(false)
+  t.true(second.leadership.isAuthorized())
+  t.false(first.leadership.isAuthorized())
+  await clock.advanceBy(2_000)
+  t.true(second.leadership.isAuthorized())
+  t.false(first.leadership.isAuthorized())
+  t.deepEqual(first.losses, ['lost'])
+})
+
+test('a restarted instance ends the lease of its earlier process and owns again at once', async (t) => {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  const first = createCandidate(clock, store, 'a', 'first')
+  await clock.advanceBy(1_000)
+  first.leadership.stop()
+  first.store.setDown(true)
+  const second = createCandidate(clock, store, 'a', 'second')
+  await clock.advanceBy(400)
+  t.true(second.leadership.isAuthorized())
+})
--- /dev/null
+++ b/packages/jobs/tests/placement-round.test.ts
@@ -0,0 +1,129 @@
+import test from 'ava'
+import type { JobStep, TaskSize } from '../src/job.js'
+import { PlacementRound, type WaitingStep } from '../src/placement-round.js'
+import type { RunView, TargetView } from '../src/target-view.js'
+import { createStep } from './job-fixtures.js'
+
+const NOW_MS = 10_000
+const CAPACITY: TaskSize = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 }
+
+function createTarget (id: string, runs: readonly RunView[] = [], values: Partial<TargetView> = {}): TargetView {
+  const used = runs.reduce((sum, run) => sum + run.size.cpuMillis, 0)
+  return {
+    id, service: 'ledger', rack: 'r1', labels: ['a'], capacity: CAPACITY, free: { ...CAPACITY, cpuMillis: CAPACITY.cpuMillis - used }, runs, ...values
+  }
+}
+
+function createWaiting (step: JobStep, values: Partial<WaitingStep> = {}): WaitingStep {
+  return {
+    stepName: 'aa.0.0',
+    service: 'ledger',
+    step,
+    pending: Array.from({ length: step.taskCount }, (_, index) => index),
+    avoided: new Set(),
+    mustAvoid: false,
+    countByTarget: new Map(),
+    permittedIds: undefined,
+    keepsRoom: true,
+    ...values
+  }
+}
+
+function createSize (cpuMillis: number): TaskSize {
+  return { cpuMillis, memoryMb: 1_000, accelerators: 0 }
+}
+
+interface Case {
+  readonly title: string
+  readonly targets: readonly TargetView[]
+  readonly waiting: WaitingStep
+  readonly expected: readonly string[]
+}
+
+const cases: readonly Case[] = [
+  {
+    title: 'tasks fill the target that has the least room left',
+    targets: [createTarget('t0'), createTarget('t1', [{ size: createSize(8_000), expectedEndMs: NOW_MS + 500 }])],
+    waiting: createWaiting(createStep({ taskCount: 2, size: createSize(4_000) })),
+    expected: ['t1', 't1']
+  },
+  {
+    title: 'as many tasks as fit are placed, without exceeding a target',
+    targets: [createTarget('t0')],
+    waiting: createWaiting(createStep({ taskCount: 5, size: createSize(4_500) })),
+    expected: ['t0', 't0', 't0']
+  },
+  {
+    title: 'a gang that does not fit whole is not placed at all',
+    targets: [createTarget('t0')],
+    waiting: createWaiting(createStep({ taskCount: 5, size: createSize(4_500), isGang: true })),
+    expected: []
+  },
+  {
+    title: 'targets without the label, of another service or not permitted are left out',
+    targets: [createTarget('t0', [], { labels: ['b'] }), createTarget('t1', [], { service: 'other' }), createTarget('t2'), createTarget('t3')],
+    waiting: createWaiting(createStep({ requiredLabel: 'a' }), { permittedIds: ['t0', 't1', 't3'] }),
+    expected: ['t3']
+  },
+  {
+    title: 'tasks already on a target count towards the limit of the step',
+    targets: [createTarget('t0'), createTarget('t1')],
+    waiting: createWaiting(createStep({ taskCount: 3, maximumPerTarget: 2 }), { countByTarget: new Map([['t0', 1]]) }),
+    expected: ['t0', 't1', 't1']
+  },
+  {
+    title: 'a task avoids the target on which it failed while there is another',
+    targets: [createTarget('t0'), createTarget('t1')],
+    waiting: createWaiting(createStep(), { avoided: new Set(['t0']) }),
+    expected: ['t1']
+  },
+  {
+    title: 'a gang that has failed waits rather than use a target on which a member failed',
+    targets: [createTarget('t0'), createTarget('t1')],
+    waiting: createWaiting(createStep({ taskCount: 5, size: createSize(4_500), isGang: true }), { avoided: new Set(['t0']), mustAvoid: true }),
+    expected: []
+  },
+  {
+    title: 'a task that has failed on every target runs on one of them again',
+    targets: [createTarget('t0')],
+    waiting: createWaiting(createStep(), { avoided: new Set(['t0']), mustAvoid: true }),
+    expected: ['t0']
+  },
+  {
+    title: 'a gang that prefers one rack gets one where it fits',
+    targets: [createTarget('t0', [], { rack: 'r1' }), createTarget('t1', [], { rack: 'r2' }), createTarget('t2', [], { rack: 'r2' })],
+    waiting: createWaiting(createStep({ taskCount: 5, size: createSize(4_500), isGang: true, prefersOneRack: true })),
+    expected: ['t1', 't1', 't1', 't2', 't2']
+  },
+  {
+    title: 'a task goes to the rack of its data',
+    targets: [createTarget('t0', [{ size: createSize(8_000), expectedEndMs: NOW_MS }]), createTarget('t1', [], { rack: 'r2' })],
+    waiting: createWaiting(createStep({ dataRack: 'r2' })),
+    expected: ['t1']
+  }
+]
+
+for (const { title, targets, waiting, expected } of cases) {
+  test(title, (t) => {
+    const placements = new PlacementRound(NOW_MS, targets).place(waiting)
+    t.deepEqual(placements.map((placement) => placement.targetId).sort(), [...expected].sort())
+  })
+}
+
+// Month-close reconciliations are gangs of large tasks. In a burst of small postings they would never find room all at once.
+test('a burst of small long tasks does not take the room that a waiting gang gets next, and short ones still use it', (t) => {
+  const ending = { size: createSize(12_000), expectedEndMs: NOW_MS + 1_000 }
+  const round = new PlacementRound(NOW_MS, [createTarget('t0', [ending]), createTarget('t1', [ending])])
+  const gang = createWaiting(createStep({ taskCount: 6, size: createSize(4_500), isGang: true, estimatedMs: 4_000 }))
+  t.deepEqual(round.place(gang), [])
+  t.deepEqual(round.place(createWaiting(createStep({ taskCount: 4, size: createSize(3_000), estimatedMs: 2_700 }))), [])
+  t.is(round.place(createWaiting(createStep({ taskCount: 2, size: createSize(1_400), estimatedMs: 640 }))).length, 2)
+})
+
+test('a gang holds no room on targets that it does not need', (t) => {
+  const ending = { size: createSize(12_000), expectedEndMs: NOW_MS + 1_000 }
+  const round = new PlacementRound(NOW_MS, [createTarget('t0', [ending]), createTarget('t1', [ending]), createTarget('t2', [ending])])
+  const gang = createWaiting(createStep({ taskCount: 3, size: createSize(4_500), isGang: true }), { permittedIds: ['t0'] })
+  t.deepEqual(round.place(gang), [])
+  t.is(round.place(createWaiting(createStep({ taskCount: 2, size: createSize(4_000), estimatedMs: 2_700 }))).length, 2)
+})
