--- /dev/null
+++ b/packages/jobs/tests/recover-jobs.test.ts
@@ -0,0 +1,143 @@
+import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
+import test from 'ava'
+import { formatJobKey, formatProgressKey } from '../src/job-keys.js'
+import { JobProgress } from '../src/job-progress.js'
+import { encodeJob } from '../src/job-record.js'
+import { JobTable } from '../src/job-table.js'
+import type { Job } from '../src/job.js'
+import { encodeProgress } from '../src/progress-record.js'
+import { recoverJobs } from '../src/recover-jobs.js'
+import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
+import { TaskSupervisor } from '../src/task-supervisor.js'
+import { createJob, createStep } from './job-fixtures.js'
+
+const BACKLOG = 400
+
+interface Recovered {
+  readonly table: JobTable
+  readonly adopted: readonly TaskRun[]
+  readonly stopped: readonly TaskRun[]
+}
+
+/** Recovers one job from what an earlier owner has stored. */
+async function recoverJob (job: Job, progressText: string): Promise<Recovered> {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  const logger = new SilentEventLogger()
+  const table = new JobTable()
+  const adopted: TaskRun[] = []
+  const stopped: TaskRun[] = []
+  await store.commitTransaction({
+    comparisons: [],
+    mutations: [
+      { type: 'put', key: formatJobKey(job.id), value: encodeJob(job) },
+      { type: 'put', key: formatProgressKey(job.id), value: progressText }
+    ]
+  }, 'critical')
+  const recovery = recoverJobs({
+    clock, logger, store, table, supervisor: createSupervisor(clock, table, stopped), adoptRun: (run) => { adopted.push(run) }
+  })
+  await clock.advanceBy(1)
+  await recovery
+  return { table, adopted, stopped }
+}
+
+function createSupervisor (clock: FakeClock, table: JobTable, stopped: TaskRun[]): TaskSupervisor {
+  return new TaskSupervisor({
+    clock,
+    logger: new SilentEventLogger(),
+    metrics: new SilentMetricSink(),
+    table,
+    markChanged: () => {},
+    runWhenStored: () => {},
+    requestStop: (run) => { stopped.push(run) },
+    requestRound: () => {},
+    onFinished: () => {},
+    onStalled: () => {}
+  })
+}
+
+function createRun (index: number, step: number): TaskRun {
+  return {
+    task: { jobId: 'aa', occurrence: 0, step, index },
+    number: 1_001,
+    targetId: 't0',
+    size: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+    phase: RUN_PHASES.running,
+    sentAtMs: 0,
+    expectedEndMs: 0,
+    isStopWanted: false,
+    isStopAcknowledged: false,
+    percent: 0,
+    percentChangedAtMs: 0
+  }
+}
+
+function listPendingNames (table: JobTable): string[] {
+  return [...table.listReady()].flatMap(({ step }) => step.listPending().map((task) => `${task.key.step}.${task.key.index}`))
+}
+
+// Guards against running the earlier steps again: one end completes a gang while its other members are still listed as running.
+test('a completed job whose gang members have not all ended runs nothing again after a takeover', async (t) => {
+  const job = createJob('aa', [createStep({ taskCount: 3 }), createStep({ taskCount: 2, isGang: true, after: [0] })])
+  const progress = new JobProgress(job, 0)
+  const [first, gang] = progress.addOccurrence()
+  const [ended, member] = gang?.tasks ?? []
+  if (first === undefined || gang === undefined || ended === undefined || member === undefined) return t.fail()
+  for (const task of first.tasks) first.markDone(task)
+  gang.markDone(ended)
+  member.run = createRun(1, 1)
+  t.is(progress.readState(), 'completed')
+  const { table, adopted } = await recoverJob(job, encodeProgress(progress))
+  t.deepEqual(listPendingNames(table), [])
+  t.is(table.find('aa')?.readState(), 'completed')
+  t.is(adopted.length, 1)
+})
+
+// Guards against tasks that run on after a cancellation because the owner that was to stop them has ended.
+test('the runs of a cancelled or failed job are stopped by the next owner', async (t) => {
+  for (const outcome of ['isCancelled', 'hasFailed'] as const) {
+    const job = createJob('aa', [createStep({ taskCount: 2 })])
+    const progress = new JobProgress(job, 0)
+    const [task] = progress.addOccurrence()[0]?.tasks ?? []
+    if (task === undefined) return t.fail()
+    task.run = createRun(0, 0)
+    progress[outcome] = true
+    const { table, stopped } = await recoverJob(job, encodeProgress(progress))
+    t.deepEqual(listPendingNames(table), [], outcome)
+    t.deepEqual(stopped.map((run) => run.number), [1_001], outcome)
+  }
+})
+
+// Guards against running a job from its beginning because its progress can't be read.
+test('a job whose progress can not be read is not run again', async (t) => {
+  const { table } = await recoverJob(createJob('aa', [createStep({ taskCount: 2 })]), 'not JSON')
+  t.deepEqual(listPendingNames(table), [])
+})
+
+// Guards against an owner that loses its lease while it reads a long backlog, and so does the next one.
+test('other work takes its turn while a backlog of jobs is taken over', async (t) => {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  for (let index = 0; index < BACKLOG; index++) {
+    const job = createJob(`j${index}`)
+    await store.commitTransaction({ comparisons: [], mutations: [{ type: 'put', key: formatJobKey(job.id), value: encodeJob(job) }] }, 'critical')
+  }
+  const table = new JobTable()
+  let turns = 0
+  const takeTurn = (): void => {
+    turns++
+    if (table.countActive() < BACKLOG) clock.startTimer(0, takeTurn)
+  }
+  takeTurn()
+  const recovery = recoverJobs({
+    clock, logger: new SilentEventLogger(), store, table, supervisor: createSupervisor(clock, table, []), adoptRun: () => {}
+  })
+  await clock.advanceBy(1)
+  await recovery
+  t.is(table.countActive(), BACKLOG)
+  t.true(turns >= 10, String(turns))
+})
--- /dev/null
+++ b/packages/jobs/tests/target-health.test.ts
@@ -0,0 +1,35 @@
+import test from 'ava'
+import { TargetHealth } from '../src/target-health.js'
+
+interface Case { readonly title: string, readonly ends: readonly (readonly [string, boolean])[], readonly isSuspected: boolean }
+
+const cases: readonly Case[] = [
+  { title: 'successes only', ends: [['a', false], ['b', false]], isSuspected: false },
+  { title: 'one job that fails again and again', ends: [['a', true], ['a', true], ['a', true], ['a', true]], isSuspected: false },
+  { title: 'three failures in a row of different jobs', ends: [['a', true], ['b', true], ['b', true]], isSuspected: true },
+  {
+    title: 'three failures in a row after many successes',
+    ends: [...Array.from({ length: 20 }, (_, index) => [`s${index}`, false] as const), ['a', true], ['a', true], ['b', true]],
+    isSuspected: true
+  },
+  { title: 'failures between successes', ends: [['a', true], ['b', false], ['c', true], ['d', false], ['e', true], ['f', false]], isSuspected: false },
+  { title: 'most of many runs failed', ends: [['a', true], ['b', true], ['c', false], ['d', true], ['e', true]], isSuspected: true }
+]
+
+for (const { title, ends, isSuspected } of cases) {
+  test(`a target with ${title} is ${isSuspected ? '' : 'not '}suspected`, (t) => {
+    const health = new TargetHealth()
+    ends.forEach(([jobId, hasFailed], index) => health.recordEnd(index * 10, jobId, hasFailed))
+    t.is(health.isSuspected(), isSuspected)
+  })
+}
+
+test('a suspected target gets nothing at first, then one task at a time until one succeeds', (t) => {
+  const health = new TargetHealth()
+  for (const jobId of ['a', 'b', 'c']) health.recordEnd(0, jobId, true)
+  t.false(health.shouldTakeWork(1_000, 0))
+  t.true(health.shouldTakeWork(5_000, 0))
+  t.false(health.shouldTakeWork(5_000, 1))
+  health.recordEnd(6_000, 'd', false)
+  t.true(health.shouldTakeWork(6_000, 5))
+})
--- /dev/null
+++ b/packages/jobs/tests/waiting-demand.test.ts
@@ -0,0 +1,61 @@
+import test from 'ava'
+import { PlacementRound, type WaitingStep } from '../src/placement-round.js'
+import type { TargetView } from '../src/target-view.js'
+import { WaitingDemand } from '../src/waiting-demand.js'
+import { createStep } from './job-fixtures.js'
+
+const CPU_MILLIS = 16_000
+const TARGET_COUNT = 33
+const FLOOD_STEPS = 5_000
+
+function createFullTargets (): TargetView[] {
+  const size = { cpuMillis: CPU_MILLIS, memoryMb: 64_000, accelerators: 0 }
+  return Array.from({ length: TARGET_COUNT }, (_, index) => ({
+    id: `t${index}`,
+    service: 'ledger',
+    rack: 'r1',
+    labels: [],
+    capacity: size,
+    free: { ...size, cpuMillis: 500 },
+    runs: [{ size: { ...size, cpuMillis: CPU_MILLIS - 500 }, expectedEndMs: 5_000 }]
+  }))
+}
+
+// Pattern: a flood of quick enquiries behind full targets. Guards against rounds that take longer the more work waits.
+test('in a flood a round looks at no more work than could fill the targets twice', (t) => {
+  const demand = new WaitingDemand(createFullTargets())
+  let considered = 0
+  for (let step = 0; step < FLOOD_STEPS; step++) {
+    if (demand.isMet('ledger')) continue
+    demand.add('ledger', 2 * 1_400)
+    considered++
+  }
+  t.true(considered <= Math.ceil(2 * TARGET_COUNT * CPU_MILLIS / 2_800), String(considered))
+  t.true(considered > 0)
+})
+
+test('work of a service without targets is not looked at', (t) => {
+  t.true(new WaitingDemand(createFullTargets()).isMet('elsewhere'))
+})
+
+// Pattern: all targets full. Guards against asking for each waiting step and each target whether the policy permits it.
+test('a step that fits on no target is passed over without looking at each target', (t) => {
+  const round = new PlacementRound(1_000, createFullTargets())
+  let questions = 0
+  const waiting: WaitingStep = {
+    stepName: 'aa.0.0',
+    service: 'ledger',
+    step: createStep({ size: { cpuMillis: 1_400, memoryMb: 100, accelerators: 0 } }),
+    pending: [0],
+    avoided: new Set(),
+    mustAvoid: false,
+    countByTarget: new Map(),
+    keepsRoom: true,
+    get permittedIds () {
+      questions++
+      return ['t0']
+    }
+  }
+  t.deepEqual(round.place(waiting), [])
+  t.is(questions, 0)
+})
--- a/packages/peer/src/hand-over.ts
+++ b/packages/peer/src/hand-over.ts
@@ -1,11 +1,11 @@
 import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
-import type { Comparison } from '@hibiscusledge/platform/key-value-store.js'
+import type { Comparison } from '@hibiscusledge/store/key-value-store.js'
 import type { OwnerRegistry } from './owner-registry.js'
 import type { OwnerWriteOutcome, OwnerWriter } from './owner-writer.js'
-import type { OwnershipManagerOptions } from './ownership-manager.js'
+import type { OwnershipManagerOptions } from './ownership-manager-options.js'
 import { PEER_LOG_EVENTS } from './peer-log-events.js'
-import type { UnitHost } from './reconcile-step.js'
 import { aliveSchema, formatAliveKey, parseRecord, type AliveRecord } from './store-records.js'
+import type { UnitHost } from './unit-host.js'
 import type { UnitLifecycle } from './unit-lifecycle.js'
 
 /** A unit that can't be prepared within this time stays with its owner. */
--- a/packages/peer/src/link-dialer.ts
+++ b/packages/peer/src/link-dialer.ts
@@ -5,8 +5,6 @@
 
 const DIAL_PERIOD_MS = 100
 const DIAL_BACKOFF = { initialMs: 200, maximumMs: 2_000 }
-/** The instance with the greater id waits this long before its first attempt, so that a pair seldom connects twice at once. */
-const SECOND_SIDE_DELAY_MS = 300
 
 interface DialState { retry: number, notBeforeMs: number, isDialing: boolean, instance: InstanceId | undefined }
 
@@ -18,14 +16,16 @@
   readonly #seeds: readonly string[]
   readonly #isConnected: (instance: InstanceId) => boolean
   readonly #dial: (address: string) => void
+  readonly #secondSideDelayMs: number
   readonly #states = new Map<string, DialState>()
   #addresses: ReadonlyMap<InstanceId, string> = new Map()
   #timer: Timer | undefined
 
   constructor (
     clock: Clock, random: RandomSource, self: InstanceId, seeds: readonly string[],
-    isConnected: (instance: InstanceId) => boolean, dial: (address: string) => void
+    isConnected: (instance: InstanceId) => boolean, dial: (address: string) => void, secondSideDelayMs: number
   ) {
+    this.#secondSideDelayMs = secondSideDelayMs
     this.#clock = clock
     this.#random = random
     this.#self = self
@@ -80,7 +80,7 @@
   #ensureState (address: string, instance: InstanceId | undefined, nowMs: number): DialState {
     let state = this.#states.get(address)
     if (state === undefined) {
-      const delayMs = instance !== undefined && instance < this.#self ? SECOND_SIDE_DELAY_MS : 0
+      const delayMs = instance !== undefined && instance < this.#self ? this.#secondSideDelayMs : 0
       state = { retry: 0, notBeforeMs: nowMs + delayMs, isDialing: false, instance: undefined }
       this.#states.set(address, state)
     }
--- a/packages/peer/src/membership-keeper.ts
+++ b/packages/peer/src/membership-keeper.ts
@@ -1,6 +1,6 @@
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
-import type { KeyValueStore, StoredValue } from '@hibiscusledge/platform/key-value-store.js'
+import type { KeyValueStore, StoredValue } from '@hibiscusledge/store/key-value-store.js'
 import { computeBackoffMs } from '@hibiscusledge/runtime/backoff.js'
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
 import type { AuthorityKeeper } from './authority-keeper.js'
--- a/packages/peer/src/ownership-manager.ts
+++ b/packages/peer/src/ownership-manager.ts
@@ -1,44 +1,15 @@
-import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
-import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import type { Timer } from '@hibiscusledge/runtime/clock.js'
 import { toUnitId, type UnitId } from '@hibiscusledge/runtime/identifiers.js'
-import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
-import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
-import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
-import type { AuthorityKeeper } from './authority-keeper.js'
-import type { MembershipKeeper } from './membership-keeper.js'
 import { OwnerRegistry } from './owner-registry.js'
 import { OwnerWriter } from './owner-writer.js'
 import type { OwnershipDirectory, UnitOwner, UnitRole } from './ownership-directory.js'
+import type { OwnershipManagerOptions } from './ownership-manager-options.js'
 import { PEER_LOG_EVENTS } from './peer-log-events.js'
-import type { PeerNetwork } from './peer-network.js'
-import type { PeerTimings } from './peer-timings.js'
-import type { PromiseLedger } from './promise-ledger.js'
 import { ReconcileStep } from './reconcile-step.js'
-import type { StoreCache } from './store-cache.js'
-import type { ViewMember } from './store-records.js'
 import { UnitLifecycle } from './unit-lifecycle.js'
-import type { ViewKeeper } from './view-keeper.js'
 
 const START_RETRY_MS = 1_000
 
-export interface OwnershipManagerOptions {
-  readonly store: KeyValueStore
-  readonly cache: StoreCache
-  readonly clock: Clock
-  readonly random: RandomSource
-  readonly logger: EventLogger
-  readonly metrics: MetricSink
-  readonly timings: PeerTimings
-  readonly network: PeerNetwork
-  readonly authority: AuthorityKeeper
-  readonly membership: MembershipKeeper
-  readonly views: ViewKeeper
-  readonly promises: PromiseLedger
-  readonly self: ViewMember
-  /** Since when this process has held its address; undefined when the address does not prove the end of an earlier process. */
-  readonly readListeningSinceMs: () => number | undefined
-}
-
 /** Keeps the units that this instance owns, and knows the owners of all units. */
 export class OwnershipManager implements OwnershipDirectory {
   readonly #options: OwnershipManagerOptions
--- a/packages/peer/src/peer-node.ts
+++ b/packages/peer/src/peer-node.ts
@@ -1,4 +1,4 @@
-import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import type { Incarnation, InstanceId } from '@hibiscusledge/runtime/identifiers.js'
--- a/packages/peer/src/peer-timings.ts
+++ b/packages/peer/src/peer-timings.ts
@@ -25,6 +25,8 @@
   readonly listingPeriodMs: number
   /** Units are taken only after the membership has been unchanged for this long, so that a common start needs few hand-overs. */
   readonly settleMs: number
+  /** The instance with the greater id waits this long before its first attempt, so that a pair seldom connects twice at once. */
+  readonly secondSideDelayMs: number
   /** Extra wait of the next instance in rank before it takes a unit that the first in rank has left. */
   readonly rankStepMs: number
 }
@@ -44,5 +46,6 @@
   reconcilePeriodMs: 250,
   listingPeriodMs: 2_000,
   settleMs: 300,
+  secondSideDelayMs: 300,
   rankStepMs: 2_000
 }
--- a/packages/peer/src/reconcile-step.ts
+++ b/packages/peer/src/reconcile-step.ts
@@ -1,17 +1,17 @@
 import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
-import type { Comparison } from '@hibiscusledge/platform/key-value-store.js'
+import type { Comparison } from '@hibiscusledge/store/key-value-store.js'
 import { HandOver } from './hand-over.js'
 import type { OwnerRegistry } from './owner-registry.js'
 import type { OwnerWriter } from './owner-writer.js'
 import type { UnitOwner } from './ownership-directory.js'
-import type { OwnershipManagerOptions } from './ownership-manager.js'
+import type { OwnershipManagerOptions } from './ownership-manager-options.js'
 import { AbsenceTracker, chooseSuccessor, isTurn, rankOwners, rankSuccessors } from './ownership-planner.js'
 import { PEER_LOG_EVENTS } from './peer-log-events.js'
 import {
   formatAliveKey, formatMemberKey, formatViewKey, LAYOUT_KEY, parseRecord, viewSchema, type AliveRecord
 } from './store-records.js'
 import { computeStanding, decideTakeover } from './takeover-rule.js'
-import type { UnitLifecycle } from './unit-lifecycle.js'
+import type { UnitHost } from './unit-host.js'
 import { ViewCollector } from './view-collector.js'
 import type { RegistrationState } from './view-keeper.js'
 
@@ -19,12 +19,6 @@
 /** Units are taken with a view of only this instance no sooner than this after a change of the membership, if others are alive. */
 const LONE_VIEW_WAIT_MS = 3_000
 
-/** What the reconcile step needs of the manager. */
-export interface UnitHost {
-  ensureLifecycle (unit: UnitId): UnitLifecycle
-  restartUnit (lifecycle: UnitLifecycle): void
-}
-
 /** One step towards the desired owners: takes free units, takes over from dead owners, hands over. */
 export class ReconcileStep {
   readonly #options: OwnershipManagerOptions
--- a/packages/peer/src/store-cache.ts
+++ b/packages/peer/src/store-cache.ts
@@ -1,6 +1,6 @@
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
-import type { KeyValueStore, PrefixListing, StoredValue, Watch, WatchEvent } from '@hibiscusledge/platform/key-value-store.js'
+import type { KeyValueStore, PrefixListing, StoredValue, Watch, WatchEvent } from '@hibiscusledge/store/key-value-store.js'
 import { PEER_LOG_EVENTS } from './peer-log-events.js'
 
 type KeyListener = (keys: readonly string[]) => void
--- a/packages/peer/src/view-collector.ts
+++ b/packages/peer/src/view-collector.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
-import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import { toUnitId, type InstanceId } from '@hibiscusledge/runtime/identifiers.js'
 import { rankOwners } from './ownership-planner.js'
 import type { StoreCache } from './store-cache.js'
--- a/packages/peer/src/view-keeper.ts
+++ b/packages/peer/src/view-keeper.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
-import type { KeyValueStore } from '@hibiscusledge/platform/key-value-store.js'
+import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import type { AliveRecord, ViewMember, ViewRecord } from './store-records.js'
 import { formatAliveKey, formatMemberKey, formatViewKey } from './store-records.js'
 import { hasSameMembers, planView, type ViewCandidate } from './view-planner.js'
--- a/packages/peer/src/web-socket-peer-network.ts
+++ b/packages/peer/src/web-socket-peer-network.ts
@@ -56,7 +56,7 @@
     this.#handlers = new HandlerRegistry(options.self, options.clock, options.logger)
     this.#pending = new PendingRequests(options.clock)
     this.#dialer = new LinkDialer(options.clock, options.random, options.self.instance, options.seeds,
-      (instance) => this.#links.has(instance), (address) => this.#connect(address))
+      (instance) => this.#links.has(instance), (address) => this.#connect(address), options.timings.secondSideDelayMs)
   }
 
   /** Opens the listener and starts connecting. Rejects when the address can't be bound. */
--- a/packages/peer/tests/fake-store.ts
+++ b/packages/peer/tests/fake-store.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
-import type { KeyValueStore, StoredValue, Transaction, TransactionOutcome, WatchEvent, WatchHandler } from '@hibiscusledge/platform/key-value-store.js'
-import type { StoreError } from '@hibiscusledge/platform/store-error.js'
+import type { KeyValueStore, StoredValue, Transaction, TransactionOutcome, WatchEvent, WatchHandler } from '@hibiscusledge/store/key-value-store.js'
+import type { StoreError } from '@hibiscusledge/store/store-error.js'
 import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { ProcessGate } from './process-gate.js'
 
--- a/packages/peer/tests/ownership-manager.test.ts
+++ b/packages/peer/tests/ownership-manager.test.ts
@@ -1,5 +1,5 @@
 import { toInstanceId, toUnitId, type UnitId } from '@hibiscusledge/runtime/identifiers.js'
-import type { Transaction } from '@hibiscusledge/platform/key-value-store.js'
+import type { Transaction } from '@hibiscusledge/store/key-value-store.js'
 import test from 'ava'
 import { Err } from '@hibiscusledge/runtime/result.js'
 import type { UnitOwner, UnitRole } from '../src/ownership-directory.js'
--- /dev/null
+++ b/packages/peer/tests/port-probe.test.ts
@@ -0,0 +1,13 @@
+import { createServer, type AddressInfo } from 'node:net'
+import test from 'ava'
+import { TcpPortProbe } from '../src/port-probe.js'
+
+test('a port with a listener is not refused, and refuses once the listener is gone', async (t) => {
+  const server = createServer((socket) => { socket.destroy() })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+  const probe = new TcpPortProbe()
+  t.false(await probe.isRefused(address, 1_000))
+  await new Promise<void>((resolve) => { server.close(() => resolve()) })
+  t.true(await probe.isRefused(address, 1_000))
+})
--- a/packages/runtime/src/metric-sink.ts
+++ b/packages/runtime/src/metric-sink.ts
@@ -1,6 +1,6 @@
 export type MetricTags = Readonly<Record<string, string>>
 
-/** Receives metrics. Names are listed in docs/operations.md. */
+/** Receives metrics. Names are listed in docs/request-path-operations.md. */
 export interface MetricSink {
   incrementCounter (name: string, by?: number, tags?: MetricTags): void
   setGauge (name: string, value: number, tags?: MetricTags): void
--- a/packages/stand-ins/src/etcd-gateway-protocol.ts
+++ b/packages/stand-ins/src/etcd-gateway-protocol.ts
@@ -1,6 +1,6 @@
-import { decodeBase64, encodeBase64, encodePrefix } from '@hibiscusledge/platform/etcd-codec.js'
-import type { KeyCondition, KeySpaceRefusal } from '@hibiscusledge/platform/key-space.js'
-import type { Mutation, StoredValue, WatchEvent } from '@hibiscusledge/platform/key-value-store.js'
+import { decodeBase64, encodeBase64, encodePrefix } from '@hibiscusledge/store/etcd-codec.js'
+import type { KeyCondition, KeySpaceRefusal } from '@hibiscusledge/store/key-space.js'
+import type { Mutation, StoredValue, WatchEvent } from '@hibiscusledge/store/key-value-store.js'
 import { z } from 'zod'
 import type { JsonAnswer } from './stand-in-server.js'
 
--- a/packages/stand-ins/src/store-stand-in.ts
+++ b/packages/stand-ins/src/store-stand-in.ts
@@ -1,4 +1,4 @@
-import { KeySpace } from '@hibiscusledge/platform/key-space.js'
+import { KeySpace } from '@hibiscusledge/store/key-space.js'
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
 import { z } from 'zod'
--- a/packages/stand-ins/tests/key-value-store.test.ts
+++ b/packages/stand-ins/tests/key-value-store.test.ts
@@ -1,12 +1,15 @@
-import { EtcdGatewayStore } from '@hibiscusledge/platform/etcd-gateway-store.js'
-import { InMemoryStore } from '@hibiscusledge/platform/in-memory-store.js'
-import type { KeyValueStore, Mutation, WatchEvent } from '@hibiscusledge/platform/key-value-store.js'
+import { EtcdGatewayStore } from '@hibiscusledge/store/etcd-gateway-store.js'
+import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
+import type { KeyValueStore, Mutation, WatchEvent } from '@hibiscusledge/store/key-value-store.js'
 import { SystemClock } from '@hibiscusledge/runtime/system-clock.js'
 import test, { type ExecutionContext } from 'ava'
 import { StoreStandIn } from '../src/store-stand-in.js'
 import { waitFor } from './wait-for.js'
 
 // The fake that other packages test with must behave as the adapter does, so both pass the same cases.
+/** Outlasts the calls made while the lease must live, also on a machine that stalls for a second or two. */
+const LEASE_SECONDS = 4
+
 const STORES: Readonly<Record<string, (t: ExecutionContext) => Promise<KeyValueStore>>> = {
   InMemoryStore: async () => new InMemoryStore(new SystemClock()),
   'EtcdGatewayStore with the stand-in': async (t) => {
@@ -81,10 +84,10 @@
 
   test(`${name}: a lease that is not renewed takes its keys along, and renewing it then fails`, async (t) => {
     const store = await createStore(t)
-    const leaseId = (await store.grantLease(1)).unwrap()
+    const leaseId = (await store.grantLease(LEASE_SECONDS)).unwrap()
     await commit(store, [{ type: 'put', key: 'alive', value: '', leaseId }])
     t.is((await store.readKey('alive', 'critical')).unwrap()?.leaseId, leaseId)
-    t.is((await store.renewLease(leaseId)).unwrap(), 1)
+    t.is((await store.renewLease(leaseId)).unwrap(), LEASE_SECONDS)
     await waitFor('the key lapses', async () => (await listKeys(store, 'alive')).length === 0)
     t.like((await store.renewLease(leaseId)).val, { code: 'leaseNotFound', isEffectUnknown: false })
     const late = await store.commitTransaction({ comparisons: [], mutations: [{ type: 'put', key: 'alive', value: '', leaseId }] }, 'critical')
--- a/packages/stand-ins/tests/store-stand-in.test.ts
+++ b/packages/stand-ins/tests/store-stand-in.test.ts
@@ -1,4 +1,4 @@
-import { PrometheusInstanceList } from '@hibiscusledge/platform/prometheus-instance-list.js'
+import { PrometheusInstanceList } from '@hibiscusledge/store/prometheus-instance-list.js'
 import { SystemClock } from '@hibiscusledge/runtime/system-clock.js'
 import test from 'ava'
 import { request } from 'undici'
--- a/packages/platform/src/key-value-store.ts
+++ b/packages/store/src/key-value-store.ts
@@ -64,5 +64,6 @@
   /** Returns the remaining seconds; `leaseNotFound` when the lease has lapsed. */
   renewLease (leaseId: string): Promise<Result<number, StoreError>>
   revokeLease (leaseId: string): Promise<Result<void, StoreError>>
-  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler): Watch
+  /** `paceMs` allows the store to deliver changes that follow each other within this time together. */
+  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler, paceMs?: number): Watch
 }
--- a/packages/tables/tests/faulty-store.ts
+++ b/packages/tables/tests/faulty-store.ts
@@ -1,5 +1,5 @@
-import type { KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch } from '@hibiscusledge/platform/key-value-store.js'
-import type { StoreError } from '@hibiscusledge/platform/store-error.js'
+import type { KeyValueStore, PrefixListing, StoredValue, Transaction, TransactionOutcome, Watch } from '@hibiscusledge/store/key-value-store.js'
+import type { StoreError } from '@hibiscusledge/store/store-error.js'
 import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 
 /** `lateRequest`: the commit takes effect at the next commit, after the read-back has not found it. */
--- a/scripts/ensure-setup.mjs
+++ b/scripts/ensure-setup.mjs
@@ -1,4 +1,4 @@
-// Installs the locked dependencies when they are missing or older than the lock file, then builds all packages.
+// Installs the locked dependencies when they are missing or older than the lock file, then builds all packages and the deployed program.
 import { spawnSync } from 'node:child_process'
 import { existsSync, statSync } from 'node:fs'
 import { dirname, join } from 'node:path'
@@ -21,3 +21,4 @@
   run('npm', ['ci', '--prefer-offline', '--no-audit', '--no-fund'])
 }
 run(process.execPath, [join(root, 'node_modules', 'typescript', 'bin', 'tsc'), '-b'])
+run(process.execPath, [join(root, 'scripts', 'bundle.mjs')])
