Judge hanging tasks by what their target has reported

Cause: while the store is away, ends can't be stored, so targets with an unacknowledged end are not looked at. Their runs then seemed to stand still, and after 2.5 s each was stopped and its target suspected.

A stall is now measured up to the target's last report.

--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -230,7 +230,7 @@
   #runPeriodic (): void {
     for (const session of this.#sessions.values()) {
       session.checkLapse()
-      this.#supervisor.stopStalledRuns(session.listRuns())
+      this.#supervisor.stopStalledRuns(session.listRuns(), session.readLastAnswerMs())
       this.#supervisor.withdrawRuns(session.listRuns(), session.readLeavesAtMs())
       if (!session.isObsolete()) continue
       session.stop()
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -74,6 +74,9 @@
     return this.#leavesAtMs
   }
 
+  /** Monotonic time of the last report. */
+  readLastAnswerMs (): number { return this.#lastAnswerMs }
+
   /** Whether nothing is left to follow here. */
   isObsolete (): boolean {
     return !this.#isListed && this.#runs.size === 0
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -145,12 +145,15 @@
     return run
   }
 
-  /** Stops runs that make no progress, so that their tasks run elsewhere. */
-  stopStalledRuns (runs: Iterable<TaskRun>): void {
+  /**
+   * Stops runs that make no progress, so that their tasks run elsewhere. `seenAtMs` is when their target last reported:
+   * what happened since is unknown, as while the store is away and no target is looked at.
+   */
+  stopStalledRuns (runs: Iterable<TaskRun>, seenAtMs: number): void {
     const nowMs = this.#options.clock.readMonotonicMs()
     for (const run of runs) {
       if (run.phase !== RUN_PHASES.running || run.isStopWanted || run.percent >= 100) continue
-      if (nowMs - Math.max(run.percentChangedAtMs, run.sentAtMs) < STALL_MS) continue
+      if (seenAtMs - Math.max(run.percentChangedAtMs, run.sentAtMs) < STALL_MS) continue
       const step = this.#options.table.find(run.task.jobId)?.findStep(run.task.occurrence, run.task.step)
       if (step === undefined || nowMs - run.sentAtMs < step.step.estimatedMs * STALL_ESTIMATE_FACTOR) continue
       this.#options.onStalled(run)
--- a/packages/jobs/tests/fake-targets.ts
+++ b/packages/jobs/tests/fake-targets.ts
@@ -25,11 +25,13 @@
   startDelayMs: number
   failsAll: boolean
   hangs: boolean
+  /** How many times its duration each task takes that starts from now on. */
+  slowdown: number
 }
 
 /** One fake executor with the platform's rules for tokens, runs, leases and ends. */
 export class FakeTarget {
-  readonly faults: TargetFaults = { isCut: false, losesAnswers: false, startDelayMs: 0, failsAll: false, hangs: false }
+  readonly faults: TargetFaults = { isCut: false, losesAnswers: false, startDelayMs: 0, failsAll: false, hangs: false, slowdown: 1 }
   readonly runs = new Map<string, FakeRun>()
   isDraining = false
   remainingMs: number | undefined
@@ -88,7 +90,8 @@
     this.#extendLease(order.validUntilMs)
     const size = this.#world.readSize(order.taskName)
     this.#world.recordStart(this, order)
-    const run: FakeRun = { order, startedAtMs: this.#world.clock.readMonotonicMs(), durationMs: this.#world.readDuration(order.taskName) }
+    const durationMs = this.#world.readDuration(order.taskName) * this.faults.slowdown
+    const run: FakeRun = { order, startedAtMs: this.#world.clock.readMonotonicMs(), durationMs }
     this.runs.set(order.taskName, run)
     const used = [...this.runs.keys()].reduce((sum, name) => sum + this.#world.readSize(name).cpuMillis, 0)
     if (used > CAPACITY.cpuMillis) this.#world.violations.push({ kind: 'overCapacity', detail: `${this.id} ${used} after ${size.cpuMillis}` })
