Refuse jobs that have no time left to be passed on

Cause: in an outage of the store, a caller's last attempt was passed on to another instance with as little as 9 ms left, and answered 504 when the time was over while the other's answer was open. Ruled out: a store call without an answer (the store refused with 503) and a connection to a removed machine.

With less than 100 ms left such a job is now refused, which is true since nothing of it was sent. The test fails without the change.

--- a/packages/jobs/src/job-acceptor.ts
+++ b/packages/jobs/src/job-acceptor.ts
@@ -16,6 +16,8 @@
 
 /** After another instance could not store a job either, none is asked for this long: the store is away for more than this one. */
 const RELAY_PAUSE_MS = 300
+/** A job with less time left is not passed on: its answer would come too late to tell what became of it. */
+const LEAST_RELAY_MS = 100
 
 export const ACCEPTANCE_OUTCOMES = {
   /** The job is stored, now or by an earlier request. */
@@ -178,7 +180,8 @@
     if (pending.isPassedOn && !pending.mayBeStored) return this.#settle(pending, ACCEPTANCE_OUTCOMES.notStored)
     this.#parked.add(pending)
     if (pending.isPassedOn) return
-    if (this.#options.clock.readMonotonicMs() < this.#relayNotBeforeMs) return this.#refuseIfLongAway(pending)
+    const nowMs = this.#options.clock.readMonotonicMs()
+    if (nowMs < this.#relayNotBeforeMs || pending.deadlines.refuseAtMs - nowMs < LEAST_RELAY_MS) return this.#refuseIfLongAway(pending)
     void this.#relay(pending).then(() => { this.#refuseIfLongAway(pending) })
   }
 
--- a/packages/jobs/tests/job-acceptor.test.ts
+++ b/packages/jobs/tests/job-acceptor.test.ts
@@ -15,7 +15,7 @@
   readonly store: InMemoryStore
   readonly announced: string[]
   readonly outcomes: Map<string, AcceptanceOutcome>
-  accept: (id: string) => void
+  accept: (id: string, leftMs?: number) => void
   acceptForOther: (id: string) => void
 }
 
@@ -28,9 +28,9 @@
   const outcomes = new Map<string, AcceptanceOutcome>()
   const onStored = (record: string): void => { announced.push(record) }
   const acceptor = new JobAcceptor({ clock, logger: new SilentEventLogger(), store, onStored, relay: relay(clock) })
-  const accept = (id: string): void => {
+  const accept = (id: string, leftMs = GIVE_UP_MS): void => {
     const nowMs = clock.readMonotonicMs()
-    void acceptor.acceptJob(createJob(id), { refuseAtMs: nowMs + REFUSE_MS, giveUpAtMs: nowMs + GIVE_UP_MS })
+    void acceptor.acceptJob(createJob(id), { refuseAtMs: nowMs + Math.min(REFUSE_MS, leftMs), giveUpAtMs: nowMs + leftMs })
       .then((outcome) => outcomes.set(id, outcome))
   }
   const acceptForOther = (id: string): void => {
@@ -162,3 +162,18 @@
   }
   t.true(relayed <= 1 + 4 * 2, String(relayed))
 })
+
+// Pattern: callers' last attempts in an outage of the store. Guards against telling a caller that a job may be stored, which keeps it
+// from trying again, when the job was only passed on without the time for an answer.
+test('a job whose caller leaves at once is refused rather than passed on', async (t) => {
+  const { clock, store, outcomes, accept } = createAcceptor((fakeClock) => async () => {
+    await new Promise<void>((resolve) => { fakeClock.startTimer(300, resolve) })
+    return 'notStored'
+  })
+  store.setDown(true)
+  accept('j0')
+  await clock.advanceBy(700)
+  accept('j1', 20)
+  await clock.advanceBy(25)
+  t.is(outcomes.get('j1'), 'notStored')
+})
