Explain a job from the instances' logs

hibiscusledgectl logs explain JOB-ID [FILE...] reads logs from files or the standard input and prints one job's story with the changes of ownership, processes and store around it.

--- a/packages/ctl/src/command-definitions.ts
+++ b/packages/ctl/src/command-definitions.ts
@@ -47,6 +47,7 @@
 
 export const REQUEST_ID_ARGUMENT = '<request-id>'
 
+const GREATEST_LOG_FILES = 1_000
 const CALL_OPTIONS = ['address', 'timeoutMs', 'json'] as const
 
 export const COMMANDS = {
@@ -97,6 +98,14 @@
     greatestArguments: 1,
     description: 'Show what became of a request',
     options: CALL_OPTIONS
+  },
+  logsExplain: {
+    name: 'logs explain',
+    argumentName: '<job-id> [...files]',
+    leastArguments: 1,
+    greatestArguments: GREATEST_LOG_FILES + 1,
+    description: 'Show what the logs of the instances, from files or the standard input, tell about a job; needs no instance',
+    options: ['json']
   }
 } as const satisfies Record<string, CommandDefinition>
 export type CommandName = keyof typeof COMMANDS
--- a/packages/ctl/src/command.ts
+++ b/packages/ctl/src/command.ts
@@ -1,3 +1,4 @@
+import type { Readable } from 'node:stream'
 import type { ExitCode } from './exit-codes.js'
 
 /** What a command found out. */
@@ -18,6 +19,7 @@
 /** What commands use of the process, so that nothing else reads its environment or writes to it. */
 export interface CommandEnvironment {
   readonly variables: Readonly<Record<string, string | undefined>>
+  openInput (): Readable
   writeOutput (text: string): void
   writeError (text: string): void
 }
--- a/packages/ctl/src/ctl-messages.ts
+++ b/packages/ctl/src/ctl-messages.ts
@@ -49,6 +49,8 @@
   noAnswer: (address: string, reason: string) => `no usable answer from the instance at ${address}: ${reason}`,
   refused: (status: number, detail: string) => `the instance answered with status ${status}: ${detail}`,
   valid: (tables: string, hash: string | undefined) => hash === undefined ? `${tables} valid by themselves` : `${tables} valid (hash ${hash})`,
+  linesUnread: (count: number) => `${count} lines are not log records and were left out`,
+  jobNotLogged: (jobId: string) => `no line names job ${jobId}`,
   joinsUnchecked: (missing: string) => `rules across both tables were not checked, as ${missing} was not given`
 } as const
 
--- /dev/null
+++ b/packages/ctl/src/logs-explain-command.ts
@@ -0,0 +1,64 @@
+import { createReadStream } from 'node:fs'
+import { createInterface } from 'node:readline'
+import type { Readable } from 'node:stream'
+import type { Finding } from '@hibiscusledge/runtime/finding.js'
+import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
+import type { Command, CommandEnvironment, CommandReport } from './command.js'
+import { REPORT_TEXTS, USAGE_FINDINGS } from './ctl-messages.js'
+import { EXIT_CODES } from './exit-codes.js'
+import { formatRecords, LogStory, parseLogLine } from './log-story.js'
+import { createUsageReport } from './reports.js'
+
+/** `logs explain JOB-ID [FILE...]`: what the instances' logs tell about a job. */
+export class LogsExplainCommand implements Command {
+  readonly #jobId: string
+  readonly #paths: readonly string[]
+  readonly #environment: CommandEnvironment
+  #unreadLines = 0
+
+  constructor (jobId: string, paths: readonly string[], environment: CommandEnvironment) {
+    this.#jobId = jobId
+    this.#paths = paths
+    this.#environment = environment
+  }
+
+  async execute (): Promise<CommandReport> {
+    const story = new LogStory(this.#jobId)
+    const findings: Finding[] = []
+    if (this.#paths.length === 0) await this.#addLines(story, this.#environment.openInput())
+    for (const path of this.#paths) {
+      const result = await this.#addFile(story, path)
+      if (result.err) findings.push(result.val)
+    }
+    if (findings.length > 0) return createUsageReport(findings)
+    const records = story.listRecords()
+    const errorLines = this.#unreadLines === 0 ? [] : [REPORT_TEXTS.linesUnread(this.#unreadLines)]
+    const data = { records, unreadLines: this.#unreadLines }
+    if (records.length > 0) return { exitCode: EXIT_CODES.success, data, lines: formatRecords(records), errorLines }
+    return { exitCode: EXIT_CODES.negative, data, lines: [REPORT_TEXTS.jobNotLogged(this.#jobId)], errorLines }
+  }
+
+  async #addFile (story: LogStory, path: string): Promise<Result<void, Finding>> {
+    try {
+      await this.#addLines(story, createReadStream(path))
+      return Ok.EMPTY
+    } catch (error) {
+      return new Err(USAGE_FINDINGS.unreadableFile(path, String((error as { code?: unknown }).code)))
+    }
+  }
+
+  async #addLines (story: LogStory, input: Readable): Promise<void> {
+    // Errors of the stream must end the iteration, which the line reader alone does not tell.
+    const failed = new Promise<never>((_resolve, reject) => { input.once('error', reject) })
+    const read = (async (): Promise<void> => {
+      for await (const line of createInterface({ input, crlfDelay: Infinity })) this.#addLine(story, line)
+    })()
+    await Promise.race([read, failed])
+  }
+
+  #addLine (story: LogStory, line: string): void {
+    const record = parseLogLine(line)
+    if (record !== undefined) story.add(record)
+    else if (line.trim() !== '') this.#unreadLines++
+  }
+}
--- a/packages/ctl/src/run-command-line.ts
+++ b/packages/ctl/src/run-command-line.ts
@@ -4,6 +4,7 @@
 import type { CtlSettings } from './ctl-settings.js'
 import { EXIT_CODES, type ExitCode } from './exit-codes.js'
 import { ExplainCommand } from './explain-command.js'
+import { LogsExplainCommand } from './logs-explain-command.js'
 import { OutcomeCommand } from './outcome-command.js'
 import { parseCommandLine } from './parse-command-line.js'
 import { parseSettings } from './parse-settings.js'
@@ -22,11 +23,11 @@
   const findings = [...line.findings, ...(settings.ok ? [] : settings.val)]
   const isJson = line.options.json !== undefined
   if (!settings.ok || findings.length > 0) return printReport(createUsageReport(findings), isJson, environment)
-  const command = createCommand(line.name, line.arguments, settings.val)
+  const command = createCommand(line.name, line.arguments, settings.val, environment)
   return printReport(await command.execute(), isJson, environment)
 }
 
-function createCommand (name: CommandName, texts: readonly string[], settings: CtlSettings): Command {
+function createCommand (name: CommandName, texts: readonly string[], settings: CtlSettings, environment: CommandEnvironment): Command {
   const client = new ApiClient(settings.address, settings.timeoutMs)
   const first = texts[0] ?? ''
   switch (name) {
@@ -36,6 +37,7 @@
     case 'status': return new StatusCommand(client)
     case 'explain': return new ExplainCommand(client, first)
     case 'outcome': return new OutcomeCommand(client, first)
+    case 'logsExplain': return new LogsExplainCommand(first, texts.slice(1), environment)
   }
 }
 
--- a/packages/ctl/tests/sessions.test.ts
+++ b/packages/ctl/tests/sessions.test.ts
@@ -18,8 +18,28 @@
   readonly args: readonly string[]
   readonly answers?: FakeAnswers
   readonly variables?: Readonly<Record<string, string>>
+  /** What the standard input holds. */
+  readonly input?: string
 }
 
+function formatLog (records: readonly object[]): string {
+  return records.map((record) => `${JSON.stringify(record)}\n`).join('')
+}
+
+const LOG_OF_ACCEPTOR = formatLog([
+  { level: 30, time: 1_000, instance: 'entry-1', event: 'process.started' },
+  { level: 30, time: 60_000, instance: 'entry-1', jobId: '00000000000000a1', queue: 'posting', status: 200, event: 'caller.requestAnswered' },
+  { level: 30, time: 60_001, instance: 'entry-1', jobId: '00000000000000a2', queue: 'posting', status: 200, event: 'caller.requestAnswered' }
+]) + 'cut off {"level":30,"ti\n'
+const LOG_OF_OWNER = formatLog([
+  { level: 30, time: 60_005, instance: 'entry-2', jobId: '00000000000000a1', queue: 'posting', steps: 1, ageMs: 5, event: 'job.adopted' },
+  { level: 30, time: 60_020, instance: 'entry-2', step: '00000000000000a1.0.0', asked: 8, permitted: 5, afterMs: 12, event: 'advice.received' },
+  { level: 40, time: 60_500, instance: 'entry-2', code: 'timeout', message: 'no answer \u001b[2J', event: 'store.lost' },
+  { level: 30, time: 60_700, instance: 'entry-2', task: '00000000000000a1.0.0.0', run: 1, outcome: 'done', event: 'task.ended' },
+  { level: 30, time: 60_701, instance: 'entry-2', jobId: '00000000000000a2', queue: 'posting', event: 'job.adopted' },
+  { level: 30, time: 90_000, instance: 'entry-2', event: 'process.stopping' }
+])
+
 const HASH = 'ab'.repeat(32)
 const TABLES = { status: 200, body: { revision: 12, hash: HASH, routes: 'kind,customer\r\nenquiry,x\u001b[2J\r\n', pools: 'pool,targets\nquick,executor\n' } }
 const NO_TABLES = { status: 503, body: { code: 'noTables', message: 'no tables have arrived on this instance yet' } }
@@ -57,6 +77,15 @@
     { args: ['--help'] }, { args: ['tables', 'check', '--help'] }, { args: ['tables', 'apply', '--help'] }, { args: ['tables', 'show', '--help'] },
     { args: ['status', '-h'] }, { args: ['explain', '--help'] }, { args: ['outcome', '--help'] }
   ],
+  'logs-explain': [
+    { args: ['logs', 'explain', '00000000000000a1', 'entry-1.log', 'entry-2.log'] },
+    { args: ['logs', 'explain', '00000000000000a1', 'entry-2.log', '--json'] },
+    { args: ['logs', 'explain', '00000000000000a2'], input: LOG_OF_OWNER },
+    { args: ['logs', 'explain', '00000000000000ff', 'entry-1.log'] },
+    { args: ['logs', 'explain', '00000000000000a1', 'absent.log', 'entry-1.log'] },
+    { args: ['logs', 'explain'] },
+    { args: ['logs', 'explain', '--help'] }
+  ],
   usage: [
     { args: [] },
     { args: ['tables'] },
@@ -128,16 +157,20 @@
   await writeFile(join(directory, 'bad-routes.csv'), routes.replace('urgent', 'soon').replace('harambee-workers', 'absent').replace('30000,0', '30000,1'))
   await writeFile(join(directory, 'latin-1.csv'), Buffer.from('kind,customer\ncaf\xe9,\n', 'latin1'))
   await writeFile(join(directory, 'notes.csv'), 'date,note\n')
+  await writeFile(join(directory, 'entry-1.log'), LOG_OF_ACCEPTOR)
+  // A file that other programs have prefixed, as `journalctl` does.
+  await writeFile(join(directory, 'entry-2.log'), LOG_OF_OWNER.replaceAll(/^/gm, 'entry-2 ').replace(/entry-2 $/, ''))
   return directory
 }
 
-async function runStep ({ args, answers, variables }: Step, instance: FakeInstance, directory: string): Promise<string> {
+async function runStep ({ args, answers, variables, input }: Step, instance: FakeInstance, directory: string): Promise<string> {
   instance.setAnswers(answers ?? {})
   const env = { USER: 'amina', HIBISCUSLEDGE_ADDRESS: instance.address, ...variables }
   const { output, errors, code } = await new Promise<{ output: string, errors: string, code: number }>((resolve) => {
     const child = execFile(process.execPath, [PROGRAM, ...args], { cwd: directory, env, timeout: 30_000 }, (_error, output, errors) => {
       resolve({ output, errors, code: child.exitCode ?? -1 })
     })
+    child.stdin?.end(input ?? '')
   })
   const lines = [
     `$ ${['hibiscusledgectl', ...args.map((text) => /^[\w./:=-]+$/.test(text) ? text : JSON.stringify(text))].join(' ')}`,
