--- a/packages/jobs/tests/fake-job-cell.ts
+++ b/packages/jobs/tests/fake-job-cell.ts
@@ -132,6 +132,15 @@
   }
 }
 
+/** A cell whose instances have chosen an owner. */
+export async function startCell (instanceCount = 3, targetCount = 4): Promise<FakeJobCell> {
+  const cell = new FakeJobCell(targetCount)
+  for (let index = 0; index < instanceCount; index++) cell.addInstance()
+  await cell.advanceUntil(() => cell.findOwner() !== undefined, 2_000)
+  await cell.clock.advanceBy(100)
+  return cell
+}
+
 /** A policy service that permits the targets of a predicate. */
 export function createAdvice (isPermitted: (stepName: string, targetId: string) => boolean): AdviceGateway {
   return {
