Keep tasks that were started after their target had started again

Cause: when a look shows a new life of a target, all its runs were taken for lost, also those that the new life lists because they were started after the restart and before the look. Ruled out: late orders (each start was answered within 10 ms).

Runs that the report of the new life lists as running or ended are now kept.

--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -286,7 +286,7 @@
     const nowMs = this.#host.clock.readMonotonicMs()
     const isFirst = !this.#isKnown
     if (this.#startedAtMs !== undefined && report.startedAtMs < this.#startedAtMs) return false
-    if (this.#startedAtMs !== undefined && report.startedAtMs > this.#startedAtMs) this.#beginNewLife()
+    if (this.#startedAtMs !== undefined && report.startedAtMs > this.#startedAtMs) this.#beginNewLife(report)
     this.#startedAtMs = report.startedAtMs
     const hasReturned = isFirst || this.#failedLooks > 0
     if (hasReturned) this.#host.logger.logInfo(JOB_EVENTS.targetReached, { target: this.id, running: report.running.length })
@@ -347,12 +347,14 @@
     this.requestStop(run)
   }
 
-  /** The target has started again: it runs nothing, and knows no token and no earlier order. */
-  #beginNewLife (): void {
+  /** The target has started again: it knows no token and no earlier order, and has run only what it lists. */
+  #beginNewLife ({ running, ended }: TargetReport): void {
     this.#host.logger.logWarning(JOB_EVENTS.targetRestarted, { target: this.id, runs: this.#runs.size })
     this.#ends.reset()
     this.#clock.reset()
+    const ofNewLife = new Set([...running, ...ended].map((row) => formatRowKey(row)))
     for (const run of [...this.#runs.values()]) {
+      if (ofNewLife.has(formatRunKey(run))) continue
       const mayStillArrive = run.phase === RUN_PHASES.sent || run.phase === RUN_PHASES.unsettled
       if (run.phase === RUN_PHASES.reserved) continue
       if (!mayStillArrive || run.sentAtMs === Number.NEGATIVE_INFINITY) {
--- /dev/null
+++ b/packages/jobs/tests/target-restart.test.ts
@@ -0,0 +1,33 @@
+import test from 'ava'
+import { startCell } from './fake-job-cell.js'
+import { createJob, createStep } from './job-fixtures.js'
+
+const TASK_MS = 2_000
+
+// Found by seed 101 of the fault soak. Guards against taking tasks for lost that were started after their target had started again
+// and before the next look told of it: they would run a second time beside the first.
+test('a task started on a target that has just started again under its id runs once', async (t) => {
+  const cell = await startCell(1, 1)
+  const [only] = cell.instances
+  if (only === undefined) return t.fail()
+  await cell.clock.advanceBy(5_000)
+  cell.targets.get('t0').restart()
+  t.is(await cell.submit(only, createJob('aa', [createStep({ estimatedMs: TASK_MS })])), 'stored')
+  t.true(await cell.advanceUntil(async () => await cell.readState(only, 'aa') === 'completed', 12_000))
+  t.is(cell.targets.starts.length, 1)
+  t.deepEqual(cell.targets.violations, [])
+})
+
+// Guards against tasks of the earlier life that nobody starts again.
+test('tasks that were lost with the earlier life of a target run again', async (t) => {
+  const cell = await startCell(1, 1)
+  const [only] = cell.instances
+  if (only === undefined) return t.fail()
+  t.is(await cell.submit(only, createJob('aa', [createStep({ taskCount: 3, estimatedMs: TASK_MS })])), 'stored')
+  t.true(await cell.advanceUntil(() => cell.targets.starts.length === 3, 1_000))
+  await cell.clock.advanceBy(500)
+  cell.targets.get('t0').restart()
+  t.true(await cell.advanceUntil(async () => await cell.readState(only, 'aa') === 'completed', 12_000))
+  t.is(cell.targets.starts.length, 6)
+  t.deepEqual(cell.targets.violations, [])
+})
