Break the last circle of types

Targets know their pools, reservations and tasks through three small interfaces, so target-state.ts imports none of the modules that import it.

--- a/packages/scheduling/src/placer.ts
+++ b/packages/scheduling/src/placer.ts
@@ -1,7 +1,7 @@
 import type { Amounts } from './amounts.js'
 import type { PoolState } from './pool-state.js'
 import type { QueuedItem } from './queued-item.js'
-import { RESERVATION_CAUSES } from './reservation.js'
+import { RESERVATION_CAUSES } from './target-reservation.js'
 import type { TargetState } from './target-state.js'
 
 /** One task to place. */
--- a/packages/scheduling/src/pool-state.ts
+++ b/packages/scheduling/src/pool-state.ts
@@ -11,7 +11,7 @@
 import type { SchedulerSettings } from './scheduler-settings.js'
 import { ServiceRate } from './service-rate.js'
 import { TARGET_KINDS, type TargetKind } from './target.js'
-import type { TargetState } from './target-state.js'
+import type { TargetPool, TargetState } from './target-state.js'
 import { URGENCIES, type Urgency } from './urgency.js'
 import { UseAccount } from './use-account.js'
 import { WorkerIndex } from './worker-index.js'
@@ -27,7 +27,7 @@
 }
 
 /** Queue, capacity and use of one pool on this shard. */
-export class PoolState {
+export class PoolState implements TargetPool {
   readonly name: string
   readonly queues: Readonly<Record<Urgency, ClassQueue>> = createByUrgency(() => new ClassQueue())
   readonly rates: Readonly<Record<Urgency, ServiceRate>>
--- a/packages/scheduling/src/reservation-book.ts
+++ b/packages/scheduling/src/reservation-book.ts
@@ -1,6 +1,7 @@
 import type { PoolState } from './pool-state.js'
 import type { QueuedItem } from './queued-item.js'
-import { type Reservation, RESERVATION_CAUSES, type ReservationCause } from './reservation.js'
+import type { Reservation } from './reservation.js'
+import { RESERVATION_CAUSES, type ReservationCause } from './target-reservation.js'
 import type { ReservationPlan } from './reservation-planner.js'
 import type { TargetTable } from './target-table.js'
 
--- a/packages/scheduling/src/run-estimator.ts
+++ b/packages/scheduling/src/run-estimator.ts
@@ -1,5 +1,5 @@
 import type { KindProfiles } from './kind-profiles.js'
-import type { RunningTask } from './running-task.js'
+import type { HeldTask } from './held-task.js'
 import type { WorkItem } from './work-item.js'
 
 // An overdue task is expected to need this share of its age again.
@@ -22,7 +22,7 @@
   }
 
   /** When a running task is expected to end; Infinity for services and unknown run times. */
-  estimateEndOfTask (task: RunningTask): number {
+  estimateEndOfTask (task: HeldTask): number {
     const { item, startedAtMs } = task.request
     const runtimeMs = this.#estimateRuntimeMs(item)
     if (runtimeMs === undefined) return Infinity
--- a/packages/scheduling/src/running-task.ts
+++ b/packages/scheduling/src/running-task.ts
@@ -1,4 +1,5 @@
 import type { Amounts } from './amounts.js'
+import type { HeldTask } from './held-task.js'
 import type { TargetState } from './target-state.js'
 import type { WorkItem } from './work-item.js'
 
@@ -12,13 +13,12 @@
 }
 
 /** One task of a request on its target. */
-export interface RunningTask {
+export interface RunningTask extends HeldTask {
   readonly request: RunningRequest
   readonly taskIndex: number
   readonly state: TargetState
   /** What the start reserved. */
   readonly given: Amounts
-  /** What counts as used: the larger of `given` and the observed use. */
   counted: Amounts
   isProbe: boolean
   isPreempted: boolean
--- a/packages/scheduling/src/target-state.ts
+++ b/packages/scheduling/src/target-state.ts
@@ -1,16 +1,26 @@
 import type { TargetId } from '@hibiscusledge/runtime/identifiers.js'
 import { type Amounts, addAmounts, convertCapacity } from './amounts.js'
-import type { PoolState } from './pool-state.js'
-import type { Reservation } from './reservation.js'
-import type { RunningTask } from './running-task.js'
+import type { HeldTask } from './held-task.js'
 import { type Target, TARGET_STATES } from './target.js'
+import type { TargetReservation } from './target-reservation.js'
+
+/** A pool as its targets see it. */
+export interface TargetPool {
+  readonly targets: readonly TargetState[]
+  /** What any pool's work uses on this pool's targets. */
+  occupied: Amounts
+  /** Grows whenever capacity may have become free. */
+  freedVersion: number
+  /** Brings the pool's indexes up to date after a change of a target. */
+  refreshTarget (state: TargetState): void
+}
 
 /** What the shard knows of one target. Free capacity belongs to the target, so pools that share it can't give it out twice. */
 export class TargetState {
   readonly id: TargetId
   /** Order of first appearance; breaks ties so that decisions are repeatable. */
   readonly ordinal: number
-  readonly tasks = new Set<RunningTask>()
+  readonly tasks = new Set<HeldTask>()
   readonly #slotsUsedByPool = new Map<string, number>()
   target: Target
   capacity: Amounts
@@ -21,9 +31,9 @@
   suspendedUntilMs: number | undefined
   /** Slots in use by work that this shard did not start. */
   foreignSlots = 0
-  reservation: Reservation | undefined
+  reservation: TargetReservation | undefined
   /** Pools of the current tables that the target belongs to. */
-  pools: readonly PoolState[] = []
+  pools: readonly TargetPool[] = []
 
   constructor (target: Target, ordinal: number) {
     this.id = target.id
