--- a/packages/dispatch/tests/home-partition.test.ts
+++ b/packages/dispatch/tests/home-partition.test.ts
@@ -1,59 +1,7 @@
 import test, { type ExecutionContext } from 'ava'
-import { PEER_MESSAGE_KINDS } from '@hibiscusledge/peer/peer-message-kinds.js'
-import { toInstanceId } from '@hibiscusledge/runtime/identifiers.js'
-import type { RequestStatusReply, SubmitMessage, SubmitReply } from '../src/dispatch-messages.js'
-import type { RequestFacts } from '../src/ledger-entry.js'
-import type { RunReport } from '../src/target-client.js'
-import { FakeCluster } from './fake-cluster.js'
-import type { FakeMessage } from './fake-network.js'
-import { buildFacts, buildSubmit, PARTITION, SHARD } from './fixtures.js'
-
-const HOME = toInstanceId('home')
-
-/** `home` and `next` are homes, `shard` and `other` shard owners, `entry` asks. */
-async function createCluster (): Promise<FakeCluster> {
-  const cluster = new FakeCluster(['home', 'next', 'shard', 'other', 'entry'])
-  await cluster.setOwner(PARTITION, 'home')
-  await cluster.setOwner(SHARD, 'shard')
-  await cluster.advance(100)
-  return cluster
-}
-
-async function sendTo<Reply> (cluster: FakeCluster, kind: string, body: unknown, waitMs: number, to = HOME): Promise<Reply | undefined> {
-  let found: Reply | undefined
-  void cluster.find('entry').context.network.sendRequest(to, kind, body, 10_000).then((reply) => {
-    if (reply.ok) found = reply.val as Reply
-  })
-  await cluster.advance(waitMs)
-  return found
-}
-
-function submit (
-  cluster: FakeCluster, facts: RequestFacts, message: Partial<SubmitMessage> = {}, to = HOME
-): Promise<SubmitReply | undefined> {
-  return sendTo(cluster, PEER_MESSAGE_KINDS.submit, buildSubmit(facts, message), 200, to)
-}
-
-async function readOutcome (cluster: FakeCluster, facts: RequestFacts, to = HOME): Promise<string> {
-  const reply = await sendTo<RequestStatusReply>(cluster, PEER_MESSAGE_KINDS.lookup, { requestId: facts.requestId }, 10, to)
-  return reply?.type === 'outcome' ? reply.outcome.outcome : reply?.type ?? 'no reply'
-}
-
-function cancel (cluster: FakeCluster, facts: RequestFacts, waitMs = 100, to = HOME): Promise<RequestStatusReply | undefined> {
-  return sendTo(cluster, PEER_MESSAGE_KINDS.cancel, { requestId: facts.requestId }, waitMs, to)
-}
-
-function injectLoss (cluster: FakeCluster, matches: (message: FakeMessage) => boolean): void {
-  let isLost = false
-  cluster.hub.decideFate = (message) => {
-    if (isLost || !matches(message)) return [0]
-    isLost = true
-    return []
-  }
-}
-
-const DONE: RunReport = { type: 'succeeded', result: 'done' }
-const FAILED: RunReport = { type: 'failed', message: 'failed' }
+import type { FakeCluster } from './fake-cluster.js'
+import { buildFacts, PARTITION, SHARD } from './fixtures.js'
+import { cancel, createCluster, DONE, endRequest, FAILED, injectLoss, readOutcome, submit } from './home-session.js'
 
 test('a duplicate joins the request, another body under its identifier conflicts', async (t) => {
   const cluster = await createCluster()
@@ -230,151 +178,6 @@
   t.is(await readOutcome(cluster, facts), 'notRun')
 })
 
-async function takeOver (cluster: FakeCluster): Promise<void> {
-  cluster.kill('home')
-  await cluster.setOwner(PARTITION, 'next')
-  await cluster.advance(300)
-}
-
-const NEXT = toInstanceId('next')
-interface Recovery {
-  readonly title: string
-  readonly kind: string
-  readonly isWaiting: boolean
-  readonly outcome: string
-  readonly sends: number
-  run (cluster: FakeCluster, facts: RequestFacts): Promise<void>
-}
-const end = (cluster: FakeCluster, facts: RequestFacts, report: RunReport = DONE): Promise<void> => {
-  cluster.targets.end(facts.requestId, report)
-  return cluster.advance(100)
-}
-const RECOVERIES: readonly Recovery[] = [
-  {
-    title: 'accepted and queued runs after the takeover',
-    kind: 'posting',
-    isWaiting: false,
-    run: async (cluster, facts) => {
-      await takeOver(cluster)
-      cluster.find('shard').hasAuthority = true
-      await cluster.advance(1000)
-      await end(cluster, facts)
-    },
-    outcome: 'completed',
-    sends: 1
-  },
-  {
-    title: 'granted is asked for',
-    kind: 'posting',
-    isWaiting: true,
-    run: async (cluster, facts) => { await takeOver(cluster); await end(cluster, facts) },
-    outcome: 'completed',
-    sends: 1
-  },
-  {
-    title: 'ended is told',
-    kind: 'posting',
-    isWaiting: true,
-    run: async (cluster, facts) => { await end(cluster, facts); await takeOver(cluster) },
-    outcome: 'completed',
-    sends: 1
-  },
-  {
-    title: 'cancel of a granted request stays truthful',
-    kind: 'posting',
-    isWaiting: true,
-    run: async (cluster, facts) => { await takeOver(cluster); await cancel(cluster, facts, 100, NEXT); await end(cluster, facts) },
-    outcome: 'completed',
-    sends: 1
-  },
-  {
-    title: 'accepted and sent without an intent is unknown when cancelled',
-    kind: 'enquiry',
-    isWaiting: false,
-    run: async (cluster, facts) => {
-      cluster.find('shard').hasAuthority = false
-      await takeOver(cluster)
-      await cancel(cluster, facts, 100, NEXT)
-    },
-    outcome: 'unknown',
-    sends: 1
-  }
-]
-
-for (const { title, kind, isWaiting, run, outcome, sends } of RECOVERIES) {
-  test(`takeover: ${title}`, async (t) => {
-    const cluster = await createCluster()
-    const facts = buildFacts(1, kind)
-    if (!isWaiting && kind === 'posting') cluster.find('shard').hasAuthority = false
-    const reply = await submit(cluster, facts, { isWaiting })
-    t.is(reply?.type, isWaiting ? 'pending' : 'accepted')
-    await run(cluster, facts)
-    await cluster.advance(500)
-    t.is(await readOutcome(cluster, facts, NEXT), outcome)
-    t.is(cluster.targets.sends.length, sends)
-  })
-}
-
-test('an accepted request that restarts after notRun survives a takeover', async (t) => {
-  const cluster = await createCluster()
-  cluster.find('shard').hasAuthority = false
-  const facts = buildFacts(1, 'posting')
-  await submit(cluster, facts, { isWaiting: false, remainingMs: 500 })
-  await cluster.advance(5000)
-  t.is(await readOutcome(cluster, facts), 'notRun')
-  t.is((await submit(cluster, facts, { isWaiting: false, remainingMs: 20_000 }))?.type, 'accepted')
-  await takeOver(cluster)
-  t.is(await readOutcome(cluster, facts, NEXT), 'pending')
-})
-
-test('a request that restarts after a recorded notRun and runs is not told as notRun by a successor', async (t) => {
-  const cluster = await createCluster()
-  cluster.find('shard').hasAuthority = false
-  const facts = buildFacts(1, 'enquiry')
-  await submit(cluster, facts, { isWaiting: false, remainingMs: 500 })
-  await cluster.advance(5000)
-  cluster.find('shard').hasAuthority = true
-  await submit(cluster, facts)
-  await end(cluster, facts)
-  t.is(await readOutcome(cluster, facts), 'completed')
-  await takeOver(cluster)
-  t.is(await readOutcome(cluster, facts, NEXT), 'completed')
-})
-
-test('an idempotent request that a dead home had sent is unknown, not notRun, when it expires at the next home', async (t) => {
-  const cluster = await createCluster()
-  const { gateway, context } = cluster.find('entry')
-  const submission = {
-    kind: 'enquiry', customer: 'harambee', team: '', deadlineMs: 2000, payload: 1, idempotencyKey: 'k', isWaiting: true, trace: undefined
-  }
-  let outcome = ''
-  void gateway.submit(submission, new AbortController().signal).then((answer) => {
-    outcome = answer.type === 'outcome' ? answer.outcome.outcome : answer.type
-  })
-  await cluster.advance(100)
-  t.is(cluster.targets.sends.length, 1)
-  cluster.find('shard').hasAuthority = false
-  cluster.targets.end(cluster.targets.sends[0]?.requestId ?? buildFacts(0).requestId, FAILED)
-  cluster.kill('home')
-  await cluster.setOwner(PARTITION, 'next')
-  await cluster.advance(10_000)
-  t.is(context.ownership.findOwner(PARTITION)?.instance, NEXT)
-  t.is(outcome, 'unknown')
-})
-
-test('a late submit of a caller that was told notRun does not start the request again; a new submission does', async (t) => {
-  const cluster = await createCluster()
-  cluster.find('shard').hasAuthority = false
-  const facts = buildFacts(1, 'posting')
-  await submit(cluster, facts, { submission: 's1', remainingMs: 500 })
-  await cluster.advance(4000)
-  cluster.find('shard').hasAuthority = true
-  t.is((await submit(cluster, facts, { submission: 's1' }))?.type, 'outcome')
-  t.is(cluster.targets.sends.length, 0)
-  t.is((await submit(cluster, facts, { submission: 's2' }))?.type, 'pending')
-  t.is(cluster.targets.sends.length, 1)
-})
-
 function checkPairs (t: ExecutionContext, cluster: FakeCluster): void {
   t.is(new Set(cluster.targets.sends.map(({ requestId, attempt }) => `${requestId}.${attempt}`)).size, cluster.targets.sends.length)
 }
@@ -403,7 +206,7 @@
   await cluster.advance(4000)
   cluster.find('shard').hasAuthority = true
   await cluster.advance(500)
-  await end(cluster, facts)
+  await endRequest(cluster, facts)
   t.is(cluster.targets.sends.length, 1)
   t.is(await readOutcome(cluster, facts), 'completed')
 })
