Hand out ports that no other test process uses

Cause: ports were drawn at random and checked, so a second instance of the same cell could be given a port on which the first did not listen yet (EADDRINUSE in its log; about 1 in 200 cells, and the same between test processes). Ruled out: load (the two others were ready within 0.1 s).

Each process now takes a range of ports for itself, by listening on its first port, and hands its ports out in turn.

--- a/packages/stand-ins/src/free-ports.ts
+++ b/packages/stand-ins/src/free-ports.ts
@@ -5,21 +5,48 @@
 /** Ports from here up are given to outgoing connections. */
 const END_PORT = 32_000
 const HOST = '127.0.0.1'
+/** Ports of one range; the first of them marks the range as taken. */
+const RANGE_PORTS = 400
+const RANGES = Math.floor((END_PORT - FIRST_PORT) / RANGE_PORTS)
+
+let claimedRange: Promise<number> | undefined
+let handedOut = 0
 
 /**
- * Draws blocks of neighbouring free ports below the range that the system gives to outgoing connections, so that none of
- * those takes one before the process listens on it. Returns the first port of each block.
+ * Hands out blocks of neighbouring free ports below the range that the system gives to outgoing connections, so that none
+ * of those takes one before the process listens on it. Ports come from a range that this process alone uses, in turn, so
+ * that a port is not handed out again while the process meant for it has yet to start. Returns the first port of each block.
  */
 export async function findFreePorts (count: number, blockSize = 1): Promise<number[]> {
+  claimedRange ??= claimRange()
+  const rangeStart = await claimedRange
   const firsts: number[] = []
   while (firsts.length < count) {
-    const first = randomInt(FIRST_PORT, END_PORT - blockSize)
-    const isApart = firsts.every((other) => Math.abs(other - first) >= blockSize)
-    if (isApart && await isBlockFree(first, blockSize)) firsts.push(first)
+    const first = takeBlock(rangeStart + 1, blockSize)
+    if (await isBlockFree(first, blockSize)) firsts.push(first)
   }
   return firsts
 }
 
+/** Takes a range by listening on its first port for as long as this process lives. */
+async function claimRange (): Promise<number> {
+  const offset = randomInt(RANGES)
+  for (let index = 0; index < RANGES; index++) {
+    const start = FIRST_PORT + (offset + index) % RANGES * RANGE_PORTS
+    if (await tryListen(start)) return start
+  }
+  throw new Error(`all ${RANGES} ranges of ports are in use`)
+}
+
+/** The next block of the range; after the last one it starts again at the first. */
+function takeBlock (start: number, size: number): number {
+  const usable = RANGE_PORTS - 1
+  if (handedOut % usable + size > usable) handedOut += usable - handedOut % usable
+  const first = start + handedOut % usable
+  handedOut += size
+  return first
+}
+
 async function isBlockFree (first: number, size: number): Promise<boolean> {
   for (let port = first; port < first + size; port++) if (!await isPortFree(port)) return false
   return true
@@ -32,3 +59,14 @@
     server.listen(port, HOST, () => { server.close(() => { resolve(true) }) })
   })
 }
+
+async function tryListen (port: number): Promise<boolean> {
+  return await new Promise((resolve) => {
+    const server = createServer()
+    server.once('error', () => { resolve(false) })
+    server.listen(port, HOST, () => {
+      server.unref()
+      resolve(true)
+    })
+  })
+}
