Read the owner anew after a watch was cut

Cause: when the store drops its history, a watch of the owner key is cut and may miss the end of an ownership. The instances then read the key as a stale read, which the store may answer seconds behind, and watched on from a later revision.

A cut watch is now followed by a fresh list of the key, and the next watch begins right after its revision, so nothing lies between the two. The test fails without the change.

--- a/packages/jobs/src/leadership.ts
+++ b/packages/jobs/src/leadership.ts
@@ -82,12 +82,11 @@
 
   start (): void {
     const { clock } = this.#options
-    this.#openWatch(0)
     this.#timers = [
       clock.startInterval(RENEWAL_PERIOD_MS, () => { void this.#renew() }),
       clock.startInterval(CHECK_PERIOD_MS, () => { if (!this.#isOwner) void this.#check() })
     ]
-    void this.#check()
+    void this.#follow()
   }
 
   /** Whether orders may be given now. Call it right before each order. */
@@ -148,8 +147,21 @@
     void this.#renew()
   }
 
-  #openWatch (fromRevision: number): void {
+  /** Reads the owner and watches from there, so that no change is missed when a watch was cut. A stale read could miss its end. */
+  async #follow (): Promise<void> {
+    const listing = await this.#options.store.listPrefix(OWNER_KEY, 'critical')
     if (this.#isStopped) return
+    if (listing.err) {
+      this.#options.clock.startTimer(WATCH_RETRY_MS, () => { void this.#follow() })
+      return
+    }
+    const { revision, values } = listing.val
+    const value = values.find(({ key }) => key === OWNER_KEY)
+    this.#applyOwner(value, value?.modRevision ?? revision)
+    this.#openWatch(revision + 1)
+  }
+
+  #openWatch (fromRevision: number): void {
     this.#watch = this.#options.store.watchPrefix(OWNER_KEY, fromRevision, {
       onEvents: (events) => {
         for (const event of events) {
@@ -159,8 +171,7 @@
       },
       onClosed: (reason) => {
         this.#options.logger.logWarning(JOB_EVENTS.watchClosed, { prefix: OWNER_KEY, reason })
-        this.#options.clock.startTimer(WATCH_RETRY_MS, () => { this.#openWatch(0) })
-        void this.#check()
+        void this.#follow()
       }
     })
   }
--- a/packages/jobs/tests/leadership.test.ts
+++ b/packages/jobs/tests/leadership.test.ts
@@ -4,6 +4,7 @@
 import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
 import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
 import test from 'ava'
+import { OWNER_KEY } from '../src/job-keys.js'
 import { Leadership, type Ownership } from '../src/leadership.js'
 
 /** A clock whose steady time stands still for this instance while its wall time goes on, as when it is suspended. */
@@ -126,3 +127,23 @@
   await clock.advanceBy(400)
   t.true(second.leadership.isAuthorized())
 })
+
+// Pattern: the store drops its history while the owner stops, and stale reads lag behind. Guards against instances that miss the
+// end of the ownership and leave all targets without an owner for seconds.
+test('an ownership that ended while a watch was cut is taken over though stale reads still show it', async (t) => {
+  const clock = new FakeClock()
+  const store = new InMemoryStore(clock)
+  const owner = createCandidate(clock, store, 'a')
+  await clock.advanceBy(1_000)
+  t.true(owner.leadership.isOwner())
+  const next = createCandidate(clock, store, 'bb')
+  await clock.advanceBy(1_000)
+  const stale = await store.readKey(OWNER_KEY, 'critical')
+  const readFresh = next.store.readKey.bind(next.store)
+  next.store.readKey = async (key, priority) => priority === 'background' && key === OWNER_KEY ? stale : await readFresh(key, priority)
+  next.store.setDown(true)
+  await owner.leadership.release()
+  next.store.setDown(false)
+  await clock.advanceBy(1_000)
+  t.true(next.leadership.isOwner())
+})
