--- a/packages/dispatch/src/shard-runner.ts
+++ b/packages/dispatch/src/shard-runner.ts
@@ -4,17 +4,18 @@
 import type { Timer } from '@hibiscusledge/runtime/clock.js'
 import type { InstanceId, RequestId, TargetId, UnitId } from '@hibiscusledge/runtime/identifiers.js'
 import type { TraceContext } from '@hibiscusledge/runtime/trace-context.js'
-import { REJECTION_REASONS, type Decision, type StartDecision } from '@hibiscusledge/scheduling/decision.js'
+import type { Decision, StartDecision } from '@hibiscusledge/scheduling/decision.js'
 import type { PoolPolicy } from '@hibiscusledge/scheduling/pool-policy.js'
 import type { ShardScheduler, WaitExplanation } from '@hibiscusledge/scheduling/shard-scheduler.js'
 import { TARGET_KINDS, type Target } from '@hibiscusledge/scheduling/target.js'
 import { AttemptFollower } from './attempt-follower.js'
+import { AttemptIntake } from './attempt-intake.js'
 import type { AttemptReporter } from './attempt-reporter.js'
 import type { DispatchContext } from './dispatch-context.js'
 import { DISPATCH_EVENTS } from './dispatch-events.js'
 import type { EnqueueMessage, EnqueueReply, HandOverMessage, WithdrawMessage, WithdrawReply } from './dispatch-messages.js'
 import { requestIntent } from './intent-request.js'
-import { ATTEMPT_STATES, buildOrder, buildWorkItem, createAttempt, type ShardAttempt } from './shard-attempt.js'
+import { ATTEMPT_STATES, buildOrder, type ShardAttempt } from './shard-attempt.js'
 import { buildHandOver, convertHandedOver } from './shard-hand-over.js'
 import { EndedAttempts } from './ended-attempts.js'
 import { ForeignRuns } from './foreign-runs.js'
@@ -48,6 +49,7 @@
   readonly #follower: AttemptFollower
   readonly #monitor: TargetMonitor
   readonly #foreign: ForeignRuns
+  readonly #intake: AttemptIntake
   /** Runs only while attempts are held, so that an idle shard costs nothing. */
   #timer: Timer | undefined
   #successor: InstanceId | undefined
@@ -76,6 +78,17 @@
         if (this.#successor !== undefined && !attempt.isIntentNeeded) this.#sendHandOver(this.#successor, [], [attempt])
       }
     })
+    this.#intake = new AttemptIntake({
+      context: options.context,
+      scheduler: options.scheduler,
+      attempts: this.#attempts,
+      ended: this.#ended,
+      requestStop: (attempt) => { this.#follower.requestAction(attempt, 'stop') },
+      onAdmitted: () => {
+        this.#requestSchedule()
+        this.#startTimer()
+      }
+    })
   }
 
   /** Counts what earlier owners started, then serves. */
@@ -102,32 +115,11 @@
 
   enqueue (message: EnqueueMessage, trace: TraceContext | undefined): EnqueueReply {
     if (!this.#isServing || message.epoch !== this.#owner.epoch) return { type: 'notOwner' }
-    const existing = this.#attempts.get(message.requestId)
-    const known = Math.max(existing?.attempt ?? 0, this.#ended.find(message.requestId)?.attempt ?? 0)
-    if (known === message.attempt) return { type: 'admitted' }
-    if (known > message.attempt) {
-      return { type: 'rejected', reason: REJECTION_REASONS.duplicate, detail: 'a later attempt of the request is known here' }
-    }
-    if (existing !== undefined && existing.state !== ATTEMPT_STATES.queued) {
-      return { type: 'rejected', reason: REJECTION_REASONS.duplicate, detail: 'an earlier attempt still runs here' }
-    }
-    if (existing !== undefined) this.#removeQueued(existing)
-    return this.#admit(message, trace)
+    return this.#intake.enqueue(message, trace)
   }
 
   withdraw (message: WithdrawMessage): WithdrawReply['state'] {
-    const attempt = this.#attempts.get(message.requestId)
-    if (attempt === undefined || attempt.attempt !== message.attempt) return this.#findUnsent(message)
-    if (attempt.state === ATTEMPT_STATES.queued) {
-      this.#removeQueued(attempt)
-      return 'queued'
-    }
-    if (attempt.state === ATTEMPT_STATES.recording) {
-      attempt.isWithdrawn = true
-      return 'queued'
-    }
-    if (message.isStopWanted) this.#follower.requestAction(attempt, 'stop')
-    return 'sent'
+    return this.#intake.withdraw(message)
   }
 
   explainWait (requestId: RequestId): WaitExplanation | undefined {
@@ -185,38 +177,6 @@
     if (this.#unit.startsWith(TARGET_KINDS.worker)) for (const targetId of this.#targets.keys()) this.#client.detach(targetId)
   }
 
-  #admit (message: EnqueueMessage, trace: TraceContext | undefined): EnqueueReply {
-    const nowMs = this.#context.clock.readMonotonicMs()
-    const item = buildWorkItem(message, nowMs, nowMs + message.remainingMs)
-    if (message.retries > 0 && !this.#scheduler.claimRetry(item, nowMs)) {
-      return { type: 'rejected', reason: REJECTION_REASONS.retryBudgetExhausted, detail: `retry budget of pool ${item.pool}` }
-    }
-    const admission = this.#scheduler.admit(item, nowMs)
-    if (!admission.isAdmitted) {
-      const { reason, detail, retryAfterMs } = admission
-      this.#context.metrics.incrementCounter('shard.rejected', 1, { reason, urgency: item.urgency })
-      return { type: 'rejected', reason, detail, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }
-    }
-    this.#attempts.set(item.requestId, createAttempt(message, item, trace))
-    this.#requestSchedule()
-    this.#startTimer()
-    return { type: 'admitted' }
-  }
-
-  #removeQueued (attempt: ShardAttempt): void {
-    this.#scheduler.cancelQueued([attempt.requestId])
-    this.#attempts.delete(attempt.requestId)
-    this.#ended.add(attempt.requestId, attempt.attempt, false)
-  }
-
-  /** Answers a withdrawal of an attempt that is not here. One that may still be under way is refused when it arrives. */
-  #findUnsent ({ requestId, attempt }: WithdrawMessage): WithdrawReply['state'] {
-    const ended = this.#ended.find(requestId)
-    if (ended?.attempt === attempt && !ended.mayBeSent) return 'queued'
-    this.#ended.add(requestId, attempt, true)
-    return 'absent'
-  }
-
   /** Deadlines, suspensions and freed reservations come due without a message that tells of them. */
   #startTimer (): void {
     if (this.#isStopped) return
--- a/packages/jobs/src/order-message.ts
+++ b/packages/jobs/src/order-message.ts
@@ -3,7 +3,6 @@
 import { ORDER_ERROR_CODES, type OrderAnswer, type OrderError, type TargetGateway, type TargetReport } from './target-gateway.js'
 import { RUN_OUTCOMES } from './task-run.js'
 
-/** An order that an owner has another instance send to a target. */
 const endpointSchema = z.object({ id: z.string(), address: z.string() })
 const startSchema = z.object({
   taskName: z.string(),
@@ -24,6 +23,7 @@
   z.object({ kind: z.literal('look'), target: endpointSchema, order: lookSchema })
 ])
 
+/** An order that an owner has another instance send to a target. */
 export type OrderMessage = z.infer<typeof orderSchema>
 
 const errorSchema = z.object({
--- a/packages/jobs/src/task-room.ts
+++ b/packages/jobs/src/task-room.ts
@@ -66,7 +66,7 @@
   return usesIdleCapacity ? { ...size, cpuMillis: 0 } : size
 }
 
-/** How many tasks of a step fit on an empty target. */
+/** How many tasks of a step fit into this room, be it a whole target or what is free of one. */
 export function countSlots (capacity: TaskSize, step: JobStep): number {
   const size = computeCountedSize(step.size, step.usesIdleCapacity)
   const counts = [
