Look at targets while their ends wait for the store

A target whose reported ends are not stored yet was not looked at until they were, so other ends, progress and the lease waited for a slow store. Looks now go on every 200 ms, since such a target answers at once.

--- a/packages/jobs/src/owner-timings.ts
+++ b/packages/jobs/src/owner-timings.ts
@@ -19,6 +19,8 @@
   readonly lookWaitMs: number
   /** Pause after a look that brought ends, so that ends close together come in one answer. */
   readonly lookPauseMs: number
+  /** Time after which a target is looked at again while the ends it reported are not stored yet. */
+  readonly unstoredLookMs: number
   readonly lookRetryMs: number
   /** A target that hasn't answered for this long gets no work. */
   readonly silenceMs: number
@@ -42,6 +44,7 @@
     stopRetryMs: 300,
     lookWaitMs: 1_500,
     lookPauseMs: 100,
+    unstoredLookMs: 200,
     lookRetryMs: 200,
     silenceMs: 3_000,
     // Orders without an answer are carried out up to 12 s later on the users' platform.
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -247,11 +247,14 @@
     const hadEnds = await this.#inspect(this.#isKnown ? timings.lookWaitMs : 0)
     if (this.#failedLooks > 0) return this.#lookTimer.schedule(timings.lookRetryMs)
     if (!hadEnds) return this.#lookTimer.schedule(0)
-    // The target answers at once while ends are unacknowledged, so the next look waits until they are stored.
+    // The target answers at once while ends are unacknowledged, so the next look waits until they are stored. When that
+    // takes long, it goes ahead, since other runs may have ended.
     const notBeforeMs = clock.readMonotonicMs() + timings.lookPauseMs
+    this.#lookTimer.schedule(timings.unstoredLookMs)
     runWhenStored(() => this.#lookTimer.schedule(Math.max(0, notBeforeMs - clock.readMonotonicMs())))
   }
 
+  /** Tells whether the report listed ends that are not acknowledged yet. */
   async #inspect (waitMs: number): Promise<boolean> {
     const { clock, gateway, timings, fencingToken } = this.#host
     const sentAtMs = clock.readMonotonicMs()
@@ -302,7 +305,7 @@
     this.#earlierOrders.stopAll(this.#description)
     if (endedRows.length > 0) this.#ends.acknowledge(endedRows, this.#host.runWhenStored)
     if (isFirst) this.#host.onRoomChanged()
-    return endedRows.length > 0
+    return report.ended.length > 0
   }
 
   #applyRunning (row: RunningRow, nowMs: number): void {
--- /dev/null
+++ b/packages/jobs/tests/target-session.test.ts
@@ -0,0 +1,104 @@
+import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import test from 'ava'
+import type { TaskSize } from '../src/job.js'
+import { createOwnerTimings } from '../src/owner-timings.js'
+import { TargetSession } from '../src/target-session.js'
+import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
+import { FakeTargets } from './fake-targets.js'
+
+const SIZE: TaskSize = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 }
+
+interface Fixture {
+  readonly clock: FakeClock
+  readonly session: TargetSession
+  readonly targets: FakeTargets
+  /** Monotonic times at which the ends of runs were noticed, by job. */
+  readonly noticedAtMs: Map<string, number>
+  /** What waits for the store. */
+  readonly unstored: (() => void)[]
+  countLooks: () => number
+  start: (jobId: string) => void
+}
+
+/** A session with a target whose tasks take the time that their job's id says, and a store that answers when the test says so. */
+async function createFixture (): Promise<Fixture> {
+  const clock = new FakeClock()
+  const targets = new FakeTargets(clock, 1, () => SIZE, (name) => Number(name.split('.')[0]))
+  const noticedAtMs = new Map<string, number>()
+  const unstored: (() => void)[] = []
+  const gateway = targets.createGateway()
+  const fetchReport = gateway.fetchReport.bind(gateway)
+  let looks = 0
+  gateway.fetchReport = async (endpoint, order) => {
+    looks++
+    return await fetchReport(endpoint, order)
+  }
+  const session = new TargetSession(targets.get('t0').describe(), {
+    clock,
+    logger: new SilentEventLogger(),
+    gateway,
+    timings: createOwnerTimings(6_000),
+    fencingToken: 1,
+    isAuthorized: () => true,
+    isStoreHealthy: () => true,
+    onRunEnded: (run) => { noticedAtMs.set(run.task.jobId, clock.readMonotonicMs()) },
+    onRunStarted: () => {},
+    onCheckpoint: () => {},
+    onUnknownRun: () => undefined,
+    onTicketRefused: () => {},
+    runWhenStored: (callback) => { unstored.push(callback) },
+    onRoomChanged: () => {},
+    onFenced: () => {}
+  })
+  session.start()
+  await clock.advanceBy(50)
+  const start = (jobId: string): void => {
+    const run: TaskRun = {
+      task: { jobId, occurrence: 0, step: 0, index: 0 },
+      number: 1,
+      targetId: 't0',
+      size: SIZE,
+      phase: RUN_PHASES.reserved,
+      sentAtMs: 0,
+      expectedEndMs: 0,
+      isStopWanted: false,
+      isStopAcknowledged: false,
+      percent: 0,
+      percentChangedAtMs: 0
+    }
+    session.reserve(run)
+    void session.startRun(run, { specification: '', checkpoint: '' })
+  }
+  return { clock, session, targets, noticedAtMs, unstored, countLooks: () => looks, start }
+}
+
+// Pattern: a slow store. Guards against targets whose other ends are noticed only once the first of them is stored, so that
+// their room stands empty meanwhile.
+test('an end is noticed soon while an earlier one is not stored yet', async (t) => {
+  const { clock, noticedAtMs, start } = await createFixture()
+  const startedAtMs = clock.readMonotonicMs()
+  start('200')
+  start('500')
+  for (let step = 0; step < 100; step++) await clock.advanceBy(10)
+  t.true((noticedAtMs.get('200') ?? Infinity) - startedAtMs < 250)
+  t.true((noticedAtMs.get('500') ?? Infinity) - startedAtMs < 750)
+})
+
+// Guards against a loop of looks at a target that answers at once while its ends are unacknowledged.
+test('a target with ends that are not stored is looked at a few times a second', async (t) => {
+  const { clock, countLooks, start } = await createFixture()
+  start('100')
+  for (let step = 0; step < 200; step++) await clock.advanceBy(10)
+  t.true(countLooks() <= 15, String(countLooks()))
+})
+
+test('an end is acknowledged once it is stored', async (t) => {
+  const { clock, targets, unstored, start } = await createFixture()
+  start('100')
+  for (let step = 0; step < 100; step++) await clock.advanceBy(10)
+  t.deepEqual([...targets.doneTasks], [])
+  for (const callback of unstored.splice(0)) callback()
+  for (let step = 0; step < 100; step++) await clock.advanceBy(10)
+  t.deepEqual([...targets.doneTasks], ['100.0.0.0'])
+})
