Wait for the store only where a job's own changes are

A start and a final state waited until all lanes had stored what was marked before, also changes of other jobs. They now wait for the lane of their job; ends are still acknowledged to targets only when all is stored.

--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -83,7 +83,7 @@
       onFailed: () => leadership.confirm()
     }, formatWriteSequenceKey)
     const markChanged = (jobId: string): void => this.#writer.markChanged(jobId)
-    const runWhenStored = (callback: () => void): void => this.#writer.runWhenStored(callback)
+    const runWhenJobStored = (jobId: string, callback: () => void): void => this.#writer.runWhenJobStored(jobId, callback)
     this.#rounds = new RoundPacer(clock, () => this.#planner.runRound())
     const requestRound = (): void => this.#rounds.request()
     this.#supervisor = new TaskSupervisor({
@@ -92,7 +92,7 @@
       metrics,
       table: this.#table,
       markChanged,
-      runWhenStored,
+      runWhenJobStored,
       requestStop: (run) => this.#sessions.get(run.targetId)?.requestStop(run),
       requestRound,
       onFinished: (progress) => this.#planner.forgetJob(progress),
@@ -108,10 +108,10 @@
       sessions: this.#sessions,
       isAuthorized: () => leadership.isAuthorized(),
       markChanged,
-      runWhenStored,
+      runWhenJobStored,
       requestRound
     })
-    this.#host = this.#createHost(markChanged, runWhenStored, requestRound)
+    this.#host = this.#createHost()
     this.#work = new WorkFollower(clock, logger, store, {
       onJob: (id, record) => { if (!this.#table.has(id)) this.#adoptRecord(record) },
       onCancel: (id) => this.cancelJob(id)
@@ -201,7 +201,7 @@
     this.#rounds.request()
   }
 
-  #createHost (markChanged: (jobId: string) => void, runWhenStored: (callback: () => void) => void, requestRound: () => void): SessionHost {
+  #createHost (): SessionHost {
     const { clock, logger, gateway, timings, ownership, leadership } = this.#options
     return {
       clock,
@@ -216,8 +216,8 @@
       onCheckpoint: (run, checkpoint) => this.#supervisor.onCheckpoint(run, checkpoint),
       onUnknownRun: (row, targetId) => this.#supervisor.createUnknownRun(row, targetId),
       onTicketRefused: (run) => this.#planner.expireTicket(run),
-      runWhenStored,
-      onRoomChanged: requestRound,
+      runWhenStored: (callback) => this.#writer.runWhenStored(callback),
+      onRoomChanged: () => this.#rounds.request(),
       onFenced: () => leadership.retire(RETIREMENT_REASONS.fenced)
     }
   }
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -38,7 +38,7 @@
   readonly sessions: ReadonlyMap<string, TargetSession>
   readonly isAuthorized: () => boolean
   readonly markChanged: (jobId: string) => void
-  readonly runWhenStored: (callback: () => void) => void
+  readonly runWhenJobStored: (jobId: string, callback: () => void) => void
   readonly requestRound: () => void
 }
 
@@ -236,7 +236,7 @@
       runs: planned.map(({ run }) => [run.task.index, run.number, run.targetId])
     })
     this.#options.markChanged(progress.job.id)
-    this.#options.runWhenStored(() => { this.#startRuns(ready, planned) })
+    this.#options.runWhenJobStored(progress.job.id, () => { this.#startRuns(ready, planned) })
   }
 
   #startRuns ({ progress }: ReadyStep, planned: readonly PlannedRun[]): void {
--- a/packages/jobs/src/progress-lanes.ts
+++ b/packages/jobs/src/progress-lanes.ts
@@ -30,6 +30,13 @@
     for (const lane of this.#lanes) lane.runWhenStored(finish)
   }
 
+  /** Calls back once all changes of the job that are marked so far are stored; other jobs may be in slower lanes. */
+  runWhenJobStored (jobId: string, callback: () => void): void {
+    const lane = this.#lanes.find((candidate) => candidate.hasUnstored(jobId))
+    if (lane === undefined) callback()
+    else lane.runWhenStored(callback)
+  }
+
   stop (): void {
     for (const lane of this.#lanes) lane.stop()
   }
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -26,7 +26,7 @@
   readonly metrics: MetricSink
   readonly table: JobTable
   readonly markChanged: (jobId: string) => void
-  readonly runWhenStored: (callback: () => void) => void
+  readonly runWhenJobStored: (jobId: string, callback: () => void) => void
   readonly requestStop: (run: TaskRun) => void
   readonly requestRound: () => void
   /** All about the job is stored, and nothing of it runs. */
@@ -221,7 +221,7 @@
     this.#options.table.withdraw(progress)
     if (state !== 'completed') for (const { task } of progress.listTasks()) if (task.run !== undefined) this.#options.requestStop(task.run)
     this.#options.markChanged(id)
-    this.#options.runWhenStored(() => {
+    this.#options.runWhenJobStored(id, () => {
       progress.storedState = state
       const durationMs = this.#options.clock.readMonotonicMs() - progress.acceptedAtMs
       this.#options.metrics.recordTiming(JOB_METRICS.jobDuration, durationMs, { queue: progress.job.terms.queue, state })
@@ -238,7 +238,7 @@
   #finishIfSettled (progress: JobProgress): void {
     if (progress.storedState === undefined || progress.hasRuns()) return
     const state = progress.storedState
-    this.#options.runWhenStored(() => {
+    this.#options.runWhenJobStored(progress.job.id, () => {
       this.#options.table.finish(progress, state, this.#options.clock.readMonotonicMs())
       this.#options.onFinished(progress)
     })
--- a/packages/jobs/tests/progress-lanes.test.ts
+++ b/packages/jobs/tests/progress-lanes.test.ts
@@ -52,6 +52,22 @@
   t.true(isStored)
 })
 
+// Pattern: a slow store, with a transaction of each lane under way since another moment. Guards against starts that wait for
+// the intents of other jobs.
+test('what waits for one job does not wait for the lanes of others', async (t) => {
+  const { clock, store, lanes, values } = await createLanes()
+  store.faults.delayMs = 300
+  for (const id of ['first', 'second', 'third']) {
+    values.set(id, 'x')
+    lanes.markChanged(id)
+    await clock.advanceBy(100)
+  }
+  let isStored = false
+  lanes.runWhenJobStored('second', () => { isStored = true })
+  await clock.advanceBy(130)
+  t.true(isStored)
+})
+
 test('the changes of one job keep their order', async (t) => {
   const { clock, store, lanes, values } = await createLanes()
   store.faults.delayMs = 200
--- a/packages/jobs/tests/recover-jobs.test.ts
+++ b/packages/jobs/tests/recover-jobs.test.ts
@@ -52,7 +52,7 @@
     metrics: new SilentMetricSink(),
     table,
     markChanged: () => {},
-    runWhenStored: () => {},
+    runWhenJobStored: () => {},
     requestStop: (run) => { stopped.push(run) },
     requestRound: () => {},
     onFinished: () => {},
