Split orders and runs off the session of a target

Orders to start and stop runs and their answers are run-orders.ts now, the tracked runs and their room session-runs.ts; the session keeps looks, leases and lives. Two methods that did the same (reserve, adoptRun) are one, two that nobody called (withdraw, ProgressWriter.drain) are gone. No change of behaviour.

--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -129,7 +129,7 @@
       store,
       table: this.#table,
       supervisor: this.#supervisor,
-      adoptRun: (run) => this.#ensureSession(createPlaceholder(run.targetId)).adoptRun(run)
+      adoptRun: (run) => this.#ensureSession(createPlaceholder(run.targetId)).addRun(run)
     })
     if (this.#isStopped) return
     if (recovery.err) {
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -231,7 +231,7 @@
     if (planned.length === 0) return
     for (const { session, run, task } of planned) {
       task.run = run
-      session.reserve(run)
+      session.addRun(run)
     }
     const waitedMs = nowMs - (step.readyAtMs ?? nowMs)
     this.#options.metrics.recordTiming(JOB_METRICS.placementWait, waitedMs, { queue: progress.job.terms.queue })
--- a/packages/jobs/src/progress-writer.ts
+++ b/packages/jobs/src/progress-writer.ts
@@ -86,11 +86,6 @@
     this.#barriers = []
   }
 
-  /** Waits until all is stored, for an orderly end of ownership. */
-  async drain (): Promise<void> {
-    await new Promise<void>((resolve) => { this.runWhenStored(resolve) })
-  }
-
   #schedule (): void {
     if (this.#isWriting || this.#isStopped || this.#timer !== undefined || this.#dirty.size === 0) return
     const { clock, writePeriodMs } = this.#options
--- /dev/null
+++ b/packages/jobs/src/session-runs.ts
@@ -0,0 +1,47 @@
+import type { TaskSize } from './job.js'
+import { TaskRoom } from './task-room.js'
+import { formatRunKey, type TaskRun } from './task-run.js'
+
+/** The runs that a session tracks on its target, and the room that they take there. */
+export class SessionRuns {
+  readonly room: TaskRoom
+  readonly #runs = new Map<string, TaskRun>()
+
+  constructor (capacity: TaskSize) {
+    this.room = new TaskRoom(capacity)
+  }
+
+  add (run: TaskRun): void {
+    this.#runs.set(formatRunKey(run), run)
+    this.room.take(run.size)
+  }
+
+  /** Tells whether the run was tracked. */
+  remove (run: TaskRun): boolean {
+    if (!this.has(run)) return false
+    this.#runs.delete(formatRunKey(run))
+    this.room.release(run.size)
+    return true
+  }
+
+  has (run: TaskRun): boolean {
+    return this.#runs.get(formatRunKey(run)) === run
+  }
+
+  find (key: string): TaskRun | undefined {
+    return this.#runs.get(key)
+  }
+
+  count (): number {
+    return this.#runs.size
+  }
+
+  list (): Iterable<TaskRun> {
+    return this.#runs.values()
+  }
+
+  /** The runs as they are now, for changes while they are gone through. */
+  copy (): readonly TaskRun[] {
+    return [...this.#runs.values()]
+  }
+}
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -3,26 +3,22 @@
 import { JOB_EVENTS } from './job-events.js'
 import { LookTimer } from './look-timer.js'
 import { computeEarlierLeaseBoundMs, computeLeaseBoundMs } from './owner-timings.js'
+import { RunOrders, type StartTerms } from './run-orders.js'
 import type { SessionHost } from './session-host.js'
+import { SessionRuns } from './session-runs.js'
 import { TargetClock } from './target-clock.js'
 import { ORDER_ERROR_CODES, type EndRow, type OrderError, type RunningRow, type TargetDescription, type TargetReport } from './target-gateway.js'
 import { TargetHealth } from './target-health.js'
-import { TaskRoom } from './task-room.js'
-import { formatRowKey, formatRunKey, formatTaskName, RUN_OUTCOMES, RUN_PHASES, type RunOutcome, type TaskRun } from './task-run.js'
-
-export interface StartTerms {
-  readonly specification: string
-  readonly checkpoint: string
-  readonly ticket?: string | undefined
-}
+import type { TaskRoom } from './task-room.js'
+import { formatRowKey, formatRunKey, RUN_OUTCOMES, RUN_PHASES, type RunOutcome, type TaskRun } from './task-run.js'
 
 /** The owner's dealings with one target: orders, looks, the lease, and the room that runs hold there. */
 export class TargetSession {
-  readonly room: TaskRoom
   readonly health = new TargetHealth()
   #description: TargetDescription
   readonly #host: SessionHost
-  readonly #runs = new Map<string, TaskRun>()
+  readonly #runs: SessionRuns
+  readonly #orders: RunOrders
   readonly #clock = new TargetClock()
   readonly #earlierOrders: EarlierOrders
   readonly #ends: EndAcknowledgement
@@ -41,7 +37,17 @@
   constructor (description: TargetDescription, host: SessionHost) {
     this.#description = description
     this.#host = host
-    this.room = new TaskRoom(description.capacity)
+    this.#runs = new SessionRuns(description.capacity)
+    this.#orders = new RunOrders(host, {
+      runs: this.#runs,
+      clock: this.#clock,
+      health: this.health,
+      readDescription: () => this.#description,
+      isStopped: () => this.#isStopped,
+      extendLeaseBound: (nowMs, leaseMs) => this.#extendLeaseBound(nowMs, leaseMs),
+      requestLook: () => this.requestLook(),
+      settle: (run, outcome, checkpoint) => this.#settle(run, outcome, checkpoint)
+    })
     this.#earlierOrders = new EarlierOrders(host)
     this.#ends = new EndAcknowledgement(host.timings.rememberedEnds)
     this.#lookTimer = new LookTimer(host.clock, async () => await this.#inspectInTurn())
@@ -54,14 +60,17 @@
 
   readDescription (): TargetDescription { return this.#description }
 
-  listRuns (): Iterable<TaskRun> { return this.#runs.values() }
+  /** Room for tasks on the target. */
+  get room (): TaskRoom { return this.#runs.room }
+
+  listRuns (): Iterable<TaskRun> { return this.#runs.list() }
 
-  countRuns (): number { return this.#runs.size }
+  countRuns (): number { return this.#runs.count() }
 
   /** Whether the target may get work: it has answered this owner lately, stays, and is sound. */
   isUsable (nowMs: number): boolean {
     return this.#isKnown && this.isStaying() && this.#earlierOrders.isEmpty() &&
-      nowMs - this.#lastAnswerMs < this.#host.timings.silenceMs && this.health.shouldTakeWork(nowMs, this.#runs.size)
+      nowMs - this.#lastAnswerMs < this.#host.timings.silenceMs && this.health.shouldTakeWork(nowMs, this.#runs.count())
   }
 
   /** Whether the target is listed and not about to leave. */
@@ -79,7 +88,7 @@
 
   /** Whether nothing is left to follow here. */
   isObsolete (): boolean {
-    return !this.#isListed && this.#runs.size === 0
+    return !this.#isListed && this.#runs.count() === 0
   }
 
   start (): void {
@@ -107,63 +116,30 @@
     this.#isListed = false
   }
 
-  /** Tracks a run that an earlier owner may have started. */
-  adoptRun (run: TaskRun): void {
-    this.#addRun(run)
-  }
-
-  /** Takes room for a run that is about to be started. */
-  reserve (run: TaskRun): void {
-    this.#addRun(run)
-  }
-
-  /** Gives back the room of a run whose order was never sent. */
-  withdraw (run: TaskRun): void {
-    this.#removeRun(run)
+  /** Takes room for a run that is about to be started, or that an earlier owner may have started. */
+  addRun (run: TaskRun): void {
+    this.#runs.add(run)
   }
 
-  /** Sends the order to start a reserved run. */
+  /** Sends the order to start a run that was added. */
   async startRun (run: TaskRun, terms: StartTerms): Promise<void> {
-    const { clock, gateway, timings, fencingToken } = this.#host
-    if (this.#isStopped || this.#runs.get(formatRunKey(run)) !== run) return
-    const nowMs = clock.readMonotonicMs()
-    const targetNowMs = this.#clock.estimate(nowMs)
-    const isAllowed = this.#host.isAuthorized() && !run.isStopWanted
-    if (targetNowMs === undefined || !isAllowed) return this.#settle(run, RUN_OUTCOMES.notStarted, '')
-    run.phase = RUN_PHASES.sent
-    run.sentAtMs = nowMs
-    this.#extendLeaseBound(nowMs, timings.startValidityMs)
-    const result = await gateway.startRun(this.#description, {
-      taskName: formatTaskName(run.task),
-      run: run.number,
-      specification: terms.specification,
-      validUntilMs: Math.floor(targetNowMs + timings.startValidityMs),
-      fencingToken,
-      checkpoint: terms.checkpoint,
-      ticket: terms.ticket
-    })
-    if (this.#isStopped || this.#runs.get(formatRunKey(run)) !== run) return
-    if (result.ok) return this.#onStartAnswered(run, result.val.targetClockMs)
-    this.#onStartFailed(run, result.val)
+    await this.#orders.startRun(run, terms)
   }
 
   /** Asks the target to stop a run, until it answers. */
   requestStop (run: TaskRun): void {
-    if (run.isStopWanted) return
-    run.isStopWanted = true
-    if (run.phase === RUN_PHASES.reserved) return
-    void this.#sendStop(run)
+    this.#orders.requestStop(run)
   }
 
   /** Gives up runs whose lease has surely run out, and stops those that hang. */
   checkLapse (): void {
     const nowMs = this.#host.clock.readMonotonicMs()
     this.#earlierOrders.prune()
-    if (this.#runs.size === 0 || nowMs < this.#leaseBoundMs) return
+    if (this.#runs.count() === 0 || nowMs < this.#leaseBoundMs) return
     const silentMs = Math.round(nowMs - this.#lastAnswerMs)
-    this.#host.logger.logWarning(JOB_EVENTS.targetLapsed, { target: this.id, runs: this.#runs.size, silentMs })
+    this.#host.logger.logWarning(JOB_EVENTS.targetLapsed, { target: this.id, runs: this.#runs.count(), silentMs })
     this.#isKnown = false
-    for (const run of [...this.#runs.values()]) this.#settle(run, RUN_OUTCOMES.lapsed, '')
+    for (const run of this.#runs.copy()) this.#settle(run, RUN_OUTCOMES.lapsed, '')
   }
 
   /** Looks at the target soon, without waiting for an end. */
@@ -171,20 +147,8 @@
     void this.#inspect(0)
   }
 
-  #addRun (run: TaskRun): void {
-    this.#runs.set(formatRunKey(run), run)
-    this.room.take(run.size)
-  }
-
-  #removeRun (run: TaskRun): boolean {
-    if (this.#runs.get(formatRunKey(run)) !== run) return false
-    this.#runs.delete(formatRunKey(run))
-    this.room.release(run.size)
-    return true
-  }
-
   #settle (run: TaskRun, outcome: RunOutcome, checkpoint: string): void {
-    if (!this.#removeRun(run)) return
+    if (!this.#runs.remove(run)) return
     const nowMs = this.#host.clock.readMonotonicMs()
     const mayStillArrive = outcome === RUN_OUTCOMES.lapsed && run.phase === RUN_PHASES.unsettled
     if (mayStillArrive) this.#earlierOrders.add(run)
@@ -197,51 +161,6 @@
     this.#host.onRoomChanged()
   }
 
-  #onStartAnswered (run: TaskRun, targetClockMs: number): void {
-    this.#clock.update(targetClockMs, this.#host.clock.readMonotonicMs())
-    this.#markRunning(run)
-    if (run.isStopWanted) void this.#sendStop(run)
-  }
-
-  #markRunning (run: TaskRun): void {
-    if (run.phase === RUN_PHASES.running) return
-    run.phase = RUN_PHASES.running
-    this.#host.onRunStarted(run)
-  }
-
-  #onStartFailed (run: TaskRun, error: OrderError): void {
-    const { logger, clock } = this.#host
-    const fields = { jobId: run.task.jobId, task: formatTaskName(run.task), run: run.number, target: this.id, code: error.code }
-    if (error.code === ORDER_ERROR_CODES.noAnswer) {
-      logger.logWarning(JOB_EVENTS.startUnanswered, { ...fields, message: error.message })
-      run.phase = RUN_PHASES.unsettled
-      // The look tells whether the run is there; if not, it sends the order to stop.
-      this.requestLook()
-      return
-    }
-    logger.logWarning(JOB_EVENTS.startRefused, fields)
-    if (error.code === ORDER_ERROR_CODES.unhealthy) this.health.recordRefusal(clock.readMonotonicMs())
-    if (error.code === ORDER_ERROR_CODES.fenced) this.#host.onFenced()
-    if (error.code === ORDER_ERROR_CODES.invalidTicket) this.#host.onTicketRefused(run)
-    this.#settle(run, RUN_OUTCOMES.notStarted, '')
-  }
-
-  async #sendStop (run: TaskRun): Promise<void> {
-    const { gateway, fencingToken, clock, timings, logger } = this.#host
-    logger.logInfo(JOB_EVENTS.taskStopped, { jobId: run.task.jobId, task: formatTaskName(run.task), run: run.number, target: this.id })
-    const result = await gateway.stopRun(this.#description, { taskName: formatTaskName(run.task), run: run.number, fencingToken })
-    if (this.#isStopped || this.#runs.get(formatRunKey(run)) !== run) return
-    if (result.ok) {
-      run.isStopAcknowledged = true
-      if (run.phase === RUN_PHASES.unsettled) this.requestLook()
-      return
-    }
-    if (result.val.code === ORDER_ERROR_CODES.fenced) return this.#host.onFenced()
-    clock.startTimer(timings.stopRetryMs, () => {
-      if (!this.#isStopped && !run.isStopAcknowledged && this.#runs.get(formatRunKey(run)) === run) void this.#sendStop(run)
-    })
-  }
-
   async #inspectInTurn (): Promise<void> {
     const { clock, timings, runWhenStored } = this.#host
     const hadEnds = await this.#inspect(this.#isKnown ? timings.lookWaitMs : 0)
@@ -301,7 +220,7 @@
     const runningKeys = new Set(report.running.map((row) => formatRowKey(row)))
     for (const row of report.running) this.#applyRunning(row, nowMs)
     for (const row of endedRows) this.#applyEnd(row)
-    for (const run of [...this.#runs.values()]) this.#checkAbsent(run, runningKeys, sentAtMs)
+    for (const run of this.#runs.copy()) this.#checkAbsent(run, runningKeys, sentAtMs)
     this.#earlierOrders.stopAll(this.#description)
     if (endedRows.length > 0) this.#ends.acknowledge(endedRows, this.#host.runWhenStored)
     if (isFirst) this.#host.onRoomChanged()
@@ -311,15 +230,15 @@
   #applyRunning (row: RunningRow, nowMs: number): void {
     const key = formatRowKey(row)
     if (this.#ends.hasEnded(key)) return
-    let run = this.#runs.get(key)
+    let run = this.#runs.find(key)
     if (run === undefined) {
       run = this.#host.onUnknownRun(row, this.id)
       if (run === undefined) return
-      this.#addRun(run)
-      void this.#sendStop(run)
+      this.#runs.add(run)
+      void this.#orders.sendStop(run)
       return
     }
-    this.#markRunning(run)
+    this.#orders.markRunning(run)
     if (row.percent !== run.percent) {
       run.percent = row.percent
       run.percentChangedAtMs = nowMs
@@ -328,10 +247,10 @@
   }
 
   #applyEnd (row: EndRow): void {
-    const run = this.#runs.get(formatRowKey(row))
+    const run = this.#runs.find(formatRowKey(row))
     if (run === undefined) return
     const hasRun = row.outcome === RUN_OUTCOMES.done || row.outcome === RUN_OUTCOMES.failed
-    if (hasRun) this.#markRunning(run)
+    if (hasRun) this.#orders.markRunning(run)
     this.#settle(run, row.outcome, row.checkpoint)
   }
 
@@ -352,11 +271,11 @@
 
   /** The target has started again: it knows no token and no earlier order, and has run only what it lists. */
   #beginNewLife ({ running, ended }: TargetReport): void {
-    this.#host.logger.logWarning(JOB_EVENTS.targetRestarted, { target: this.id, runs: this.#runs.size })
+    this.#host.logger.logWarning(JOB_EVENTS.targetRestarted, { target: this.id, runs: this.#runs.count() })
     this.#ends.reset()
     this.#clock.reset()
     const ofNewLife = new Set([...running, ...ended].map((row) => formatRowKey(row)))
-    for (const run of [...this.#runs.values()]) {
+    for (const run of this.#runs.copy()) {
       if (ofNewLife.has(formatRunKey(run))) continue
       const mayStillArrive = run.phase === RUN_PHASES.sent || run.phase === RUN_PHASES.unsettled
       if (run.phase === RUN_PHASES.reserved) continue
@@ -368,7 +287,7 @@
       run.phase = RUN_PHASES.unsettled
       run.isStopAcknowledged = false
       run.isStopWanted = true
-      void this.#sendStop(run)
+      void this.#orders.sendStop(run)
     }
   }
 }
--- a/packages/jobs/tests/target-session.test.ts
+++ b/packages/jobs/tests/target-session.test.ts
@@ -67,7 +67,7 @@
       percent: 0,
       percentChangedAtMs: 0
     }
-    session.reserve(run)
+    session.addRun(run)
     void session.startRun(run, { specification: '', checkpoint: '' })
   }
   return { clock, session, targets, noticedAtMs, unstored, countLooks: () => looks, start }
