Split what placement asks of all targets off the planner

Questions about the targets as a whole (which may get work, which stay, which a step may ask about, whether a step fits at all) are target-pool.ts now.

--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -3,19 +3,18 @@
 import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import { AdviceDesk, type AdvisedStep } from './advice-desk.js'
 import type { AdviceDispatcher } from './advice-dispatcher.js'
-import type { AdviceCandidate } from './advice-selection.js'
 import { JOB_EVENTS } from './job-events.js'
 import { JOB_METRICS } from './job-metrics.js'
-import type { AdvicePolicy, JobStep } from './job.js'
+import type { AdvicePolicy } from './job.js'
 import type { JobProgress } from './job-progress.js'
 import type { JobTable, ReadyStep } from './job-table.js'
 import { PlacementRound, type Placement, type WaitingStep } from './placement-round.js'
 import { NOTHING_HELD } from './room-holds.js'
 import { compareUrgency, computeUrgency, type Urgency } from './step-order.js'
 import type { StepProgress, TaskProgress } from './step-progress.js'
+import { TargetPool } from './target-pool.js'
 import type { TargetSession } from './target-session.js'
-import type { TargetView } from './target-view.js'
-import { computeCountedSize, countSlots } from './task-room.js'
+import { computeCountedSize } from './task-room.js'
 import { formatStepName, RUN_PHASES, type TaskRun } from './task-run.js'
 import { WaitingDemand } from './waiting-demand.js'
 
@@ -29,7 +28,6 @@
 const PRESSING_MS = 1_000
 /** Added to a run's estimate for starting it and noticing its end. */
 const RUN_OVERHEAD_MS = 60
-const RACK_LABEL = /^r\d/
 
 export interface PlacementPlannerOptions {
   readonly clock: Clock
@@ -63,25 +61,27 @@
 export class PlacementPlanner {
   readonly #options: PlacementPlannerOptions
   readonly #desk: AdviceDesk
+  readonly #pool: TargetPool
   #checksLeft = CHECKS_PER_ROUND
   #held = NOTHING_HELD
 
   constructor (options: PlacementPlannerOptions) {
     this.#options = options
     const { clock, logger, metrics, advice, requestRound } = options
+    this.#pool = new TargetPool(options.sessions)
     this.#desk = new AdviceDesk(clock, logger, metrics, advice, requestRound)
   }
 
   /** Places what fits now. Orders are sent once the store has the intents. */
   runRound (): void {
-    const { clock, table, sessions, isAuthorized } = this.#options
+    const { clock, table, isAuthorized } = this.#options
     if (!isAuthorized()) return
     const nowMs = clock.readMonotonicMs()
-    const targets = [...sessions.values()].filter((session) => session.isUsable(nowMs)).map((session) => buildView(session, nowMs))
+    const targets = this.#pool.listUsable(nowMs, nowMs + RUN_OVERHEAD_MS)
     const round = new PlacementRound(nowMs, targets, this.#held)
     const demand = new WaitingDemand(targets)
     this.#checksLeft = CHECKS_PER_ROUND
-    const staying = this.#groupStaying(nowMs)
+    const staying = this.#pool.groupStaying(nowMs)
     const ordered = [...table.listReady()].filter(({ step }) => step.countPending() > 0)
       .map((ready) => ({ ready, urgency: computeUrgency(ready.progress, nowMs) }))
       .sort((left, right) => compareUrgency(left.urgency, right.urgency))
@@ -115,7 +115,7 @@
     const { book } = this.#desk
     if (terms.advice !== undefined && !book.hasAnswer(stepName)) {
       if (book.isWaiting(stepName, nowMs)) return
-      return this.#desk.askFirst(describeAdvised(ready, terms.advice, urgency), this.#listCandidates(round, ready, staying))
+      return this.#desk.askFirst(describeAdvised(ready, terms.advice, urgency), this.#pool.listCandidates(round, step.step, staying))
     }
     if (nowMs < step.notBeforeMs) return
     const pending = step.listPending()
@@ -125,7 +125,7 @@
       step: step.step,
       pending: pending.map((task) => task.key.index),
       avoided: step.failedOn,
-      mustAvoid: this.#shouldAvoidFailed(ready, stepName, staying),
+      mustAvoid: this.#shouldAvoidFailed(ready, stepName, { nowMs, staying }),
       countByTarget: countByTarget(step),
       permittedIds: terms.advice === undefined ? undefined : book.listPermitted(stepName),
       canWait: urgency.latestStartMs - nowMs > PRESSING_MS,
@@ -136,7 +136,7 @@
     if (terms.advice === undefined || book.isWaiting(stepName, nowMs) || !book.shouldCheckOthers(stepName, nowMs)) return
     if (this.#checksLeft-- <= 0) return
     book.pauseOthers(stepName, nowMs + CHECK_OTHERS_PERIOD_MS)
-    this.#askAboutOthers(round, ready, terms.advice, urgency, staying)
+    this.#askAboutOthers(round, ready, terms.advice, urgency, { nowMs, staying })
   }
 
   /** Places a step where its tickets hold, if it fits there, and else on any permitted target. */
@@ -149,57 +149,20 @@
 
   /** A step that waits for room may be helped by targets that the policy wasn't asked about. */
   #askAboutOthers (
-    round: PlacementRound, ready: ReadyStep, policy: AdvicePolicy, urgency: Urgency, staying: readonly string[]
+    round: PlacementRound, ready: ReadyStep, policy: AdvicePolicy, urgency: Urgency, { nowMs, staying }: RoundState
   ): void {
     const advised = describeAdvised(ready, policy, urgency)
     const unasked = this.#desk.book.listUnasked(advised.stepName, staying)
-    this.#desk.askAboutOthers(advised, this.#listCandidates(round, ready, unasked),
-      () => !this.#hasSlots(ready.step, this.#desk.book.listPermitted(advised.stepName)))
-  }
-
-  #listCandidates (round: PlacementRound, { step }: ReadyStep, targetIds: readonly string[]): AdviceCandidate[] {
-    return targetIds.flatMap((id) => {
-      const session = this.#options.sessions.get(id)
-      if (session === undefined || !hasLabel(session, step.step)) return []
-      const rack = findRack(session.readDescription().labels)
-      return [{ id, capacity: session.room.readCapacity(), rack, freeSlots: round.countFreeSlots(id, step.step) }]
-    })
-  }
-
-  /** Whether the step's pending tasks would fit on targets that take work now, are permitted and have not failed them. */
-  #hasSlots (step: StepProgress, targetIds: readonly string[]): boolean {
-    const nowMs = this.#options.clock.readMonotonicMs()
-    const needed = step.step.isGang ? step.tasks.length : 1
-    let slots = 0
-    for (const id of targetIds) {
-      const session = this.#options.sessions.get(id)
-      if (session?.isUsable(nowMs) !== true || step.failedOn.has(id) || !hasLabel(session, step.step)) continue
-      slots += countSlots(session.room.readCapacity(), step.step)
-    }
-    return slots >= needed
+    this.#desk.askAboutOthers(advised, this.#pool.listCandidates(round, ready.step.step, unasked),
+      () => !this.#pool.hasSlots(ready.step, this.#desk.book.listPermitted(advised.stepName), nowMs))
   }
 
   /** Whether targets on which the step has failed are to be left out: only while others can hold it, or may be found. */
-  #shouldAvoidFailed ({ progress, step }: ReadyStep, stepName: string, staying: readonly string[]): boolean {
+  #shouldAvoidFailed ({ progress, step }: ReadyStep, stepName: string, { nowMs, staying }: RoundState): boolean {
     if (step.gangFailures === 0 && !step.listPending().some((task) => task.failures > 0)) return false
-    if (progress.job.terms.advice === undefined) return this.#hasSlots(step, staying)
-    return this.#hasSlots(step, this.#desk.book.listPermitted(stepName)) || this.#desk.book.listUnasked(stepName, staying).length > 0
-  }
-
-  /** Targets that stay, by service; those that may get work now come first. */
-  #groupStaying (nowMs: number): Map<string, string[]> {
-    const staying = [...this.#options.sessions.values()].filter((session) => session.isStaying())
-    const groups = new Map<string, string[]>()
-    for (const isUsable of [true, false]) {
-      for (const session of staying) {
-        if (session.isUsable(nowMs) !== isUsable) continue
-        const { service } = session.readDescription()
-        const group = groups.get(service)
-        if (group === undefined) groups.set(service, [session.id])
-        else group.push(session.id)
-      }
-    }
-    return groups
+    if (progress.job.terms.advice === undefined) return this.#pool.hasSlots(step, staying, nowMs)
+    const { book } = this.#desk
+    return this.#pool.hasSlots(step, book.listPermitted(stepName), nowMs) || book.listUnasked(stepName, staying).length > 0
   }
 
   #startPlaced (
@@ -213,7 +176,7 @@
     if (policy !== undefined) {
       const missing = placements.filter((_, index) => tickets[index] === undefined)
       if (missing.length > 0) {
-        const permitted = this.#listCandidates(round, ready, book.listPermitted(stepName))
+        const permitted = this.#pool.listCandidates(round, step.step, book.listPermitted(stepName))
         this.#desk.refreshTickets(describeAdvised(ready, policy, urgency), placements.map(({ targetId }) => targetId), permitted)
       }
       if (missing.length > 0 && step.step.isGang) return round.keepPlaced(stepName, step.step, placements)
@@ -223,7 +186,7 @@
       const ticket = tickets[index]
       if (policy !== undefined && ticket === undefined) return []
       const task = step.tasks[placement.index]
-      const session = this.#options.sessions.get(placement.targetId)
+      const session = this.#pool.find(placement.targetId)
       if (task === undefined || session === undefined) return []
       if (checkpoint !== undefined) task.checkpoint = checkpoint
       return [{ session, run: this.#createRun(step, task, placement.targetId, nowMs), task, ticket }]
@@ -291,18 +254,3 @@
 function findGangCheckpoint (step: StepProgress): string {
   return step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? ''
 }
-
-function hasLabel (session: TargetSession, { requiredLabel }: JobStep): boolean {
-  return requiredLabel === undefined || session.readDescription().labels.includes(requiredLabel)
-}
-
-function findRack (labels: readonly string[]): string | undefined {
-  return labels.find((label) => RACK_LABEL.test(label))
-}
-
-function buildView (session: TargetSession, nowMs: number): TargetView {
-  const { id, service, labels, capacity } = session.readDescription()
-  const soonestEndMs = nowMs + RUN_OVERHEAD_MS
-  const runs = [...session.listRuns()].map((run) => ({ size: run.size, expectedEndMs: Math.max(soonestEndMs, run.expectedEndMs) }))
-  return { id, service, labels, capacity, rack: findRack(labels), free: session.room.readFree(), runs }
-}
--- /dev/null
+++ b/packages/jobs/src/target-pool.ts
@@ -0,0 +1,79 @@
+import type { AdviceCandidate } from './advice-selection.js'
+import type { JobStep } from './job.js'
+import type { PlacementRound } from './placement-round.js'
+import type { StepProgress } from './step-progress.js'
+import type { TargetSession } from './target-session.js'
+import type { TargetView } from './target-view.js'
+import { countSlots } from './task-room.js'
+
+const RACK_LABEL = /^r\d/
+
+/** What placement asks of the targets as a whole. */
+export class TargetPool {
+  readonly #sessions: ReadonlyMap<string, TargetSession>
+
+  constructor (sessions: ReadonlyMap<string, TargetSession>) {
+    this.#sessions = sessions
+  }
+
+  find (id: string): TargetSession | undefined {
+    return this.#sessions.get(id)
+  }
+
+  /** Targets that may get work now. Their runs are taken to end after `soonestEndMs`. */
+  listUsable (nowMs: number, soonestEndMs: number): TargetView[] {
+    return [...this.#sessions.values()].filter((session) => session.isUsable(nowMs)).map((session) => buildView(session, soonestEndMs))
+  }
+
+  /** Targets that stay, by service; those that may get work now come first. */
+  groupStaying (nowMs: number): Map<string, string[]> {
+    const staying = [...this.#sessions.values()].filter((session) => session.isStaying())
+    const groups = new Map<string, string[]>()
+    for (const isUsable of [true, false]) {
+      for (const session of staying) {
+        if (session.isUsable(nowMs) !== isUsable) continue
+        const { service } = session.readDescription()
+        const group = groups.get(service)
+        if (group === undefined) groups.set(service, [session.id])
+        else group.push(session.id)
+      }
+    }
+    return groups
+  }
+
+  /** Those of the targets that a step may ask the policy about. */
+  listCandidates (round: PlacementRound, step: JobStep, targetIds: readonly string[]): AdviceCandidate[] {
+    return targetIds.flatMap((id) => {
+      const session = this.#sessions.get(id)
+      if (session === undefined || !hasLabel(session, step)) return []
+      const rack = findRack(session.readDescription().labels)
+      return [{ id, capacity: session.room.readCapacity(), rack, freeSlots: round.countFreeSlots(id, step) }]
+    })
+  }
+
+  /** Whether the step's pending tasks would fit on those of the targets that take work now and have not failed them. */
+  hasSlots (step: StepProgress, targetIds: readonly string[], nowMs: number): boolean {
+    const needed = step.step.isGang ? step.tasks.length : 1
+    let slots = 0
+    for (const id of targetIds) {
+      const session = this.#sessions.get(id)
+      if (session?.isUsable(nowMs) !== true || step.failedOn.has(id) || !hasLabel(session, step.step)) continue
+      slots += countSlots(session.room.readCapacity(), step.step)
+    }
+    return slots >= needed
+  }
+}
+
+function hasLabel (session: TargetSession, { requiredLabel }: JobStep): boolean {
+  return requiredLabel === undefined || session.readDescription().labels.includes(requiredLabel)
+}
+
+function findRack (labels: readonly string[]): string | undefined {
+  return labels.find((label) => RACK_LABEL.test(label))
+}
+
+function buildView (session: TargetSession, soonestEndMs: number): TargetView {
+  const { id, service, labels, capacity } = session.readDescription()
+  const runs = [...session.listRuns()].map((run) => ({ size: run.size, expectedEndMs: Math.max(soonestEndMs, run.expectedEndMs) }))
+  return { id, service, labels, capacity, rack: findRack(labels), free: session.room.readFree(), runs }
+}
