Look at targets more often while answers are lost

Ruled out: the store's refusals of two instances in the same seconds (their jobs were passed on and adopted at once), waiting for room (placed at once).

Change: when answers of two targets are lost within 3 s, targets with runs are looked at every 0.3 s besides, ten at once at most.

--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -6,6 +6,7 @@
 import { AdviceDispatcher } from './advice-dispatcher.js'
 import { JOB_EVENTS } from './job-events.js'
 import { formatWriteSequenceKey } from './job-keys.js'
+import { ExtraLooks } from './extra-looks.js'
 import { FinishedCleaner } from './finished-cleaner.js'
 import { JOB_STATES, type JobState } from './job.js'
 import { decodeJob } from './job-record.js'
@@ -53,6 +54,7 @@
   readonly #options: JobOwnerOptions
   readonly #table = new JobTable()
   readonly #sessions = new Map<string, TargetSession>()
+  readonly #extraLooks: ExtraLooks
   readonly #writer: ProgressLanes
   readonly #supervisor: TaskSupervisor
   readonly #planner: PlacementPlanner
@@ -111,6 +113,7 @@
       runWhenJobStored,
       requestRound
     })
+    this.#extraLooks = new ExtraLooks(clock, this.#sessions)
     this.#host = this.#createHost()
     this.#work = new WorkFollower(clock, logger, store, {
       onJob: (id, record) => { if (!this.#table.has(id)) this.#adoptRecord(record) },
@@ -218,6 +221,7 @@
       onTicketRefused: (run) => this.#planner.expireTicket(run),
       runWhenStored: (callback) => this.#writer.runWhenStored(callback),
       onRoomChanged: () => this.#rounds.request(),
+      onAnswerLost: (targetId) => this.#extraLooks.recordLoss(targetId),
       onFenced: () => leadership.retire(RETIREMENT_REASONS.fenced)
     }
   }
@@ -238,6 +242,7 @@
       this.#options.gateway.forgetTarget(session.id)
       this.#options.logger.logInfo(JOB_EVENTS.targetRemoved, { target: session.id })
     }
+    this.#extraLooks.runPeriodic()
     this.#supervisor.addDueOccurrences()
     this.#publishGauges()
     this.#rounds.request()
--- a/packages/jobs/src/run-orders.ts
+++ b/packages/jobs/src/run-orders.ts
@@ -107,6 +107,7 @@
     const fields = { jobId: run.task.jobId, task: formatTaskName(run.task), run: run.number, target, code: error.code }
     if (error.code === ORDER_ERROR_CODES.noAnswer) {
       logger.logWarning(JOB_EVENTS.startUnanswered, { ...fields, message: error.message })
+      this.#host.onAnswerLost(target)
       run.phase = RUN_PHASES.unsettled
       // The look tells whether the run is there; if not, it sends the order to stop.
       session.requestLook()
--- a/packages/jobs/src/session-host.ts
+++ b/packages/jobs/src/session-host.ts
@@ -25,5 +25,7 @@
   /** Calls back once all that is known now has been stored. */
   runWhenStored (callback: () => void): void
   onRoomChanged (): void
+  /** An order or look got no answer. */
+  onAnswerLost (targetId: string): void
   onFenced (): void
 }
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -200,6 +200,7 @@
 
   #onLookFailed (error: OrderError): void {
     const { code, message } = error
+    if (code === ORDER_ERROR_CODES.noAnswer) this.#host.onAnswerLost(this.id)
     if (this.#failedLooks++ === 0) this.#host.logger.logWarning(JOB_EVENTS.targetLost, { target: this.id, code, message })
     if (error.code === ORDER_ERROR_CODES.fenced) this.#host.onFenced()
   }
--- a/packages/jobs/tests/fake-targets.ts
+++ b/packages/jobs/tests/fake-targets.ts
@@ -23,6 +23,8 @@
   losesAnswers: boolean
   /** Orders to start get no answer and are carried out after this time. */
   startDelayMs: number
+  /** Whether the answer to the next look is lost. */
+  losesLook: () => boolean
   failsAll: boolean
   hangs: boolean
   /** How many times its duration each task takes that starts from now on. */
@@ -31,7 +33,10 @@
 
 /** One fake executor with the platform's rules for tokens, runs, leases and ends. */
 export class FakeTarget {
-  readonly faults: TargetFaults = { isCut: false, losesAnswers: false, startDelayMs: 0, failsAll: false, hangs: false, slowdown: 1 }
+  readonly faults: TargetFaults = {
+    isCut: false, losesAnswers: false, startDelayMs: 0, losesLook: () => false, failsAll: false, hangs: false, slowdown: 1
+  }
+
   readonly runs = new Map<string, FakeRun>()
   isDraining = false
   remainingMs: number | undefined
@@ -234,6 +239,7 @@
         const first = target.inspect(order)
         if (first.err) return first
         while (!target.hasEnds(order) && world.clock.readMonotonicMs() < endMs) await world.waitForEnd(endMs)
+        if (target.faults.losesLook()) return await world.expireCall(endMs - world.clock.readMonotonicMs() + 600)
         return target.inspect({ ...order, leaseUntilMs: undefined })
       },
       forgetTarget () {}
--- a/packages/jobs/tests/target-session.test.ts
+++ b/packages/jobs/tests/target-session.test.ts
@@ -49,6 +49,7 @@
     onTicketRefused: () => {},
     runWhenStored: (callback) => { unstored.push(callback) },
     onRoomChanged: () => {},
+    onAnswerLost: () => {},
     onFenced: () => {}
   })
   session.start()
