--- a/packages/jobs/tests/evacuation.test.ts
+++ b/packages/jobs/tests/evacuation.test.ts
@@ -1,25 +1,13 @@
 import test from 'ava'
 import { shouldMoveRun } from '../src/evacuation.js'
-import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
-import { createJob, createStep } from './job-fixtures.js'
+import type { TaskRun } from '../src/task-run.js'
+import { createJob, createRun, createStep } from './job-fixtures.js'
 import { FakeJobCell } from './fake-job-cell.js'
 
 const NOW_MS = 10_000
 
-function createRun (percent: number, startedAgoMs: number): TaskRun {
-  return {
-    task: { jobId: 'aa', occurrence: 0, step: 0, index: 0 },
-    number: 1_001,
-    targetId: 't0',
-    size: { cpuMillis: 1_000, memoryMb: 0, accelerators: 0 },
-    phase: RUN_PHASES.running,
-    sentAtMs: NOW_MS - startedAgoMs,
-    expectedEndMs: NOW_MS,
-    isStopWanted: false,
-    isStopAcknowledged: false,
-    percent,
-    percentChangedAtMs: NOW_MS
-  }
+function createLateRun (percent: number, startedAgoMs: number): TaskRun {
+  return createRun({ sentAtMs: NOW_MS - startedAgoMs, expectedEndMs: NOW_MS, percent, percentChangedAtMs: NOW_MS })
 }
 
 interface Case {
@@ -31,13 +19,13 @@
 }
 
 const cases: readonly Case[] = [
-  { title: 'a run that ends in time stays', run: createRun(50, 1_000), estimatedMs: 2_000, leavesInMs: 2_000, expected: false },
-  { title: 'a run that has just begun and is too long moves', run: createRun(0, 100), estimatedMs: 4_000, leavesInMs: 2_000, expected: true },
-  { title: 'a run that is slower than its estimate moves', run: createRun(20, 2_000), estimatedMs: 1_000, leavesInMs: 2_000, expected: true },
-  { title: 'a run close to its end stays though little time is left', run: createRun(95, 3_800), estimatedMs: 4_000, leavesInMs: 800, expected: false },
+  { title: 'a run that ends in time stays', run: createLateRun(50, 1_000), estimatedMs: 2_000, leavesInMs: 2_000, expected: false },
+  { title: 'a run that has just begun and is too long moves', run: createLateRun(0, 100), estimatedMs: 4_000, leavesInMs: 2_000, expected: true },
+  { title: 'a run that is slower than its estimate moves', run: createLateRun(20, 2_000), estimatedMs: 1_000, leavesInMs: 2_000, expected: true },
+  { title: 'a run close to its end stays though little time is left', run: createLateRun(95, 3_800), estimatedMs: 4_000, leavesInMs: 800, expected: false },
   {
     title: 'a run of an earlier owner is judged by its estimate',
-    run: { ...createRun(50, 0), sentAtMs: Number.NEGATIVE_INFINITY },
+    run: { ...createLateRun(50, 0), sentAtMs: Number.NEGATIVE_INFINITY },
     estimatedMs: 2_000,
     leavesInMs: 2_000,
     expected: false
--- a/packages/jobs/tests/job-fixtures.ts
+++ b/packages/jobs/tests/job-fixtures.ts
@@ -1,4 +1,6 @@
 import type { Job, JobStep, JobTerms } from '../src/job.js'
+import type { WaitingStep } from '../src/placement-round.js'
+import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
 
 export function createTerms (values: Partial<JobTerms> = {}): JobTerms {
   return {
@@ -26,3 +28,37 @@
 export function createJob (id: string, steps: readonly JobStep[] = [createStep()], values: Partial<Job> = {}): Job {
   return { id, terms: createTerms(), specification: 'post dues', steps, acceptedAtMs: 1_700_000_000_000, ...values }
 }
+
+/** All tasks of a step as they wait for room. */
+export function createWaiting (step: JobStep, values: Partial<WaitingStep> = {}): WaitingStep {
+  return {
+    stepName: 'aa.0.0',
+    service: 'ledger',
+    step,
+    pending: Array.from({ length: step.taskCount }, (_, index) => index),
+    avoided: new Set(),
+    mustAvoid: false,
+    countByTarget: new Map(),
+    permittedIds: undefined,
+    canWait: false,
+    keepsRoom: true,
+    ...values
+  }
+}
+
+export function createRun (values: Partial<TaskRun> = {}): TaskRun {
+  return {
+    task: { jobId: 'aa', occurrence: 0, step: 0, index: 0 },
+    number: 1,
+    targetId: 't0',
+    size: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+    phase: RUN_PHASES.running,
+    sentAtMs: 0,
+    expectedEndMs: 0,
+    isStopWanted: false,
+    isStopAcknowledged: false,
+    percent: 0,
+    percentChangedAtMs: 0,
+    ...values
+  }
+}
--- a/packages/jobs/tests/placement-load.test.ts
+++ b/packages/jobs/tests/placement-load.test.ts
@@ -4,7 +4,7 @@
 import { NOTHING_HELD } from '../src/room-holds.js'
 import type { RunView, TargetView } from '../src/target-view.js'
 import type { JobStep, TaskSize } from '../src/job.js'
-import { createStep } from './job-fixtures.js'
+import { createStep, createWaiting } from './job-fixtures.js'
 
 const TARGET_COUNT = 32
 const CAPACITY: TaskSize = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 }
@@ -21,22 +21,6 @@
   return { cpuMillis, memoryMb: 1_000, accelerators: 0 }
 }
 
-function createWaiting (stepName: string, step: JobStep, values: Partial<WaitingStep> = {}): WaitingStep {
-  return {
-    stepName,
-    service: 'ledger',
-    step,
-    pending: Array.from({ length: step.taskCount }, (_, index) => index),
-    avoided: new Set(),
-    mustAvoid: false,
-    countByTarget: new Map(),
-    permittedIds: undefined,
-    canWait: true,
-    keepsRoom: true,
-    ...values
-  }
-}
-
 /** Plays rounds of placement over targets whose tasks take other times than estimated. */
 class LoadPlay {
   readonly #random: SeededRandomSource
@@ -91,12 +75,12 @@
 function measureGangWait (seed: number): number {
   const play = new LoadPlay(seed)
   const permitted = Array.from({ length: 11 }, (_, index) => `t${(index * 3 + seed) % TARGET_COUNT}`)
-  const postings = Array.from({ length: 60 }, (_, index) => createWaiting(`posting${index}`, POSTING))
+  const postings = Array.from({ length: 60 }, (_, index) => createWaiting(POSTING, { stepName: `posting${index}`, canWait: true }))
   for (let round = 0; round < 200; round++) play.runRound(postings)
-  const closing = createWaiting('closing', CLOSING, { permittedIds: permitted })
+  const closing = createWaiting(CLOSING, { stepName: 'closing', permittedIds: permitted, canWait: true })
   const startedAtMs = play.nowMs
   while (play.nowMs - startedAtMs < 20_000) {
-    const checks = play.drawFraction() < 0.6 ? [createWaiting('check0', CHECK, { canWait: false }), createWaiting('check1', CHECK, { canWait: false })] : []
+    const checks = play.drawFraction() < 0.6 ? [createWaiting(CHECK, { stepName: 'check0' }), createWaiting(CHECK, { stepName: 'check1' })] : []
     if (play.runRound([...checks, ...postings.slice(0, 30), closing, ...postings.slice(30)]).has('closing')) break
   }
   return play.nowMs - startedAtMs
--- a/packages/jobs/tests/placement-round.test.ts
+++ b/packages/jobs/tests/placement-round.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
-import type { JobStep, TaskSize } from '../src/job.js'
+import type { TaskSize } from '../src/job.js'
 import { PlacementRound, type WaitingStep } from '../src/placement-round.js'
 import type { RunView, TargetView } from '../src/target-view.js'
-import { createStep } from './job-fixtures.js'
+import { createStep, createWaiting } from './job-fixtures.js'
 
 const NOW_MS = 10_000
 const CAPACITY: TaskSize = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 }
@@ -14,22 +14,6 @@
   }
 }
 
-function createWaiting (step: JobStep, values: Partial<WaitingStep> = {}): WaitingStep {
-  return {
-    stepName: 'aa.0.0',
-    service: 'ledger',
-    step,
-    pending: Array.from({ length: step.taskCount }, (_, index) => index),
-    avoided: new Set(),
-    mustAvoid: false,
-    countByTarget: new Map(),
-    permittedIds: undefined,
-    canWait: false,
-    keepsRoom: true,
-    ...values
-  }
-}
-
 function createSize (cpuMillis: number): TaskSize {
   return { cpuMillis, memoryMb: 1_000, accelerators: 0 }
 }
--- a/packages/jobs/tests/recover-jobs.test.ts
+++ b/packages/jobs/tests/recover-jobs.test.ts
@@ -10,9 +10,9 @@
 import type { Job } from '../src/job.js'
 import { encodeProgress } from '../src/progress-record.js'
 import { recoverJobs } from '../src/recover-jobs.js'
-import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
+import type { TaskRun } from '../src/task-run.js'
 import { TaskSupervisor } from '../src/task-supervisor.js'
-import { createJob, createStep } from './job-fixtures.js'
+import { createJob, createRun, createStep } from './job-fixtures.js'
 
 const BACKLOG = 400
 
@@ -60,20 +60,8 @@
   })
 }
 
-function createRun (index: number, step: number): TaskRun {
-  return {
-    task: { jobId: 'aa', occurrence: 0, step, index },
-    number: 1_001,
-    targetId: 't0',
-    size: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
-    phase: RUN_PHASES.running,
-    sentAtMs: 0,
-    expectedEndMs: 0,
-    isStopWanted: false,
-    isStopAcknowledged: false,
-    percent: 0,
-    percentChangedAtMs: 0
-  }
+function createGangRun (index: number, step: number): TaskRun {
+  return createRun({ task: { jobId: 'aa', occurrence: 0, step, index }, number: 1_001 })
 }
 
 function listPendingNames (table: JobTable): string[] {
@@ -89,7 +77,7 @@
   if (first === undefined || gang === undefined || ended === undefined || member === undefined) return t.fail()
   for (const task of first.tasks) first.markDone(task)
   gang.markDone(ended)
-  member.run = createRun(1, 1)
+  member.run = createGangRun(1, 1)
   t.is(progress.readState(), 'completed')
   const { table, adopted } = await recoverJob(job, encodeProgress(progress))
   t.deepEqual(listPendingNames(table), [])
@@ -104,7 +92,7 @@
     const progress = new JobProgress(job, 0)
     const [task] = progress.addOccurrence()[0]?.tasks ?? []
     if (task === undefined) return t.fail()
-    task.run = createRun(0, 0)
+    task.run = createGangRun(0, 0)
     progress[outcome] = true
     const { table, stopped } = await recoverJob(job, encodeProgress(progress))
     t.deepEqual(listPendingNames(table), [], outcome)
--- a/packages/jobs/tests/target-session.test.ts
+++ b/packages/jobs/tests/target-session.test.ts
@@ -4,8 +4,9 @@
 import type { TaskSize } from '../src/job.js'
 import { createOwnerTimings } from '../src/owner-timings.js'
 import { TargetSession } from '../src/target-session.js'
-import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
+import { RUN_PHASES } from '../src/task-run.js'
 import { FakeTargets } from './fake-targets.js'
+import { createRun } from './job-fixtures.js'
 
 const SIZE: TaskSize = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 }
 
@@ -55,19 +56,7 @@
   session.start()
   await clock.advanceBy(50)
   const start = (jobId: string): void => {
-    const run: TaskRun = {
-      task: { jobId, occurrence: 0, step: 0, index: 0 },
-      number: 1,
-      targetId: 't0',
-      size: SIZE,
-      phase: RUN_PHASES.reserved,
-      sentAtMs: 0,
-      expectedEndMs: 0,
-      isStopWanted: false,
-      isStopAcknowledged: false,
-      percent: 0,
-      percentChangedAtMs: 0
-    }
+    const run = createRun({ task: { jobId, occurrence: 0, step: 0, index: 0 }, size: SIZE, phase: RUN_PHASES.reserved })
     session.addRun(run)
     void session.startRun(run, { specification: '', checkpoint: '' })
   }
--- a/packages/jobs/tests/waiting-demand.test.ts
+++ b/packages/jobs/tests/waiting-demand.test.ts
@@ -1,8 +1,8 @@
 import test from 'ava'
-import { PlacementRound, type WaitingStep } from '../src/placement-round.js'
+import { PlacementRound } from '../src/placement-round.js'
 import type { TargetView } from '../src/target-view.js'
 import { WaitingDemand } from '../src/waiting-demand.js'
-import { createStep } from './job-fixtures.js'
+import { createStep, createWaiting } from './job-fixtures.js'
 
 const CPU_MILLIS = 16_000
 const TARGET_COUNT = 33
@@ -42,21 +42,13 @@
 test('a step that fits on no target is passed over without looking at each target', (t) => {
   const round = new PlacementRound(1_000, createFullTargets())
   let questions = 0
-  const waiting: WaitingStep = {
-    stepName: 'aa.0.0',
-    service: 'ledger',
-    step: createStep({ size: { cpuMillis: 1_400, memoryMb: 100, accelerators: 0 } }),
-    pending: [0],
-    avoided: new Set(),
-    mustAvoid: false,
-    countByTarget: new Map(),
-    canWait: false,
-    keepsRoom: true,
-    get permittedIds () {
+  const waiting = createWaiting(createStep({ size: { cpuMillis: 1_400, memoryMb: 100, accelerators: 0 } }))
+  Object.defineProperty(waiting, 'permittedIds', {
+    get: () => {
       questions++
       return ['t0']
     }
-  }
+  })
   t.deepEqual(round.place(waiting), [])
   t.is(questions, 0)
 })
