Count the turn of a gang once in a round

Found by reading the diff: a step with tickets is placed twice, with its ticketed targets and then with all permitted ones, and each time what it held in the last round was taken off the room that is expected to be held. Room that another gang had held on the same target then counted as free. The test fails without the change.

--- a/packages/jobs/src/room-holds.ts
+++ b/packages/jobs/src/room-holds.ts
@@ -39,6 +39,7 @@
   readonly #heldRooms = new Map<string, ReadonlyMap<string, HeldRoom>>()
   /** Room by target that steps held in the last round whose turn in this one is still to come. */
   readonly #expected = new Map<string, TaskSize>()
+  readonly #begun = new Set<string>()
 
   constructor (nowMs: number, earlier: HeldRooms) {
     this.#nowMs = nowMs
@@ -55,6 +56,9 @@
 
   /** The step's turn has come: from now on only what it holds in this round counts. */
   beginStep (stepName: string): void {
+    // A step is placed twice where its tickets are tried first.
+    if (this.#begun.has(stepName)) return
+    this.#begun.add(stepName)
     for (const [targetId, { size }] of this.#earlier.get(stepName) ?? []) {
       this.#expected.set(targetId, subtractSizes(this.#expected.get(targetId) ?? NO_ROOM, size))
     }
--- a/packages/jobs/tests/placement-round.test.ts
+++ b/packages/jobs/tests/placement-round.test.ts
@@ -112,3 +112,17 @@
   t.deepEqual(round.place(gang), [])
   t.is(round.place(createWaiting(createStep({ taskCount: 2, size: createSize(4_000), estimatedMs: 2_700 }))).length, 2)
 })
+
+// Guards against room that another gang has held and that counts as free, since the turn of the first gang was counted twice.
+test('a gang that is placed with and without its tickets leaves the room that others held expected', (t) => {
+  const ending = { size: createSize(12_000), expectedEndMs: NOW_MS + 1_000 }
+  const targets = [createTarget('t0', [ending])]
+  const holding = createWaiting(createStep({ taskCount: 1, size: createSize(8_000), isGang: true, estimatedMs: 4_000 }))
+  const first = new PlacementRound(NOW_MS, targets)
+  first.place({ ...holding, stepName: 'first.0.0' })
+  first.place({ ...holding, stepName: 'second.0.0' })
+  t.deepEqual([...first.listHeld().keys()], ['first.0.0', 'second.0.0'])
+  const next = new PlacementRound(NOW_MS, targets, first.listHeld())
+  for (const keepsRoom of [false, false]) next.place({ ...holding, stepName: 'first.0.0', keepsRoom })
+  t.deepEqual(next.place(createWaiting(createStep({ size: createSize(1_000) }), { canWait: true })), [])
+})
