--- a/packages/jobs/src/room-holds.ts
+++ b/packages/jobs/src/room-holds.ts
@@ -17,7 +17,6 @@
 const MAXIMUM_HELD_GANGS = 4
 /** A slot on a target that was held in the last round is preferred to one that comes free this much sooner. */
 const KEPT_TARGET_MS = 1_000
-
 /** How much longer than estimated a task is taken to last that may use held room meanwhile. */
 const LONGEST_ESTIMATE_FACTOR = 1.5
 
@@ -39,6 +38,7 @@
   readonly #heldRooms = new Map<string, ReadonlyMap<string, HeldRoom>>()
   /** Room by target that steps held in the last round whose turn in this one is still to come. */
   readonly #expected = new Map<string, TaskSize>()
+  /** Steps whose turn has come in this round. */
   readonly #begun = new Set<string>()
 
   constructor (nowMs: number, earlier: HeldRooms) {
@@ -118,6 +118,7 @@
     const slots: Slot[] = []
     let free = (this.#holds.get(target.id) ?? []).reduce((left, hold) => subtractSizes(left, hold.size), targetFree)
     let atMs = this.#nowMs
+    // A target on which another gang is about to hold room comes later.
     const otherMs = isNoRoom(this.#expected.get(target.id) ?? NO_ROOM) ? 0 : KEPT_TARGET_MS
     const runs = [...target.runs].sort((left, right) => left.expectedEndMs - right.expectedEndMs)
     const limit = step.maximumPerTarget > 0 ? step.maximumPerTarget : Number.POSITIVE_INFINITY
