--- a/packages/jobs/src/room-holds.ts
+++ b/packages/jobs/src/room-holds.ts
@@ -38,7 +38,6 @@
   readonly #heldRooms = new Map<string, ReadonlyMap<string, HeldRoom>>()
   /** Room by target that steps held in the last round whose turn in this one is still to come. */
   readonly #expected = new Map<string, TaskSize>()
-  /** Steps whose turn has come in this round. */
   readonly #begun = new Set<string>()
 
   constructor (nowMs: number, earlier: HeldRooms) {
