Go on with the same coordinator after a hand-over that did not take place

Cause: a unit whose hand-over failed was stopped and started again under the same epoch. The new coordinator numbered its attempts from the start of that epoch, so an attempt that still waited at one shard could have the number of a later one that another shard had sent. Beside that, the ledgers of both coordinators compared the same owner record, so an open commit of the first was not fenced. If it took effect after the second had loaded, the second wrote the same segment for ever.

Ruled out: the coordinator's refusal itself. It is true for the attempt that asks; only the number was ambiguous.

Change: roles have resumeUnit beside startUnit. The coordinator goes on with its requests, numbers and ledger; a shard starts anew as before, as its queue has been returned.

--- a/packages/dispatch/src/coordinator-role.ts
+++ b/packages/dispatch/src/coordinator-role.ts
@@ -37,6 +37,16 @@
     await this.#partitions.get(unit)?.prepareHandOver()
   }
 
+  /**
+   * Goes on with the same coordinator. A new one would number its attempts from the start of the same epoch again, and its
+   * ledger would write the same segments as commits of the former one that are still open.
+   */
+  async resumeUnit (unit: UnitId, owner: UnitOwner): Promise<void> {
+    const partition = this.#partitions.get(unit)
+    if (partition === undefined) await this.startUnit(unit, owner)
+    else partition.resume()
+  }
+
   stopUnit (unit: UnitId): void {
     const partition = this.#partitions.get(unit)
     if (partition === undefined) return
--- a/packages/dispatch/src/partition-coordinator.ts
+++ b/packages/dispatch/src/partition-coordinator.ts
@@ -31,6 +31,7 @@
   readonly #assigner: RequestAssigner
   readonly #attemptTracker: CoordinatorAttemptTracker
   readonly #sweepTimer: Timer
+  #isLoaded = false
   #isServing = false
 
   constructor (context: DispatchContext, partition: UnitId, owner: UnitOwner, onOwnershipLost: () => void) {
@@ -62,6 +63,7 @@
       this.#requests.add(request)
       this.#assigner.startAssigning(request)
     }
+    this.#isLoaded = true
     this.#isServing = true
   }
 
@@ -71,6 +73,11 @@
     await this.#ledger.flush()
   }
 
+  /** Serves again after a hand-over that did not take place. */
+  resume (): void {
+    this.#isServing = this.#isLoaded
+  }
+
   stop (): void {
     this.#isServing = false
     this.#sweepTimer.cancel()
--- a/packages/dispatch/src/shard-role.ts
+++ b/packages/dispatch/src/shard-role.ts
@@ -82,6 +82,11 @@
     await this.#runners.get(unit)?.prepareHandOver(successor)
   }
 
+  /** Starts the shard anew, as its queue has been returned to the coordinators. The former runner reports what it has sent. */
+  async resumeUnit (unit: UnitId, owner: UnitOwner): Promise<void> {
+    await this.startUnit(unit, owner)
+  }
+
   stopUnit (unit: UnitId): void {
     const runner = this.#runners.get(unit)
     if (runner === undefined) return
--- a/packages/dispatch/tests/fake-cluster.ts
+++ b/packages/dispatch/tests/fake-cluster.ts
@@ -36,6 +36,7 @@
   readonly targets = new FakeTargets(this.clock)
   readonly instances = new Map<InstanceId, FakeInstance>()
   readonly #owners = new Map<UnitId, UnitOwner>()
+  readonly #unlistedUnits = new Set<UnitId>()
   readonly #seed: number
 
   constructor (names: readonly string[], seed = 1) {
@@ -74,6 +75,21 @@
     if (owner !== undefined) await this.#findRole(owner.instance, unit)?.prepareHandOver(unit, toInstanceId(successor))
   }
 
+  /** Ends a prepared hand-over without a new owner, as after a write of the owner record that failed. */
+  async resumeUnit (unit: UnitId): Promise<void> {
+    const owner = this.#owners.get(unit)
+    if (owner !== undefined) await this.#findRole(owner.instance, unit)?.resumeUnit(unit, owner)
+  }
+
+  /** Makes a unit look unowned in the directories of all instances. */
+  removeFromDirectory (unit: UnitId): void {
+    this.#unlistedUnits.add(unit)
+  }
+
+  restoreToDirectory (unit: UnitId): void {
+    this.#unlistedUnits.delete(unit)
+  }
+
   /** Makes an instance neither send nor receive messages, and its store calls fail. */
   kill (name: string): void {
     const instance = this.find(name)
@@ -125,7 +141,7 @@
   #createDirectory (id: InstanceId, roles: FakeInstance['roles'], listeners: FakeInstance['listeners']): OwnershipDirectory {
     const hasAuthority = (unit: UnitId): boolean => this.instances.get(id)?.hasAuthority === true && this.#owners.get(unit)?.instance === id
     return {
-      findOwner: (unit) => this.#owners.get(unit),
+      findOwner: (unit) => this.#unlistedUnits.has(unit) ? undefined : this.#owners.get(unit),
       listUnits: () => [...this.#owners.keys()],
       hasAuthority,
       readAuthorityMs: (unit) => hasAuthority(unit) ? 1000 : 0,
--- a/packages/peer/src/hand-over-coordinator.ts
+++ b/packages/peer/src/hand-over-coordinator.ts
@@ -60,7 +60,7 @@
     const isPrepared = await this.#prepare(lifecycle, destination)
     if (lifecycle.readOwner() !== owner) return false
     if (!isPrepared || !lifecycle.transition('TRANSFER')) {
-      this.#lifecycles.restartUnit(lifecycle)
+      this.#lifecycles.resumeUnit(lifecycle)
       return false
     }
     const outcome = await this.#transfer(lifecycle, destination)
@@ -69,7 +69,7 @@
       return outcome === 'written'
     }
     logger.logWarning(PEER_LOG_EVENTS.handOverFailed, { unit, epoch: owner.epoch })
-    if (!this.#isStopped) this.#lifecycles.restartUnit(lifecycle)
+    if (!this.#isStopped) this.#lifecycles.resumeUnit(lifecycle)
     return false
   }
 
--- a/packages/peer/src/ownership-directory.ts
+++ b/packages/peer/src/ownership-directory.ts
@@ -15,6 +15,8 @@
   startUnit (unit: UnitId, owner: UnitOwner): Promise<void>
   /** Stops granting work and completes what must be complete before a planned hand-over. A rejection cancels the hand-over. */
   prepareHandOver (unit: UnitId, successor: InstanceId): Promise<void>
+  /** Serves the unit again under the same owner record, after a hand-over that was prepared but did not take place. */
+  resumeUnit (unit: UnitId, owner: UnitOwner): Promise<void>
   /** Called when the unit has another owner or this instance may no longer act for it. */
   stopUnit (unit: UnitId): void
 }
--- a/packages/peer/src/ownership-manager.ts
+++ b/packages/peer/src/ownership-manager.ts
@@ -26,7 +26,7 @@
     const writer = new OwnerWriter(options.store, options.cache, options.clock, options.random)
     this.#reconciler = new OwnershipReconciler(options, this.#registry, writer, {
       ensureLifecycle: (unit) => this.#ensureLifecycle(unit),
-      restartUnit: (lifecycle) => this.#restartUnit(lifecycle)
+      resumeUnit: (lifecycle) => this.#resumeUnit(lifecycle)
     })
     this.#registry.subscribe((unit, owner) => this.#onOwnerChange(unit, owner))
   }
@@ -119,15 +119,21 @@
     metrics.setGauge('peer.units.held', this.listHeld().length)
   }
 
-  #restartUnit (lifecycle: UnitLifecycle): void {
+  #resumeUnit (lifecycle: UnitLifecycle): void {
     const owner = lifecycle.readOwner()
-    if (lifecycle.abort() && owner !== undefined) void this.#startUnit(lifecycle, owner)
+    if (!lifecycle.transition('ABORT') || owner === undefined) return
+    void this.#serveUnit(lifecycle, owner, async () => { await lifecycle.readRole()?.resumeUnit(lifecycle.unit, owner) })
   }
 
   async #startUnit (lifecycle: UnitLifecycle, owner: UnitOwner): Promise<void> {
+    await this.#serveUnit(lifecycle, owner, async () => { await lifecycle.readRole()?.startUnit(lifecycle.unit, owner) })
+  }
+
+  /** Marks the unit as owned once `serve` has resolved. After a rejection the unit is started again. */
+  async #serveUnit (lifecycle: UnitLifecycle, owner: UnitOwner, serve: () => Promise<void>): Promise<void> {
     const { clock, logger } = this.#options
     try {
-      await lifecycle.readRole()?.startUnit(lifecycle.unit, owner)
+      await serve()
       if (lifecycle.readOwner()?.epoch === owner.epoch) lifecycle.transition('STARTED')
     } catch (error) {
       logger.logError(PEER_LOG_EVENTS.unitStartFailed, { unit: lifecycle.unit, epoch: owner.epoch, error: String(error) })
--- a/packages/peer/src/unit-lifecycle-registry.ts
+++ b/packages/peer/src/unit-lifecycle-registry.ts
@@ -4,6 +4,6 @@
 /** Access to the unit lifecycles of the ownership manager, for reconciliation and hand-overs. */
 export interface UnitLifecycleRegistry {
   ensureLifecycle (unit: UnitId): UnitLifecycle
-  /** Returns the unit to `starting` and starts it again under its current owner record. */
-  restartUnit (lifecycle: UnitLifecycle): void
+  /** Returns the unit to `starting` after a failed hand-over and serves it again under its current owner record. */
+  resumeUnit (lifecycle: UnitLifecycle): void
 }
--- a/packages/peer/src/unit-lifecycle.ts
+++ b/packages/peer/src/unit-lifecycle.ts
@@ -55,14 +55,6 @@
     return true
   }
 
-  /** Returns the unit to `starting` after a failed hand-over and stops it in its role. */
-  abort (): boolean {
-    const wasHeld = this.isHeld()
-    if (!this.transition('ABORT')) return false
-    if (wasHeld) this.#role?.stopUnit(this.unit)
-    return true
-  }
-
   /** Drops the unit and stops it in its role. Returns false, without a second stop, when it is not held. */
   drop (): boolean {
     if (!this.transition('LOSE')) return false
--- a/packages/peer/tests/ownership-manager.test.ts
+++ b/packages/peer/tests/ownership-manager.test.ts
@@ -18,9 +18,18 @@
   readonly calls: string[] = []
   async startUnit (unit: UnitId, owner: UnitOwner): Promise<void> { this.calls.push(`start ${unit} ${owner.epoch}`) }
   async prepareHandOver (unit: UnitId): Promise<void> { this.calls.push(`prepare ${unit}`) }
+  async resumeUnit (unit: UnitId, owner: UnitOwner): Promise<void> { this.calls.push(`resume ${unit} ${owner.epoch}`) }
   stopUnit (unit: UnitId): void { this.calls.push(`stop ${unit}`) }
 }
 
+/** Refuses to hand units over. */
+class UnpreparedRole extends RecordingRole {
+  override async prepareHandOver (unit: UnitId): Promise<void> {
+    await super.prepareHandOver(unit)
+    throw new Error('refused by the test')
+  }
+}
+
 test('FakeCluster reports a violation when an instance takes over before its own promise has expired', async (t) => {
   const cluster = new FakeCluster(3)
   const [first] = [cluster.start('1'), cluster.start('3')]
@@ -123,6 +132,18 @@
   t.is(first?.node.ownership.findOwner(unit ?? toUnitId(''))?.instance, toInstanceId('2'))
 })
 
+test('after a hand-over that could not be prepared the unit is resumed under the same epoch, without a stop', async (t) => {
+  const { cluster, processes: [first] } = await startCluster(20, ['1'])
+  const role = new UnpreparedRole()
+  first?.node.ownership.registerRole('partition/', role)
+  cluster.start('2')
+  t.not(await cluster.runUntil(() => role.calls.some((call) => call.startsWith('resume')), 8_000), undefined)
+  const unit = role.calls.find((call) => call.startsWith('resume'))?.split(' ')[1]
+  t.deepEqual(role.calls.filter((call) => call.includes(` ${unit}`)).slice(0, 3), [`start ${unit} 1`, `prepare ${unit}`, `resume ${unit} 1`])
+  await cluster.run(100)
+  t.true(first?.node.ownership.hasAuthority(toUnitId(unit ?? '')))
+})
+
 test('every unit gets exactly one owner although replies to successful writes are lost', async (t) => {
   const cluster = new FakeCluster(13)
   for (const name of NAMES) cluster.start(name).store.responseLossProbability = 0.5
--- a/packages/peer/tests/unit-lifecycle.test.ts
+++ b/packages/peer/tests/unit-lifecycle.test.ts
@@ -18,7 +18,12 @@
 test('a unit is authorized from its start until the write of a hand-over, and is not after it was dropped', (t) => {
   const lifecycle = new UnitLifecycle(toUnitId('partition/00'))
   const stopped: string[] = []
-  const role = { startUnit: async () => {}, prepareHandOver: async () => {}, stopUnit: (unit: string) => { stopped.push(unit) } }
+  const role = {
+    startUnit: async () => {},
+    prepareHandOver: async () => {},
+    resumeUnit: async () => {},
+    stopUnit: (unit: string) => { stopped.push(unit) }
+  }
   const steps: [() => boolean, boolean][] = [
     [() => lifecycle.transition('ACQUIRE'), false],
     [() => lifecycle.assign(OWNER, role), false],
