Show a final state only once the owner has stored it

Cause: an instance without a link to the owner read a job with a stored cancellation as cancelled. The owner could still complete the job before it learned of the cancellation, and the state that callers saw changed from cancelled to completed.

Change: the reader shows what the owner has stored, and nothing else. It also reads the final state once more when a job is finished between its two reads, where it showed queued.

--- a/packages/jobs/src/job-reader.ts
+++ b/packages/jobs/src/job-reader.ts
@@ -3,9 +3,9 @@
 import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import { z } from 'zod'
-import { formatCancelKey, formatFinishedKey, formatJobKey, formatProgressKey } from './job-keys.js'
+import { formatFinishedKey, formatJobKey, formatProgressKey } from './job-keys.js'
 import { JOB_MESSAGES } from './job-messages.js'
-import { isFinalState, JOB_STATES, type JobState } from './job.js'
+import { JOB_STATES, type JobState } from './job.js'
 import { decodeFinished, decodeProgress } from './progress-record.js'
 
 /** The owner answers from memory. Without an answer in this time the store is read instead. */
@@ -47,20 +47,16 @@
     return result.ok ? result.val : undefined
   }
 
+  /** Reads what the owner has stored. A cancellation doesn't count: the job may be completed before the owner learns of it. */
   async #readFromStore (id: string): Promise<Result<JobState | undefined, string>> {
     const job = await this.#store.readKey(formatJobKey(id), 'critical')
     if (job.err) return Err(job.val.message)
     if (job.val === undefined) return await this.#readFinished(id)
-    const [cancel, progress] = await Promise.all([
-      this.#store.readKey(formatCancelKey(id), 'critical'), this.#store.readKey(formatProgressKey(id), 'critical')
-    ])
-    if (cancel.err) return Err(cancel.val.message)
+    const progress = await this.#store.readKey(formatProgressKey(id), 'critical')
     if (progress.err) return Err(progress.val.message)
-    const record = progress.val === undefined ? undefined : decodeProgress(progress.val.value)
-    if (record?.err === true) return Err(record.val)
-    const state = record?.ok === true ? record.val.state : JOB_STATES.queued
-    if (isFinalState(state)) return Ok(state)
-    return Ok(cancel.val !== undefined ? JOB_STATES.cancelled : state)
+    // The job may have been finished since its record was read, which deletes its progress.
+    if (progress.val === undefined) return (await this.#readFinished(id)).map((state) => state ?? JOB_STATES.queued)
+    return decodeProgress(progress.val.value).map((record) => record.state)
   }
 
   /**
