--- a/packages/jobs/src/order-message.ts
+++ b/packages/jobs/src/order-message.ts
@@ -36,7 +36,8 @@
     targetClockMs: z.number(),
     startedAtMs: z.number(),
     running: z.array(z.object({ ...rowShape, percent: z.number() })),
-    ended: z.array(z.object({ ...rowShape, number: z.number(), outcome: z.enum(RUN_OUTCOMES) }))
+    ended: z.array(z.object({ ...rowShape, number: z.number(), outcome: z.enum(RUN_OUTCOMES) })),
+    hasMoreEnds: z.boolean().optional()
   })
 })
 
--- a/packages/jobs/src/target-gateway.ts
+++ b/packages/jobs/src/target-gateway.ts
@@ -92,6 +92,8 @@
   readonly startedAtMs: number
   readonly running: readonly ReportedRun[]
   readonly ended: readonly ReportedEnd[]
+  /** Whether the target has more ended runs than it reports at a time. The others follow once these are acknowledged. */
+  readonly hasMoreEnds?: boolean | undefined
 }
 
 /** Sends orders to targets. Every order contains the target's id, so that a target with another id at this address refuses it. */
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -223,7 +223,8 @@
     const runningKeys = new Set(report.running.map((reported) => formatReportedRunKey(reported)))
     for (const reported of report.running) this.#applyRunning(reported, nowMs)
     for (const reported of newEnds) this.#applyEnd(reported)
-    for (const run of this.#runs.copy()) this.#checkUnreported(run, runningKeys, sentAtMs)
+    // A run that is not listed may be among the ends that the target did not report this time.
+    if (report.hasMoreEnds !== true) for (const run of this.#runs.copy()) this.#checkUnreported(run, runningKeys, sentAtMs)
     this.#abandonedOrders.stopAll(this.#description)
     if (newEnds.length > 0) this.#endTracker.acknowledge(newEnds, this.#context.runWhenStored)
     if (isFirst) this.#context.onCapacityChanged()
--- a/packages/peer/tests/port-probe.test.ts
+++ b/packages/peer/tests/port-probe.test.ts
@@ -11,3 +11,8 @@
   await new Promise<void>((resolve) => { server.close(() => resolve()) })
   t.true(await probe.isConnectionRefused(address, 1_000))
 })
+
+test('a port that no process can have counts as not refused', async (t) => {
+  const probe = new TcpPortProbe()
+  for (const address of ['127.0.0.1:70000', '127.0.0.1:0', '127.0.0.1:-1', '127.0.0.1:x', '']) t.false(await probe.isConnectionRefused(address, 100), address)
+})
