Ask for advice on what is free now, keep the tickets of waiting gangs, and let two gangs reserve

Cause, found with the model: gangs waited while over a third of the cores did nothing, for three reasons. - A request named as many targets as would hold the gang if they were empty (some 50). In a full pool each has room for about one task, of which the policy permits a quarter. Now a request names as many as have the room free, in several calls at the same time through different instances. - When a gang fitted its tickets had expired, and its capacity lay idle until the policy service had answered, 0.5 to 1 s. Now a waiting gang's tickets are renewed before they expire, as long as most instances are free for other calls. - Reservations of up to four gangs kept capacity idle until the last of their targets was empty. Now two gangs may reserve.

--- a/packages/jobs/src/advice-cache.ts
+++ b/packages/jobs/src/advice-cache.ts
@@ -8,11 +8,12 @@
   readonly tickets: Map<string, { readonly ticket: string, readonly expiresAtMs: number }>
   /** Targets that have been named in an answered request to the policy service. */
   readonly asked: Set<string>
-  isInFlight: boolean
+  /** Number of requests that are not answered yet. */
+  openRequests: number
   /** Monotonic time before which a failed request isn't repeated. */
   notBeforeMs: number
-  /** Monotonic time before which it isn't checked whether to request advice on more targets. */
-  nextExtensionCheckMs: number
+  /** Monotonic time before which it isn't checked whether the step needs advice on more targets, or new tickets. */
+  nextCheckMs: number
 }
 
 /** Caches the policy service's answers by step. Which targets may run a step doesn't change, whereas tickets expire. */
@@ -27,16 +28,16 @@
   /** Whether a request is in flight, or a failed one must not be repeated yet. */
   isWaiting (stepName: string, nowMs: number): boolean {
     const advice = this.#steps.get(stepName)
-    return advice !== undefined && (advice.isInFlight || nowMs < advice.notBeforeMs)
+    return advice !== undefined && (advice.openRequests > 0 || nowMs < advice.notBeforeMs)
   }
 
-  /** Whether it may be checked now if advice on more targets should be requested. */
-  shouldCheckExtension (stepName: string, nowMs: number): boolean {
-    return nowMs >= (this.#steps.get(stepName)?.nextExtensionCheckMs ?? 0)
+  /** Whether it may be checked now if the step needs advice on more targets, or new tickets. */
+  isCheckDue (stepName: string, nowMs: number): boolean {
+    return nowMs >= (this.#steps.get(stepName)?.nextCheckMs ?? 0)
   }
 
-  pauseExtensionChecks (stepName: string, notBeforeMs: number): void {
-    this.#ensure(stepName).nextExtensionCheckMs = notBeforeMs
+  pauseChecks (stepName: string, notBeforeMs: number): void {
+    this.#ensure(stepName).nextCheckMs = notBeforeMs
   }
 
   isPermitted (stepName: string, targetId: string): boolean {
@@ -65,19 +66,19 @@
   }
 
   markInFlight (stepName: string): void {
-    this.#ensure(stepName).isInFlight = true
+    this.#ensure(stepName).openRequests++
   }
 
   recordAnswer (stepName: string, askedIds: readonly string[], permitted: readonly AdvisedTarget[], expiresAtMs: number): void {
     const advice = this.#ensure(stepName)
-    advice.isInFlight = false
+    advice.openRequests--
     for (const id of askedIds) advice.asked.add(id)
     for (const { targetId, ticket } of permitted) advice.tickets.set(targetId, { ticket, expiresAtMs })
   }
 
   recordFailure (stepName: string, notBeforeMs: number): void {
     const advice = this.#ensure(stepName)
-    advice.isInFlight = false
+    advice.openRequests--
     advice.notBeforeMs = notBeforeMs
   }
 
@@ -95,7 +96,7 @@
   #ensure (stepName: string): StepAdvice {
     let advice = this.#steps.get(stepName)
     if (advice === undefined) {
-      advice = { tickets: new Map(), asked: new Set(), isInFlight: false, notBeforeMs: 0, nextExtensionCheckMs: 0 }
+      advice = { tickets: new Map(), asked: new Set(), openRequests: 0, notBeforeMs: 0, nextCheckMs: 0 }
       this.#steps.set(stepName, advice)
     }
     return advice
--- a/packages/jobs/src/advice-dispatcher.ts
+++ b/packages/jobs/src/advice-dispatcher.ts
@@ -13,6 +13,8 @@
 const LONG_CALL_MS = 250
 /** Share of the instances that take long calls. */
 const LONG_CALL_INSTANCE_SHARE = 0.6
+/** Share of the instances that calls which can be left out don't use. */
+const SPARE_INSTANCE_SHARE = 0.5
 /** An instance gets its next call this long before it is expected to be free, which hides the latency of the message. */
 const DISPATCH_LEAD_MS = 10
 /** Added to the expected duration of a call to give its time-out. */
@@ -82,6 +84,15 @@
     })
   }
 
+  /** Whether a call of this duration could be made at once and most instances that take such calls would stay free. */
+  hasSpareInstances (expectedMs: number): boolean {
+    if (this.#pending.length > 0) return false
+    const nowMs = this.#clock.readMonotonicMs()
+    const names = this.#listInstancesFor(expectedMs, this.#listAvailableInstances(nowMs))
+    const free = names.filter((name) => this.#ensureLoad(name).busyUntilMs <= nowMs)
+    return free.length > names.length * SPARE_INSTANCE_SHARE
+  }
+
   /** Drops all queued requests. Their promises stay pending. */
   stop (): void {
     this.#timer?.cancel()
@@ -151,11 +162,15 @@
   }
 
   #chooseInstance ({ expectedMs, tried }: PendingAdviceRequest, names: readonly string[], nowMs: number): string | undefined {
-    const candidates = expectedMs < LONG_CALL_MS ? names : names.slice(0, Math.max(1, Math.ceil(names.length * LONG_CALL_INSTANCE_SHARE)))
+    const candidates = this.#listInstancesFor(expectedMs, names)
     const untried = candidates.filter((name) => !tried.includes(name))
     return this.#findFreeInstance(untried.length > 0 ? untried : candidates, nowMs)
   }
 
+  #listInstancesFor (expectedMs: number, names: readonly string[]): readonly string[] {
+    return expectedMs < LONG_CALL_MS ? names : names.slice(0, Math.max(1, Math.ceil(names.length * LONG_CALL_INSTANCE_SHARE)))
+  }
+
   /** Returns the instance that becomes free first, if that is within `DISPATCH_LEAD_MS`. */
   #findFreeInstance (names: readonly string[], nowMs: number): string | undefined {
     let best: string | undefined
--- a/packages/jobs/src/advice-requester.ts
+++ b/packages/jobs/src/advice-requester.ts
@@ -3,13 +3,15 @@
 import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import { AdviceCache } from './advice-cache.js'
 import type { AdviceDispatcher } from './advice-dispatcher.js'
-import { MAXIMUM_TARGETS_PER_REQUEST, selectAdviceTargets, type AdviceCandidate } from './advice-selection.js'
+import { MAXIMUM_TARGETS_PER_REQUEST, selectAdviceTargets, splitAdviceTargets, type AdviceCandidate } from './advice-selection.js'
 import { JOB_EVENTS } from './job-events.js'
 import { JOB_METRICS } from './job-metrics.js'
 import type { AdvicePolicy, JobStep } from './job.js'
 import { PermittedShare } from './permitted-share.js'
 import type { Urgency } from './urgency.js'
 
+/** Targets that the calls of one request may name together. */
+const MAXIMUM_TARGETS_PER_STEP = 3 * MAXIMUM_TARGETS_PER_REQUEST
 /** Pause before a request is repeated that no instance could get answered. */
 const RETRY_DELAY_MS = 300
 
@@ -71,13 +73,33 @@
     this.#request(advised, [...ids].slice(0, MAXIMUM_TARGETS_PER_REQUEST))
   }
 
+  /**
+   * Requests new tickets for a gang that waits for capacity, if its last ones would expire before the next check and the policy
+   * service has time. A gang without tickets keeps its capacity idle until the service has answered. Returns whether a request
+   * was made.
+   */
+  renewTickets (advised: AdvisedStep, permitted: readonly AdviceCandidate[], checkPeriodMs: number): boolean {
+    const { stepName, policy } = advised
+    const targetIds = this.#selectTargets(advised, permitted, 1).slice(0, MAXIMUM_TARGETS_PER_REQUEST)
+    const expectedMs = policy.decisionMs + policy.perTargetMs * targetIds.length
+    const validUntilMs = this.#clock.readMonotonicMs() + expectedMs + checkPeriodMs
+    if (this.cache.listTicketed(stepName, validUntilMs).length > 0 || !this.#dispatcher.hasSpareInstances(expectedMs)) return false
+    this.#request(advised, targetIds)
+    return targetIds.length > 0
+  }
+
   #selectTargets ({ step, taskCount, policy }: AdvisedStep, candidates: readonly AdviceCandidate[], permittedShare: number): string[] {
-    return selectAdviceTargets(candidates, step, taskCount, policy, permittedShare, this.#requestCount++)
+    return selectAdviceTargets(candidates, step, taskCount, policy, permittedShare, this.#requestCount++, MAXIMUM_TARGETS_PER_STEP)
+  }
+
+  /** Makes the calls of a request at the same time, through several instances. */
+  #request (advised: AdvisedStep, asked: readonly string[]): void {
+    if (asked.length === 0 || this.cache.isWaiting(advised.stepName, this.#clock.readMonotonicMs())) return
+    for (const targetIds of splitAdviceTargets(asked, advised.policy)) this.#sendCall(advised, targetIds)
   }
 
-  #request ({ stepName, policy, urgency, queue }: AdvisedStep, asked: readonly string[]): void {
+  #sendCall ({ stepName, policy, urgency, queue }: AdvisedStep, asked: readonly string[]): void {
     const nowMs = this.#clock.readMonotonicMs()
-    if (asked.length === 0 || this.cache.isWaiting(stepName, nowMs)) return
     this.cache.markInFlight(stepName)
     const werePermitted = asked.every((id) => this.cache.isPermitted(stepName, id))
     void this.#dispatcher.fetchAdvice(stepName, asked, policy, urgency).then((permitted) => {
--- a/packages/jobs/src/advice-selection.ts
+++ b/packages/jobs/src/advice-selection.ts
@@ -25,16 +25,35 @@
  * idle. `turn` rotates the order of targets with equal free capacity.
  */
 export function selectAdviceTargets (
-  candidates: readonly AdviceCandidate[], step: JobStep, taskCount: number, policy: AdvicePolicy, permittedShare: number, turn: number
+  candidates: readonly AdviceCandidate[], step: JobStep, taskCount: number, policy: AdvicePolicy, permittedShare: number, turn: number,
+  maximum = MAXIMUM_TARGETS_PER_REQUEST
 ): string[] {
   const slots = Math.max(1, ...candidates.map(({ capacity }) => countSlots(capacity, step)))
   const needed = Math.ceil(CAPACITY_FACTOR * taskCount / (permittedShare * slots))
   const affordable = policy.perTargetMs > 0
     ? Math.floor(policy.decisionMs * EXTRA_DURATION_SHARE / policy.perTargetMs)
     : MAXIMUM_TARGETS_PER_REQUEST
-  const count = Math.min(MAXIMUM_TARGETS_PER_REQUEST, Math.max(MINIMUM_TARGETS_PER_REQUEST, needed, affordable))
+  const count = Math.min(maximum, Math.max(MINIMUM_TARGETS_PER_REQUEST, needed, affordable))
   const first = candidates.length === 0 ? 0 : turn * count % candidates.length
-  return rankCandidates([...candidates.slice(first), ...candidates.slice(0, first)], step).slice(0, count).map(({ id }) => id)
+  const ranked = rankCandidates([...candidates.slice(first), ...candidates.slice(0, first)], step)
+  // The tasks of a gang need their capacity at the same time, so they count on what is free now.
+  const wanted = step.isGang ? countTargetsWithSlots(ranked, CAPACITY_FACTOR * taskCount / permittedShare) : 0
+  return ranked.slice(0, Math.min(maximum, Math.max(count, wanted))).map(({ id }) => id)
+}
+
+/** Splits the targets of a request evenly over calls of which none takes much longer than one that names a single target. */
+export function splitAdviceTargets (targetIds: readonly string[], policy: AdvicePolicy): string[][] {
+  const limit = policy.perTargetMs > 0 ? Math.floor(policy.decisionMs / policy.perTargetMs) : MAXIMUM_TARGETS_PER_REQUEST
+  const size = Math.min(MAXIMUM_TARGETS_PER_REQUEST, Math.max(MINIMUM_TARGETS_PER_REQUEST, limit))
+  const calls = Math.ceil(targetIds.length / size)
+  return Array.from({ length: calls }, (_, index) => targetIds.filter((_id, position) => position % calls === index))
+}
+
+/** Returns how many of the first targets have this many free slots together; all targets when they have fewer. */
+function countTargetsWithSlots (ranked: readonly AdviceCandidate[], slots: number): number {
+  let found = 0
+  const last = ranked.findIndex(({ freeSlots }) => (found += freeSlots) >= slots)
+  return last < 0 ? ranked.length : last + 1
 }
 
 /** Orders targets: first those in the rack of the step's data, then by free capacity of the rack if one is preferred, then by their own. */
--- a/packages/jobs/src/gang-reservations.ts
+++ b/packages/jobs/src/gang-reservations.ts
@@ -14,7 +14,7 @@
 export const NO_RESERVATIONS: ReservationsByStep = new Map()
 
 /** Gangs that may make reservations in one round. */
-const MAXIMUM_RESERVING_GANGS = 4
+const MAXIMUM_RESERVING_GANGS = 2
 /** A slot on a target that was reserved in the previous round is preferred to one that becomes free this much sooner. */
 const PREVIOUS_TARGET_ADVANTAGE_MS = 1_000
 /** Factor on the estimated duration of a task that would use reserved capacity until the gang can start. */
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -20,10 +20,10 @@
 
 /** Size of the range of run numbers that each term of ownership has for a task, so that numbers of different owners differ. */
 const RUNS_PER_TERM = 1_000
-/** Minimum interval between two checks whether to request advice on more targets for a waiting step. */
-const EXTENSION_CHECK_PERIOD_MS = 200
+/** Minimum interval between two checks whether a waiting step needs advice on more targets, or new tickets. */
+const ADVICE_CHECK_PERIOD_MS = 200
 /** Maximum number of such checks in one round. */
-const EXTENSION_CHECKS_PER_ROUND = 10
+const ADVICE_CHECKS_PER_ROUND = 10
 /** A step that must start within this time may use capacity that a less urgent gang reserved in the previous round. */
 const RESERVATION_OVERRIDE_MS = 1_000
 /** Added to a run's estimated duration for starting it and detecting its end. */
@@ -62,7 +62,7 @@
   readonly #options: PlacementPlannerOptions
   readonly #adviceRequester: AdviceRequester
   readonly #inventory: TargetInventory
-  #extensionChecksLeft = EXTENSION_CHECKS_PER_ROUND
+  #adviceChecksLeft = ADVICE_CHECKS_PER_ROUND
   #reservations = NO_RESERVATIONS
 
   constructor (options: PlacementPlannerOptions) {
@@ -80,7 +80,7 @@
     const targets = this.#inventory.listUsable(nowMs, nowMs + RUN_OVERHEAD_MS)
     const round = new PlacementRound(nowMs, targets, this.#reservations)
     const limiter = new DemandLimiter(targets)
-    this.#extensionChecksLeft = EXTENSION_CHECKS_PER_ROUND
+    this.#adviceChecksLeft = ADVICE_CHECKS_PER_ROUND
     const active = this.#inventory.groupActive(nowMs)
     const ordered = [...table.listReady()].filter(({ step }) => step.countPending() > 0)
       .map((ready) => ({ ready, urgency: computeUrgency(ready.progress, nowMs) }))
@@ -135,9 +135,10 @@
     }
     const placements = this.#placeWithTickets(round, waiting, nowMs)
     if (placements.length > 0) return this.#startPlaced(round, ready, placements, urgency, nowMs)
-    if (terms.advice === undefined || cache.isWaiting(stepName, nowMs) || !cache.shouldCheckExtension(stepName, nowMs)) return
-    if (this.#extensionChecksLeft-- <= 0) return
-    cache.pauseExtensionChecks(stepName, nowMs + EXTENSION_CHECK_PERIOD_MS)
+    if (terms.advice === undefined || cache.isWaiting(stepName, nowMs) || !cache.isCheckDue(stepName, nowMs)) return
+    if (this.#adviceChecksLeft-- <= 0) return
+    cache.pauseChecks(stepName, nowMs + ADVICE_CHECK_PERIOD_MS)
+    if (step.step.isGang && this.#renewTickets(round, ready, terms.advice, urgency)) return
     this.#extendAdvice(round, ready, terms.advice, urgency, { nowMs, activeIds })
   }
 
@@ -149,6 +150,14 @@
     return placements.length > 0 ? placements : round.place(waiting)
   }
 
+  /** Keeps the tickets of a waiting gang valid. Returns whether it requested new ones. */
+  #renewTickets (round: PlacementRound, ready: ReadyStep, policy: AdvicePolicy, urgency: Urgency): boolean {
+    const advised = createAdvisedStep(ready, policy, urgency)
+    const permitted = this.#adviceRequester.cache.listPermitted(advised.stepName)
+    const candidates = this.#inventory.listCandidates(round, ready.step.step, permitted)
+    return this.#adviceRequester.renewTickets(advised, candidates, ADVICE_CHECK_PERIOD_MS)
+  }
+
   /** Requests advice on further targets for a step that doesn't fit on the permitted ones. */
   #extendAdvice (
     round: PlacementRound, ready: ReadyStep, policy: AdvicePolicy, urgency: Urgency, { nowMs, activeIds }: RoundState
--- a/packages/jobs/tests/advice-cache.test.ts
+++ b/packages/jobs/tests/advice-cache.test.ts
@@ -42,7 +42,7 @@
 
 test('the check for advice on more targets is paused for the given time', (t) => {
   const cache = createCache()
-  t.true(cache.shouldCheckExtension(STEP, 0))
-  cache.pauseExtensionChecks(STEP, 200)
-  t.deepEqual([cache.shouldCheckExtension(STEP, 199), cache.shouldCheckExtension(STEP, 200)], [false, true])
+  t.true(cache.isCheckDue(STEP, 0))
+  cache.pauseChecks(STEP, 200)
+  t.deepEqual([cache.isCheckDue(STEP, 199), cache.isCheckDue(STEP, 200)], [false, true])
 })
--- a/packages/jobs/tests/advice-dispatcher.test.ts
+++ b/packages/jobs/tests/advice-dispatcher.test.ts
@@ -120,3 +120,15 @@
   t.true(listings <= 300, String(listings))
   t.deepEqual(asked.map((request) => request.stepName), asked.map((_, index) => `short${index}`))
 })
+
+test('instances are spare only while most of those that take long calls are free and no request waits', async (t) => {
+  const { clock, dispatcher, addInstance } = createDispatcher()
+  for (const name of ['p1', 'p2', 'p3', 'p4', 'p5', 'p6']) addInstance(name)
+  t.true(dispatcher.hasSpareInstances(500))
+  for (let index = 0; index < 3; index++) void dispatcher.fetchAdvice(`long${index}`, ['t0'], LONG, createUrgency(index))
+  t.false(dispatcher.hasSpareInstances(500))
+  t.true(dispatcher.hasSpareInstances(10), 'short calls have more instances')
+  for (let index = 3; index < 12; index++) void dispatcher.fetchAdvice(`long${index}`, ['t0'], LONG, createUrgency(index))
+  await clock.advanceBy(20)
+  t.false(dispatcher.hasSpareInstances(10), 'a request waits')
+})
--- a/packages/jobs/tests/advice-selection.test.ts
+++ b/packages/jobs/tests/advice-selection.test.ts
@@ -1,5 +1,5 @@
 import test from 'ava'
-import { selectAdviceTargets, type AdviceCandidate } from '../src/advice-selection.js'
+import { selectAdviceTargets, splitAdviceTargets, type AdviceCandidate } from '../src/advice-selection.js'
 import { PermittedShare } from '../src/permitted-share.js'
 import { createJob, createStep, createQueuePolicy } from './job-fixtures.js'
 import { createAdviceGateway, FakeJobCell } from './fake-job-cell.js'
@@ -36,6 +36,24 @@
   t.true(selectAdviceTargets(candidates, GANG, 200, LONG, 0.3, 0).length <= 100)
 })
 
+// A pool of which a third is free, in pieces for one task each. Guards against gangs that wait for targets to become empty because
+// the request named only as many as would hold the gang if they were.
+test('for a gang as many targets are named as have the capacity free now, in calls of bounded duration', (t) => {
+  const candidates = createCandidates(POOL_SIZE, (index) => index % 3 === 0 ? 1 : 0)
+  const asked = selectAdviceTargets(candidates, GANG, 10, LONG, 0.25, 0, 300)
+  t.true(asked.filter((id) => Number(id.slice(1)) % 3 === 0).length >= 80, String(asked.length))
+  const calls = splitAdviceTargets(asked, LONG)
+  t.deepEqual(calls.flat().sort(), [...asked].sort())
+  for (const targetIds of calls) t.true(targetIds.length <= 70, String(targetIds.length))
+  t.true(Math.max(...calls.map((ids) => ids.length)) - Math.min(...calls.map((ids) => ids.length)) <= 1)
+})
+
+test('a request for a few targets, or without a duration per target, is one call', (t) => {
+  t.deepEqual(splitAdviceTargets(['t0', 't1'], LONG), [['t0', 't1']])
+  t.deepEqual(splitAdviceTargets([], LONG), [])
+  t.is(splitAdviceTargets(createCandidates(90, () => 0).map(({ id }) => id), { ...LONG, perTargetMs: 0 }).length, 1)
+})
+
 // Guards against tasks that run in another rack than their data because the request named only targets of other racks.
 test('targets in the rack of the data are named first, even when they have less free capacity', (t) => {
   const step = createStep({ taskCount: 4, dataRack: 'r12', size: { cpuMillis: 4_500, memoryMb: 100, accelerators: 0 } })
