--- a/packages/dispatch/src/partition-ledger.ts
+++ b/packages/dispatch/src/partition-ledger.ts
@@ -3,11 +3,12 @@
 import type { UnitId } from '@hibiscusledge/runtime/identifiers.js'
 import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
-import type { Comparison, KeyValueStore, Mutation } from '@hibiscusledge/store/key-value-store.js'
+import type { Comparison, KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import { DISPATCH_EVENTS } from './dispatch-events.js'
 import type { LedgerEntry } from './ledger-entry.js'
 import { buildSegmentKey, encodeSegment, groupEntries, loadLedger, measureEntry } from './ledger-segment.js'
 import { LedgerState } from './ledger-state.js'
+import { RETRY_DELAY_MS, SegmentWriter, type Segment } from './segment-writer.js'
 import { OWNER_KEY_PREFIX } from './store-keys.js'
 
 /** Longest time an entry waits for others to share its commit. */
@@ -22,7 +23,6 @@
 const COMPACTION_MIN_SEGMENTS = 48
 /** Keeps a compaction transaction within etcd's limit of 128 operations. */
 const COMPACTION_MAX_DELETIONS = 100
-const RETRY_DELAY_MS = 200
 /** A commit that takes longer marks the ledger as stalled, so that requests waiting for it do not reserve capacity. */
 const STALL_MS = 1000
 
@@ -68,6 +68,7 @@
 export class PartitionLedger {
   readonly #options: PartitionLedgerOptions
   readonly #state = new LedgerState()
+  readonly #segmentWriter: SegmentWriter
   #segmentKeys: string[] = []
   #nextSequence = 0
   /** Number of segments that the last compaction left. */
@@ -82,6 +83,7 @@
 
   constructor (options: PartitionLedgerOptions) {
     this.#options = options
+    this.#segmentWriter = new SegmentWriter(options, () => this.#isClosed)
   }
 
   get state (): LedgerState {
@@ -177,57 +179,17 @@
     while (remaining.length > 0 && !this.#isClosed) {
       const key = buildSegmentKey(this.#options.partition, this.#nextSequence)
       const value = encodeSegment(this.#options.random.drawHex(12), remaining.map((pending) => pending.entry))
-      const isCommitted = await this.#writeSegments([{ key, value }], [], this.#buildComparisons(remaining))
-      if (isCommitted) return remaining
+      if (await this.#writeSegments([{ key, value }], [], this.#buildComparisons(remaining))) return remaining
       remaining = await this.#dropFenced(remaining)
     }
     return []
   }
 
-  /**
-   * Writes segments in one transaction and retries the same transaction until its effect is known. The transaction requires
-   * that the segment keys do not exist, so a retry after a lost response is safe, even when the first write takes effect late.
-   * Returns false when a comparison failed or the ledger was closed.
-   */
-  async #writeSegments (
-    segments: ReadonlyArray<{ key: string, value: string }>, deletions: readonly string[], comparisons: readonly Comparison[]
-  ): Promise<boolean> {
-    const { store, logger, partition } = this.#options
-    const mutations: Mutation[] = [
-      ...segments.map(({ key, value }) => ({ type: 'put' as const, key, value })),
-      ...deletions.map((key) => ({ type: 'delete' as const, key }))
-    ]
-    const absenceComparisons = segments.map(({ key }) => ({ key, modRevision: 0 }))
-    let isEffectUnknown = false
-    while (!this.#isClosed) {
-      const outcome = await store.commitTransaction({ comparisons: [...comparisons, ...absenceComparisons], mutations }, 'critical')
-      if (outcome.ok && outcome.val.isCommitted) {
-        this.#updateSegmentKeys(segments.map(({ key }) => key), deletions)
-        return true
-      }
-      if (outcome.ok) {
-        if (isEffectUnknown && await this.#isOwnSegment(segments[0])) {
-          this.#updateSegmentKeys(segments.map(({ key }) => key), deletions)
-          return true
-        }
-        return false
-      }
-      isEffectUnknown ||= outcome.val.isEffectUnknown
-      logger.logWarning(DISPATCH_EVENTS.ledgerCommitFailed, { partition, code: outcome.val.code })
-      await this.#wait(RETRY_DELAY_MS)
-    }
-    return false
-  }
-
-  /** Whether the stored segment is the one that this ledger tried to write. The nonce in the value identifies it. */
-  async #isOwnSegment (segment: { key: string, value: string } | undefined): Promise<boolean> {
-    if (segment === undefined) return false
-    while (!this.#isClosed) {
-      const stored = await this.#options.store.readKey(segment.key, 'critical')
-      if (stored.ok) return stored.val?.value === segment.value
-      await this.#wait(RETRY_DELAY_MS)
-    }
-    return false
+  /** Writes segments in one transaction. Returns false when a comparison failed or the ledger was closed. */
+  async #writeSegments (segments: readonly Segment[], deletions: readonly string[], comparisons: readonly Comparison[]): Promise<boolean> {
+    const isWritten = await this.#segmentWriter.writeSegments(segments, deletions, comparisons)
+    if (isWritten) this.#updateSegmentKeys(segments.map(({ key }) => key), deletions)
+    return isWritten
   }
 
   #updateSegmentKeys (added: readonly string[], removed: readonly string[]): void {
