Mend four faults that reading had found

- scheduling: a start that was withdrawn before it was sent counted as a failure of its target, so that healthy targets were put into quarantine while the store was away (scheduling-policies).
- store: RateLimitedStore dropped the batch window of a watch (rate-limited-store).
- dispatch: the limit of a result in the ledger counted UTF-16 units instead of bytes (coordinator-takeover).
- peer: a unit whose role was registered late, and whose start failed, was never started again (ownership-manager).

--- a/packages/dispatch/src/outcome-recorder.ts
+++ b/packages/dispatch/src/outcome-recorder.ts
@@ -72,7 +72,7 @@
     }
     if (outcome.outcome !== 'completed') return { ...common, outcome }
     const text = JSON.stringify(outcome.result ?? null)
-    if (text.length <= LEDGER_RESULT_MAX_BYTES) return { ...common, outcome }
+    if (Buffer.byteLength(text) <= LEDGER_RESULT_MAX_BYTES) return { ...common, outcome }
     return { ...common, outcome: { ...outcome, result: null }, resultDigest: createHash('sha256').update(text).digest('hex') }
   }
 
--- a/packages/dispatch/tests/coordinator-takeover.test.ts
+++ b/packages/dispatch/tests/coordinator-takeover.test.ts
@@ -147,3 +147,20 @@
   t.is((await submit(cluster, facts, { submission: 's2' }))?.type, 'pending')
   t.is(cluster.targets.sends.length, 1)
 })
+
+// Guards against ledger entries of three times the limit, since a character of the result can take three bytes.
+const RESULTS: ReadonlyArray<{ title: string, result: string, outcome: string }> = [
+  { title: 'just within the limit is available', result: '€'.repeat(5_400), outcome: 'completed' },
+  { title: 'over the limit in bytes, though not in characters, is unknown', result: '€'.repeat(6_000), outcome: 'unknown' }
+]
+
+for (const { title, result, outcome } of RESULTS) {
+  test(`after a takeover a result that is ${title}`, async (t) => {
+    const cluster = await createCluster()
+    const facts = buildFacts(1, 'posting')
+    await submit(cluster, facts)
+    await endRequest(cluster, facts, { type: 'succeeded', result })
+    await takeOver(cluster)
+    t.is(await readOutcome(cluster, facts, NEXT), outcome)
+  })
+}
--- a/packages/peer/src/ownership-manager.ts
+++ b/packages/peer/src/ownership-manager.ts
@@ -78,7 +78,7 @@
       if (!lifecycle.unit.startsWith(prefix) || lifecycle.readRole() !== undefined) continue
       lifecycle.attachRole(role)
       const owner = lifecycle.readOwner()
-      if (lifecycle.isHeld() && owner !== undefined) void role.startUnit(lifecycle.unit, owner)
+      if (lifecycle.isHeld() && owner !== undefined) void this.#startUnit(lifecycle, owner)
     }
   }
 
@@ -138,7 +138,7 @@
     } catch (error) {
       logger.logError(PEER_LOG_EVENTS.unitStartFailed, { unit: lifecycle.unit, epoch: owner.epoch, error: String(error) })
       clock.startTimer(START_RETRY_DELAY_MS, () => {
-        if (lifecycle.readState() === 'starting' && lifecycle.readOwner()?.epoch === owner.epoch) void this.#startUnit(lifecycle, owner)
+        if (lifecycle.isHeld() && lifecycle.readOwner()?.epoch === owner.epoch) void this.#startUnit(lifecycle, owner)
       })
     }
   }
--- a/packages/peer/tests/ownership-manager.test.ts
+++ b/packages/peer/tests/ownership-manager.test.ts
@@ -144,6 +144,20 @@
   t.true(first?.node.ownership.hasAuthority(toUnitId(unit ?? '')))
 })
 
+test('a unit that a role registered late fails to start is started again', async (t) => {
+  const { cluster, processes: [first] } = await startCluster(21, ['1'])
+  const role = new RecordingRole()
+  const startUnit = role.startUnit.bind(role)
+  role.startUnit = async (unit, owner) => {
+    await startUnit(unit, owner)
+    if (role.calls.filter((call) => call === `start ${unit} 1`).length === 1) throw new Error('refused by the test')
+  }
+  first?.node.ownership.registerRole('partition/', role)
+  t.not(await cluster.runUntil(() => role.calls.length === 32, 4_000), undefined)
+  await cluster.run(2_000)
+  t.is(role.calls.length, 32, 'each of the 16 partitions is started twice')
+})
+
 test('every unit gets exactly one owner although replies to successful writes are lost', async (t) => {
   const cluster = new FakeCluster(13)
   for (const name of NAMES) cluster.start(name).store.responseLossProbability = 0.5
--- a/packages/scheduling/src/failure-monitor.ts
+++ b/packages/scheduling/src/failure-monitor.ts
@@ -43,8 +43,8 @@
   recordOutcome (state: TargetState, result: RunResult, isProbe: boolean, nowMs: number): boolean {
     const health = this.#ensure(state)
     if (isProbe) health.isProbing = false
-    // A refusal means that the target is leaving or full, not that it fails its tasks.
-    if (result === 'refused') return false
+    // A refusal means that the target is leaving or full, and a withdrawn start was never sent to it.
+    if (result === 'refused' || result === 'withdrawn') return false
     const hasFailed = result !== 'succeeded'
     health.outcomes = health.outcomes * OUTCOME_DECAY + 1
     health.failures = health.failures * OUTCOME_DECAY + (hasFailed ? 1 : 0)
--- a/packages/scheduling/tests/scheduling-policies.test.ts
+++ b/packages/scheduling/tests/scheduling-policies.test.ts
@@ -101,6 +101,22 @@
   t.deepEqual(listStartedIds(scheduler.schedule(500, 10)), [toRequestId('urgent')])
 })
 
+// Guards against healthy targets in quarantine after a time in which no start could be sent, for example while the store is away.
+test('starts that are withdrawn before they are sent do not count as failures of the target', (t) => {
+  const scheduler = buildScheduler(['e0', 'e1', 'e2', 'e3'].map((id) => buildExecutor(id, 1)), EXECUTOR_POOL)
+  const served = new Set<string>()
+  for (let round = 1; round <= 60; round++) {
+    const nowMs = round * 10
+    for (let index = 0; index < 4; index++) scheduler.admit(buildItem(`r${nowMs}-${index}`, { deadlineAtMs: nowMs + 5 }), nowMs)
+    served.clear()
+    for (const { item, targets: [target = ''] } of listStarts(scheduler.schedule(nowMs, 10))) {
+      served.add(target)
+      scheduler.releaseTask(item.requestId, 0, target === 'e0' || target === 'e1' ? 'withdrawn' : 'succeeded', nowMs + 1)
+    }
+  }
+  t.is(served.size, 4)
+})
+
 test('a target that fails all its tasks is quarantined within the cap of a quarter of the pool, until probes succeed', (t) => {
   const scheduler = buildScheduler(['e0', 'e1', 'e2', 'e3'].map((id) => buildExecutor(id, 1)), EXECUTOR_POOL)
   const failing = new Set(['e0', 'e1'])
--- a/packages/store/src/in-memory-store.ts
+++ b/packages/store/src/in-memory-store.ts
@@ -94,7 +94,7 @@
     })
   }
 
-  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler): Watch {
+  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler, _batchWindowMs?: number): Watch {
     this.counts.watches++
     const queue = fromRevision > 0 ? [...this.#keySpace.listHistory(fromRevision) ?? []] : []
     let isOpen = true
--- a/packages/store/src/rate-limited-store.ts
+++ b/packages/store/src/rate-limited-store.ts
@@ -82,7 +82,7 @@
   }
 
   /** Opens a watch, which counts as one read however long it stays open. */
-  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler): Watch {
+  watchPrefix (prefix: string, fromRevision: number, handler: WatchHandler, batchWindowMs?: number): Watch {
     let inner: Watch | undefined
     let isClosed = false
     const end = (): boolean => {
@@ -102,7 +102,7 @@
       inner = this.#store.watchPrefix(prefix, fromRevision, {
         onEvents: (events, revision) => handler.onEvents(events, revision),
         onClosed: (reason) => { if (end()) handler.onClosed(reason) }
-      })
+      }, batchWindowMs)
     }).catch((error: unknown) => { if (end()) handler.onClosed(String(error)) })
     return {
       close: () => {
--- a/packages/store/tests/rate-limited-store.test.ts
+++ b/packages/store/tests/rate-limited-store.test.ts
@@ -100,3 +100,17 @@
   await clock.advanceBy(20)
   t.true((await waiting).ok)
 })
+
+test('a watch passes its batch window on to the store', async (t) => {
+  const { clock, inner, store } = createRateLimitedStore()
+  const windows: (number | undefined)[] = []
+  inner.watchPrefix = (_prefix, _fromRevision, _handler, batchWindowMs?: number) => {
+    windows.push(batchWindowMs)
+    return { close: () => {} }
+  }
+  const handler = { onEvents: () => {}, onClosed: () => {} }
+  store.watchPrefix('a', 1, handler, 400)
+  store.watchPrefix('b', 1, handler)
+  await clock.advanceBy(1_000)
+  t.deepEqual(windows, [400, undefined])
+})
