--- a/packages/jobs/src/advice-selection.ts
+++ b/packages/jobs/src/advice-selection.ts
@@ -41,7 +41,7 @@
   return ranked.slice(0, Math.min(maximum, Math.max(count, wanted))).map(({ id }) => id)
 }
 
-/** Splits the targets of a request evenly over calls of which none takes much longer than one that names a single target. */
+/** Splits the targets of a request evenly over calls. None takes over twice as long as the decision itself. */
 export function splitAdviceTargets (targetIds: readonly string[], policy: AdvicePolicy): string[][] {
   const limit = policy.perTargetMs > 0 ? Math.floor(policy.decisionMs / policy.perTargetMs) : MAXIMUM_TARGETS_PER_REQUEST
   const size = Math.min(MAXIMUM_TARGETS_PER_REQUEST, Math.max(MINIMUM_TARGETS_PER_REQUEST, limit))
