--- a/packages/model/src/experiment.ts
+++ b/packages/model/src/experiment.ts
@@ -1,7 +1,5 @@
-import { JOB_EVENTS } from '@hibiscusledge/jobs/job-events.js'
 import { JobService } from '@hibiscusledge/jobs/job-service.js'
 import { createOwnerTimings } from '@hibiscusledge/jobs/owner-timings.js'
-import { SilentEventLogger, type EventLogger, type LogFields } from '@hibiscusledge/runtime/event-logger.js'
 import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
 import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
@@ -12,6 +10,7 @@
 import { createModelNetwork, OWNER_NAME } from './model-network.js'
 import { buildKindSummary, type KindSummary } from './kind-summary.js'
 import { TARGET_CAPACITY } from './model-target.js'
+import { TimeRecorder, type JobTimes } from './time-recorder.js'
 import { VirtualClock } from './virtual-clock.js'
 
 /** Time before the load in which an owner is elected and has reached all targets. */
@@ -48,32 +47,6 @@
   readonly waitedShare: number
 }
 
-/** When a job of the experiment was first placed and completed, in virtual time. */
-export interface JobTimes {
-  placedAtMs: number | undefined
-  completedAtMs: number | undefined
-  isAccepted: boolean
-}
-
-/** Records the times of the jobs from the events of the job service. */
-class TimeRecorder extends SilentEventLogger implements EventLogger {
-  readonly times = new Map<string, JobTimes>()
-  readonly #clock: VirtualClock
-
-  constructor (clock: VirtualClock, jobs: readonly ModelJob[]) {
-    super()
-    this.#clock = clock
-    for (const { job } of jobs) this.times.set(job.id, { placedAtMs: undefined, completedAtMs: undefined, isAccepted: false })
-  }
-
-  override logInfo (event?: string, fields?: LogFields): void {
-    const times = this.times.get(String(fields?.['jobId']))
-    if (times === undefined) return
-    if (event === JOB_EVENTS.taskPlaced) times.placedAtMs ??= this.#clock.readMonotonicMs()
-    if (event === JOB_EVENTS.jobEnded && fields?.['state'] === 'completed') times.completedAtMs ??= this.#clock.readMonotonicMs()
-  }
-}
-
 /** Runs the job service of one owner against the modelled targets, policy service and store, in virtual time. */
 export async function runExperiment ({ pattern, seed, targets: targetCount, instances }: ExperimentOptions): Promise<ExperimentResult> {
   const clock = new VirtualClock()
--- a/packages/model/src/kind-summary.ts
+++ b/packages/model/src/kind-summary.ts
@@ -1,6 +1,6 @@
-import type { JobTimes } from './experiment.js'
 import type { ModelJob } from './job-source.js'
 import type { JobKind } from './load-pattern.js'
+import type { JobTimes } from './time-recorder.js'
 
 /** A job that is completed within this multiple of its objective is late; later ones are worth nothing. */
 const LATE_FACTOR = 3
--- a/packages/model/src/model-target.ts
+++ b/packages/model/src/model-target.ts
@@ -23,7 +23,7 @@
 }
 
 /** What a target needs to know of the tasks it starts, and whom it tells of them. */
-export interface ModelFleet {
+export interface TargetEnvironment {
   readonly clock: VirtualClock
   readSize (taskName: string): Resources
   onStarted (run: ModelRun): void
@@ -39,7 +39,7 @@
   isDraining = false
   /** Virtual time at which a draining target leaves. */
   leavesAtMs = Number.POSITIVE_INFINITY
-  readonly #fleet: ModelFleet
+  readonly #environment: TargetEnvironment
   readonly #rack: number
   readonly #runs = new Map<string, ModelRun>()
   readonly #closedRuns = new Map<string, number>()
@@ -47,15 +47,15 @@
   #endCount = 0
   #waiters: (() => void)[] = []
 
-  constructor (index: number, speed: number, fleet: ModelFleet) {
+  constructor (index: number, speed: number, environment: TargetEnvironment) {
     this.id = `t${index}`
     this.speed = speed
     this.#rack = Math.floor(index / RACK_SIZE)
-    this.#fleet = fleet
+    this.#environment = environment
   }
 
   describe (): TargetDescription {
-    const remainingMs = this.isDraining ? Math.max(0, this.leavesAtMs - this.#fleet.clock.readMonotonicMs()) : undefined
+    const remainingMs = this.isDraining ? Math.max(0, this.leavesAtMs - this.#environment.clock.readMonotonicMs()) : undefined
     return {
       id: this.id,
       address: this.id,
@@ -70,7 +70,7 @@
   }
 
   start (order: StartOrder): Result<OrderAnswer, OrderError> {
-    const { clock } = this.#fleet
+    const { clock } = this.#environment
     const ticket = order.ticket === undefined ? undefined : parseTicket(order.ticket)
     if (ticket === undefined || ticket.expiresAtMs < clock.readMonotonicMs()) return this.#refuse('invalidTicket')
     if (order.validUntilMs <= clock.readMonotonicMs()) return this.#refuse('tooLate')
@@ -79,11 +79,11 @@
       target: this,
       taskName: order.taskName,
       number: order.run,
-      cpuMillis: this.#fleet.readSize(order.taskName).cpuMillis,
+      cpuMillis: this.#environment.readSize(order.taskName).cpuMillis,
       workingSinceMs: undefined
     }
     this.#runs.set(order.taskName, run)
-    this.#fleet.onStarted(run)
+    this.#environment.onStarted(run)
     return this.#acknowledge()
   }
 
@@ -101,7 +101,7 @@
     const running = [...this.#runs.values()].map((run) => ({
       taskName: run.taskName, run: run.number, checkpoint: '', percent: this.#readPercent(run)
     }))
-    return Ok({ targetClockMs: this.#fleet.clock.readMonotonicMs(), startedAtMs: 1, running, ended: [...this.#ends] })
+    return Ok({ targetClockMs: this.#environment.clock.readMonotonicMs(), startedAtMs: 1, running, ended: [...this.#ends] })
   }
 
   endRun (run: ModelRun, outcome: RunOutcome): void {
@@ -109,7 +109,7 @@
     this.#runs.delete(run.taskName)
     this.#closedRuns.set(run.taskName, run.number)
     this.#ends.push({ number: ++this.#endCount, taskName: run.taskName, run: run.number, outcome, checkpoint: '' })
-    this.#fleet.onEnded(run, outcome)
+    this.#environment.onEnded(run, outcome)
     for (const resume of this.#waiters.splice(0)) resume()
   }
 
@@ -128,12 +128,12 @@
   /** Progress in percent, which changes as long as the run works. Its exact value isn't needed. */
   #readPercent (run: ModelRun): number {
     if (run.workingSinceMs === undefined) return 0
-    return Math.min(99, 1 + Math.floor((this.#fleet.clock.readMonotonicMs() - run.workingSinceMs) / 200))
+    return Math.min(99, 1 + Math.floor((this.#environment.clock.readMonotonicMs() - run.workingSinceMs) / 200))
   }
 
   async #waitForEnd (limitMs: number): Promise<void> {
     await new Promise<void>((resolve) => {
-      const timer = this.#fleet.clock.startTimer(limitMs, resolve)
+      const timer = this.#environment.clock.startTimer(limitMs, resolve)
       this.#waiters.push(() => {
         timer.cancel()
         resolve()
@@ -142,10 +142,10 @@
   }
 
   #acknowledge (): Result<OrderAnswer, OrderError> {
-    return Ok({ targetClockMs: this.#fleet.clock.readMonotonicMs() })
+    return Ok({ targetClockMs: this.#environment.clock.readMonotonicMs() })
   }
 
   #refuse (code: OrderError['code']): Result<never, OrderError> {
-    return Err({ code, message: code, targetClockMs: this.#fleet.clock.readMonotonicMs() })
+    return Err({ code, message: code, targetClockMs: this.#environment.clock.readMonotonicMs() })
   }
 }
--- a/packages/model/src/model-targets.ts
+++ b/packages/model/src/model-targets.ts
@@ -2,7 +2,7 @@
 import type { TargetDescription, TargetDirectory, TargetGateway } from '@hibiscusledge/jobs/target-gateway.js'
 import { parseTaskName, type RunOutcome } from '@hibiscusledge/jobs/task-run.js'
 import type { ModelJob } from './job-source.js'
-import { ModelTarget, TARGET_CAPACITY, type ModelFleet, type ModelRun } from './model-target.js'
+import { ModelTarget, TARGET_CAPACITY, type TargetEnvironment, type ModelRun } from './model-target.js'
 import type { VirtualClock } from './virtual-clock.js'
 
 /** Time of an order or an answer on its way, including the delegate that passes it on. */
@@ -16,7 +16,7 @@
 const NO_RESOURCES: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
 
 /** Work of the targets, in millicore milliseconds. */
-export interface FleetWork {
+export interface TargetWork {
   done: number
   /** Work of runs that did not end as done. */
   discarded: number
@@ -25,10 +25,10 @@
 }
 
 /** All targets of an experiment. Tasks last as long as their job says, whatever their estimates are. */
-export class ModelTargets implements ModelFleet {
+export class ModelTargets implements TargetEnvironment {
   readonly clock: VirtualClock
   readonly targets: readonly ModelTarget[]
-  readonly work: FleetWork = { done: 0, discarded: 0, waited: 0 }
+  readonly work: TargetWork = { done: 0, discarded: 0, waited: 0 }
   readonly #jobs: ReadonlyMap<string, ModelJob>
   /** Runs of incomplete gangs by step and run number. */
   readonly #gangs = new Map<string, ModelRun[]>()
