Show that a restarted or hung executor breaks TWICE and LOST

Cause: a poll acknowledges ends with the count of an executor's earlier life, so the new life forgets ends that nobody has read; and a target under suspicion is probed only while nothing runs on it, which never happens while it holds a task that lasts.

--- a/review/stand-ins/executor.mjs
+++ b/review/stand-ins/executor.mjs
@@ -2,6 +2,8 @@
 
 const HEARTBEAT_MS = 1_500
 const STOP_MS = 40
+/** Time after which a task that lasts is at work. */
+const STARTUP_MS = 500
 const REPORTED_ENDS = 500
 
 /**
@@ -25,6 +27,7 @@
   #leaseTimer
   #waiters = new Set()
   #heartbeat
+  #isHanging = false
 
   /** `options`: id, service, rack, store, holdMaximumMs, cpu, memoryMb, readTask, record. */
   constructor (options) {
@@ -59,6 +62,16 @@
     this.#boot()
   }
 
+  /** Tasks that start from now on stand still until `resumeTasks`. Everything else works. */
+  hangTasks () {
+    this.#isHanging = true
+  }
+
+  resumeTasks () {
+    this.#isHanging = false
+    for (const [task, current] of this.#running) if (current.startedAtMs === undefined && current.timer === undefined) this.#work(task, current)
+  }
+
   /** The machine loses power: connections fall silent. */
   losePower () {
     this.#end()
@@ -149,13 +162,19 @@
     if (this.#running.get(task)?.run === run) return this.#accept()
     if (this.#running.has(task) || (this.#closedRuns.get(task) ?? 0) >= run) return this.#refuse('old')
     const { workMs, cpu = 1_000, outcome = 'done' } = readTask(task, specification)
-    const startedAtMs = performance.now()
-    const timer = setTimeout(() => { this.#endRun(task, outcome) }, workMs)
-    this.#running.set(task, { run, cpu, workMs, startedAtMs, timer })
+    const current = { run, cpu, workMs, outcome, startedAtMs: undefined, timer: undefined }
+    this.#running.set(task, current)
     this.#note('start', { task, run })
+    if (!this.#isHanging) this.#work(task, current)
     return this.#accept()
   }
 
+  /** Lets a task work. One whose work has no end lasts until it is stopped. */
+  #work (task, current) {
+    current.startedAtMs = performance.now()
+    if (Number.isFinite(current.workMs)) current.timer = setTimeout(() => { this.#endRun(task, current.outcome) }, current.workMs)
+  }
+
   #stopRun ({ task, run }) {
     const current = this.#running.get(task)
     this.#closedRuns.set(task, Math.max(run, this.#closedRuns.get(task) ?? 0))
@@ -171,9 +190,7 @@
     for (const end of this.#ends) if (end.number <= lastSeen) this.#note('noted', { task: end.task, run: end.run, how: end.how, lastSeen })
     this.#ends = this.#ends.filter(({ number }) => number > lastSeen)
     if (this.#ends.length === 0 && waitMs > 0) await this.#awaitEnd(waitMs)
-    const nowMs = performance.now()
-    const running = [...this.#running].map(([task, { run, workMs, startedAtMs }]) => (
-      [task, run, '', Math.min(99, Math.floor((nowMs - startedAtMs) * 100 / workMs)), 0]))
+    const running = [...this.#running].map(([task, current]) => [task, current.run, '', readPercent(current), 0])
     const ended = this.#ends.slice(0, REPORTED_ENDS).map(({ number, task, run, how }) => [number, task, run, how, ''])
     return { status: 200, body: { clockMs: this.#readClockMs(), born: this.#born, running, ended } }
   }
@@ -208,3 +225,9 @@
     for (const wake of [...this.#waiters]) wake()
   }
 }
+
+function readPercent ({ workMs, startedAtMs }) {
+  if (startedAtMs === undefined) return 0
+  const workedMs = performance.now() - startedAtMs
+  return Number.isFinite(workMs) ? Math.min(99, Math.floor(workedMs * 100 / workMs)) : Math.min(100, Math.floor(workedMs * 100 / STARTUP_MS))
+}
