--- a/review/stand-ins/executor.mjs
+++ b/review/stand-ins/executor.mjs
@@ -83,6 +83,11 @@
     this.#boot()
   }
 
+  /** A partition from all machines of the system. The executor runs on and reaches the store. */
+  cut () { this.#service.cut() }
+
+  heal () { this.#service.heal() }
+
   countRunning () { return this.#running.size }
 
   listRunning () { return [...this.#running].map(([task, { run }]) => ({ task, run })) }
--- a/review/stand-ins/http-service.mjs
+++ b/review/stand-ins/http-service.mjs
@@ -11,6 +11,9 @@
   /** Sockets that belong to a machine that has lost power. Nothing is answered on them. */
   #dead = new WeakSet()
   #isDark = false
+  /** Resolves when the partition heals; undefined without one. */
+  #healed
+  #heal
 
   constructor (handler) {
     this.#handler = handler
@@ -49,6 +52,16 @@
     this.#isDark = false
   }
 
+  /** Cut off by a partition: nothing passes until `heal`, in either direction. */
+  cut () {
+    this.#healed = new Promise((resolve) => { this.#heal = resolve })
+  }
+
+  heal () {
+    this.#heal?.()
+    this.#healed = undefined
+  }
+
   /** Stops for good. */
   async stop () {
     if (this.#server === undefined) return
@@ -70,11 +83,15 @@
       if (!this.#isDark) socket.resetAndDestroy()
       return
     }
+    // What the partition has held up is lost if its sender has closed the connection meanwhile.
+    await this.#healed
+    if (socket.destroyed) return
     const url = new URL(request.url, 'http://localhost')
     const text = Buffer.concat(chunks).toString('utf8')
     const answer = await this.#handler({
       method: request.method, path: url.pathname, query: url.searchParams, headers: request.headers, body: text === '' ? undefined : JSON.parse(text)
     })
+    await this.#healed
     if (answer === undefined || this.#dead.has(socket) || response.destroyed) return
     const content = answer.body === undefined ? '' : JSON.stringify(answer.body)
     response.writeHead(answer.status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(content) })
