--- a/review/stand-ins/run-case.mjs
+++ b/review/stand-ins/run-case.mjs
@@ -7,6 +7,13 @@
 /** Runs a case. `play` returns the violations as texts; an empty list means that the rule held. */
 export async function runCase (url, options, play) {
   const cell = new Cell({ ...options, folder: fileURLToPath(new URL('.', url)) })
+  // No process outlives the script, also when that is ended from outside or fails.
+  process.on('exit', () => { for (const { child } of cell.instances) child.kill('SIGKILL') })
+  for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) process.on(signal, () => process.exit(EXIT_CODES.notRun))
+  process.on('uncaughtException', (error) => {
+    console.error(`the case could not run: ${String(error.stack ?? error)}`)
+    process.exit(EXIT_CODES.notRun)
+  })
   const hasTrouble = process.env.TROUBLE !== '0'
   let code = EXIT_CODES.notRun
   const limit = new Promise((_resolve, reject) => {
