Show that one job with many repetitions stops the whole cell

Cause: the progress record of a job keeps each complete step of each occurrence. Above the largest value of the store every write of it is refused, and the writer repeats the same batch for good.

--- a/review/stand-ins/platform-store.mjs
+++ b/review/stand-ins/platform-store.mjs
@@ -1,6 +1,7 @@
 import { HttpService } from './http-service.mjs'
 
 const PAGE_SIZE = 500
+const MAXIMUM_VALUE_BYTES = 1_048_576
 const EXPIRY_PERIOD_MS = 20
 const FORBIDDEN_PREFIXES = ['op/', 'servers/']
 
@@ -114,6 +115,7 @@
     }
     const keys = [...puts.map(({ key }) => key), ...deletes]
     if (keys.some((key) => FORBIDDEN_PREFIXES.some((prefix) => key.startsWith(prefix)))) return { status: 403, body: {} }
+    if (puts.some(({ value }) => Buffer.byteLength(value, 'base64') > MAXIMUM_VALUE_BYTES)) return { status: 400, body: {} }
     const isMet = precondition.every(({ key, revision }) => (this.#items.get(key)?.revision ?? 0) === revision)
     if (!isMet) return { status: 412, body: { items: precondition.flatMap(({ key }) => this.#items.get(key) ?? []) } }
     if (puts.some(({ lease = 0 }) => lease !== 0 && !this.#leases.has(lease))) return { status: 404, body: {} }
