--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,89 +1,63 @@
 import { sleep } from '../stand-ins/cell.mjs'
 import { runCase } from '../stand-ins/run-case.mjs'
 
-const EXECUTORS = 8
-const JOB_PERIOD_MS = 1_500
-const ESTIMATE_MS = 6_000
-const SHORTEST_TASK_MS = 3_000
-const LONGEST_TASK_MS = 11_000
-const ROUNDS = 7
-/** The executor is gone for this long, and is back under the id that it had. */
-const DOWN_MS = 1_500
-/** Time between the return and the cut. */
-const UP_MS = 1_500
-const CUT_MS = 5_500
-const PAUSE_MS = 2_000
-/** Time from the hand-in of a job to the crash. About a third of all moments between two jobs give the same result. */
-const AFTER_SUBMISSION_MS = 250
-const ROUND_MS = 8 * JOB_PERIOD_MS
-const SETTLE_MS = 10_000
-
-/** Plans: one step with a task on each executor. */
-const job = { specification: 'plan', steps: [{ count: EXECUTORS, cpu: 980, taskMemoryMb: 2_000, estimatedMs: ESTIMATE_MS, antiAffinity: 1 }] }
-
-/** Returns the same run time for each run of a task. */
-function readTask (task) {
-  const seed = [...task].reduce((sum, character) => (sum * 31 + character.charCodeAt(0)) % 10_007, 7)
-  return { workMs: SHORTEST_TASK_MS + seed % (LONGEST_TASK_MS - SHORTEST_TASK_MS), cpu: 980 }
+const EXECUTORS = 32
+/** Run time of an ordinary task; its client estimates a sixteenth of it. */
+const WORK_MS = 4_000
+const ESTIMATE_MS = 250
+const JOBS = 6
+const STEPS = 3
+/** Time after the end of the traffic at which jobs are asked for. */
+const FINISH_MS = 14_000
+/** Time for which a job that could run has nothing running. */
+const IDLE_MS = 3_000
+const SAMPLE_MS = 100
+const HOPELESS_ID = 'aaaaaaaaaaaaaaaa'
+
+/** A plan whose tasks ask for more cores than any machine has. */
+const hopelessJob = { specification: 'hopeless', steps: [{ count: 48, cpu: 24_000, taskMemoryMb: 8_800, estimatedMs: 500 }] }
+
+/** A plan of three steps, one after the other, on an almost empty cell. */
+const ordinaryJob = {
+  specification: 'ordinary',
+  steps: Array.from({ length: STEPS }, (_, step) => (
+    { count: 1, cpu: 1_000, taskMemoryMb: 2_000, estimatedMs: ESTIMATE_MS, ...(step === 0 ? {} : { after: [step - 1] }) }))
 }
 
-await runCase(import.meta.url, { instances: 3, executors: EXECUTORS, readTask }, async (cell, hasTrouble) => {
-  const endMs = performance.now() + ROUNDS * ROUND_MS
-  const submissions = []
-  const trouble = hasTrouble ? disturbExecutors(cell) : Promise.resolve()
-  for (let index = 0; performance.now() < endMs; index++) {
-    submissions.push(cell.submit('sanitizado', (index + 1).toString(16).padStart(16, '0'), job, 5, index))
-    await sleep(JOB_PERIOD_MS)
+await runCase(import.meta.url, { instances: 3, executors: EXECUTORS, readTask: () => ({ workMs: WORK_MS }) }, async (cell, hasTrouble) => {
+  if (hasTrouble) await cell.submit('sanitizado', HOPELESS_ID, hopelessJob)
+  await sleep(1_000)
+  const ids = Array.from({ length: JOBS }, (_, index) => (index + 1).toString(16).padStart(16, '0'))
+  const accepted = []
+  for (const [index, id] of ids.entries()) if (await cell.submit('sanitizado', id, ordinaryJob, 5, index)) accepted.push(id)
+  cell.record('endOfTraffic')
+  // The jobs take about 12 s, so most of them could be completed before they are asked for.
+  await sleep(FINISH_MS)
+  const open = new Map()
+  for (const id of accepted) {
+    const response = await cell.call(cell.instances[0], 'GET', 'sanitizado', id)
+    if (response?.body?.state !== 'completed') open.set(id, undefined)
   }
-  await Promise.all([...submissions, trouble])
-  await sleep(SETTLE_MS)
-  return findOverlappingRuns(cell.events)
+  return await watchIdleJobs(cell, open)
 })
 
-/** One executor of eight at a time: it crashes, starts again, and is cut off soon after. */
-async function disturbExecutors (cell) {
-  for (let round = 0; round < ROUNDS; round++) {
-    await sleep(PAUSE_MS)
-    await awaitSubmission(cell)
-    await sleep(AFTER_SUBMISSION_MS)
-    const executor = cell.executors[round % EXECUTORS]
-    cell.record('powerLost', { executor: executor.id })
-    executor.losePower()
-    await sleep(DOWN_MS)
-    executor.regainPower()
-    cell.record('powerBack', { executor: executor.id })
-    await sleep(UP_MS)
-    cell.record('cut', { executor: executor.id })
-    executor.cut()
-    await sleep(CUT_MS)
-    executor.heal()
-    cell.record('healed', { executor: executor.id })
-  }
-}
-
-/** Waits until the next job is handed in. */
-async function awaitSubmission (cell) {
-  const count = countSubmissions(cell)
-  while (countSubmissions(cell) === count) await sleep(10)
-}
-
-function countSubmissions (cell) {
-  return cell.events.filter(({ event }) => event === 'submit').length
-}
-
-/** Returns the starts of tasks that ran elsewhere at that moment, on an executor that was up. */
-function findOverlappingRuns (events) {
+/** Watches the jobs that are not completed, and returns those that have nothing running for 3 s in a cell that is almost empty. */
+async function watchIdleJobs (cell, open) {
   const violations = []
-  const running = new Map()
-  for (const { event, task, run, executor, atMs } of events) {
-    if (event === 'end' || event === 'gone') running.get(task)?.delete(executor)
-    if (event !== 'start') continue
-    const runs = running.get(task) ?? new Map()
-    running.set(task, runs)
-    for (const [other, first] of runs) {
-      violations.push(`TWICE: run ${run} of ${task} started at ${atMs} on ${executor}; run ${first.run} was running on ${other} since ${first.atMs}`)
+  const endMs = performance.now() + 3 * IDLE_MS + STEPS * WORK_MS
+  while (open.size > 0 && performance.now() < endMs) {
+    const running = new Set(cell.executors.flatMap((executor) => executor.listRunning()).map(({ task }) => task.split('.')[0]))
+    for (const [id, idleSinceMs] of open) {
+      if (running.has(id)) open.set(id, undefined)
+      else if (idleSinceMs === undefined) open.set(id, performance.now())
+      else if (performance.now() - idleSinceMs >= IDLE_MS) {
+        const state = (await cell.call(cell.instances[1], 'GET', 'sanitizado', id))?.body?.state
+        const usedCores = cell.executors.reduce((sum, executor) => sum + executor.readUsedCpu(), 0) / 1_000
+        if (state !== 'completed') violations.push(`LOST: job ${id} is ${state}, had nothing running for ${IDLE_MS} ms; ${usedCores} of ${EXECUTORS * 16} cores in use`)
+        open.delete(id)
+      }
     }
-    runs.set(executor, { run, atMs })
+    await sleep(SAMPLE_MS)
   }
   return violations
 }
