Apply the cancellations of a listing after its jobs

Cause: the owner applied a listing in the order of its keys, so each work/cancel/ID came before its work/job/ID. It ignores a cancellation of a job that it doesn't know, and the watch went on after the listing. Change: splitWorkListing puts jobs first; the recovery of an owner, which did so already, uses it too.

--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -4,7 +4,7 @@
 import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
 import type { StoreError } from '@hibiscusledge/store/store-error.js'
 import { JOB_EVENTS } from './job-events.js'
-import { parseWorkKey, PROGRESS_PREFIX, WORK_KEY_KINDS, WORK_PREFIX } from './job-keys.js'
+import { PROGRESS_PREFIX, WORK_PREFIX } from './job-keys.js'
 import { decodeJob } from './job-record.js'
 import { JOB_STATES } from './job.js'
 import type { JobProgress } from './job-progress.js'
@@ -13,6 +13,7 @@
 import type { TaskSupervisor } from './task-supervisor.js'
 import { computeReservedResources } from './capacity-tracker.js'
 import { RUN_PHASES, type TaskRun } from './task-run.js'
+import { splitWorkListing } from './work-listing.js'
 
 /** Jobs recovered before control returns to the event loop, so that lease renewals are sent in time however many jobs there are. */
 const JOBS_PER_BATCH = 20
@@ -45,14 +46,11 @@
   if (progressListing.err) return Err(progressListing.val)
   if (workListing.err) return Err(workListing.val)
   const records = new Map(progressListing.val.values.map((value) => [value.key.slice(PROGRESS_PREFIX.length), value.value]))
-  const cancelledIds: string[] = []
+  const { jobs, cancelledIds } = splitWorkListing(workListing.val.values)
   let jobCount = 0
-  for (const { key, value } of workListing.val.values) {
+  for (const { id, record } of jobs) {
     if (++jobCount % JOBS_PER_BATCH === 0) await waitForNextTurn(options.clock)
-    const parsed = parseWorkKey(key)
-    if (parsed === undefined) continue
-    if (parsed.kind === WORK_KEY_KINDS.cancel) cancelledIds.push(parsed.id)
-    else recoverJob(options, parsed.id, value, records.get(parsed.id))
+    recoverJob(options, id, record, records.get(id))
   }
   logger.logInfo(JOB_EVENTS.recovered, { records: records.size, work: workListing.val.values.length, revision: workListing.val.revision })
   return Ok({ workRevision: workListing.val.revision, cancelledIds })
--- a/packages/jobs/src/work-watcher.ts
+++ b/packages/jobs/src/work-watcher.ts
@@ -3,6 +3,7 @@
 import type { KeyValueStore, StoredValue, Watch } from '@hibiscusledge/store/key-value-store.js'
 import { JOB_EVENTS } from './job-events.js'
 import { parseWorkKey, WORK_KEY_KINDS, WORK_PREFIX } from './job-keys.js'
+import { splitWorkListing } from './work-listing.js'
 
 const RELIST_DELAY_MS = 200
 /** Changes may be delivered this late and together: the instance that accepts a job announces it, so the watch is only a fallback. */
@@ -56,10 +57,13 @@
     const listing = await this.#store.listPrefix(WORK_PREFIX, 'critical')
     if (this.#isStopped) return
     if (listing.err) return this.#scheduleList()
-    for (const value of listing.val.values) this.#apply(value)
+    const { jobs, cancelledIds } = splitWorkListing(listing.val.values)
+    for (const { id, record } of jobs) this.#handler.onJob(id, record)
+    for (const id of cancelledIds) this.#handler.onCancel(id)
     this.start(listing.val.revision)
   }
 
+  /** Applies one change. Changes arrive in the order in which they were stored. */
   #apply (value: StoredValue): void {
     const key = parseWorkKey(value.key)
     if (key === undefined) return
--- a/packages/store/src/in-memory-store.ts
+++ b/packages/store/src/in-memory-store.ts
@@ -18,7 +18,13 @@
   delayMs: number
 }
 
-const MESSAGES = { down: 'the store is down', lost: 'the response was lost', watchClosed: 'the store went down', leaseNotFound: 'lease not found' } as const
+const MESSAGES = {
+  down: 'the store is down',
+  historyDropped: 'the history is no longer available',
+  leaseNotFound: 'lease not found',
+  lost: 'the response was lost',
+  watchClosed: 'the store went down'
+} as const
 const EXPIRY_CHECK_PERIOD_MS = 100
 
 /** Fake of the platform's store for tests. Clients of one store share its `KeySpace`; each has its own faults. */
@@ -42,10 +48,14 @@
   /** Starts or ends an outage. Its start closes all watches. */
   setDown (isDown: boolean): void {
     this.faults.isDown = isDown
-    if (!isDown) return
+    if (isDown) this.closeWatches(MESSAGES.watchClosed)
+  }
+
+  /** Closes all watches of this client, as when the store has dropped the history that they would continue from. */
+  closeWatches (reason: string = MESSAGES.historyDropped): void {
     for (const { handler, end } of [...this.#watches]) {
       end()
-      handler.onClosed(MESSAGES.watchClosed)
+      handler.onClosed(reason)
     }
   }
 
