Keep progress records short, and let a rejected record hold back only its own job

Cause: the progress record listed each complete step of each occurrence. Past 1 MiB the store rejected it, and the writer, which took that for an outage, wrote the same batch again for good; all jobs share it. Change: completed occurrences leave memory and are stored as ranges once the plain form, which earlier builds read, would be long. A rejected transaction is split, and a job rejected alone three times fails. The runs and open occurrences of a job are bounded. The acceptor had the same fault; the cancellation of a job completed meanwhile was never deleted.

--- a/packages/jobs/src/job-acceptor.ts
+++ b/packages/jobs/src/job-acceptor.ts
@@ -1,7 +1,7 @@
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import type { KeyValueStore } from '@hibiscusledge/store/key-value-store.js'
-import type { StoreError } from '@hibiscusledge/store/store-error.js'
+import { isRejection, type StoreError } from '@hibiscusledge/store/store-error.js'
 import { JOB_EVENTS } from './job-events.js'
 import { formatFinishedKey, formatJobKey, OWNER_KEY } from './job-keys.js'
 import type { Job } from './job.js'
@@ -19,6 +19,8 @@
 /** A job with less time left is not relayed: the answer would come too late, and the outcome would be unknown. */
 const MINIMUM_RELAY_MS = 100
 
+const REFUSAL_REASONS = { noAnswer: 'the store does not answer', rejected: 'the store has rejected the record' } as const
+
 export const ACCEPTANCE_OUTCOMES = {
   /** The job is stored, by this request or an earlier one. */
   stored: 'stored',
@@ -145,6 +147,7 @@
       mutations: batch.map(({ id, record }) => ({ type: 'put', key: formatJobKey(id), value: record }))
     }, 'critical')
     for (const pending of batch) pending.openCalls--
+    if (result.err && isRejection(result.val)) return this.#handleRejection(batch, result.val)
     if (result.err) return this.#handleOutage(batch, result.val)
     if (result.val.isCommitted) {
       for (const pending of batch) this.#options.onStored(pending.record, result.val.revision)
@@ -158,6 +161,19 @@
     this.#queue.push(...batch)
   }
 
+  /** Refuses a job whose record the store has rejected. Of several jobs, each is written again in a transaction of its own. */
+  #handleRejection (batch: readonly PendingJob[], error: StoreError): void {
+    this.#options.logger.logWarning(JOB_EVENTS.writeFailed, { code: error.code, jobs: batch.length, isEffectUnknown: false })
+    const [only] = batch
+    if (batch.length === 1 && only !== undefined) {
+      const mayBeStored = only.mayBeStored || only.openCalls > 0
+      const outcome = mayBeStored ? ACCEPTANCE_OUTCOMES.unknown : ACCEPTANCE_OUTCOMES.notStored
+      return this.#settle(only, outcome, REFUSAL_REASONS.rejected)
+    }
+    for (const pending of batch) pending.isIsolated = true
+    this.#queue.push(...batch)
+  }
+
   #handleOutage (batch: readonly PendingJob[], error: StoreError): void {
     const { logger, clock } = this.#options
     logger.logWarning(JOB_EVENTS.writeFailed, { code: error.code, jobs: batch.length, isEffectUnknown: error.isEffectUnknown })
@@ -208,14 +224,14 @@
     if (outcome === ACCEPTANCE_OUTCOMES.unknown) pending.mayBeStored = true
   }
 
-  #settle (pending: PendingJob, outcome: AcceptanceOutcome): void {
+  #settle (pending: PendingJob, outcome: AcceptanceOutcome, reason: string = REFUSAL_REASONS.noAnswer): void {
     if (pending.isSettled) return
     pending.isSettled = true
     pending.timer?.cancel()
     this.#parked.delete(pending)
     if (outcome !== ACCEPTANCE_OUTCOMES.stored) {
       const event = outcome === ACCEPTANCE_OUTCOMES.unknown ? JOB_EVENTS.acceptanceUnknown : JOB_EVENTS.jobRefused
-      this.#options.logger.logWarning(event, { jobId: pending.id, reason: 'the store does not answer' })
+      this.#options.logger.logWarning(event, { jobId: pending.id, reason })
     }
     pending.resolve(outcome)
   }
--- a/packages/jobs/src/job-events.ts
+++ b/packages/jobs/src/job-events.ts
@@ -6,6 +6,7 @@
   jobCancelled: 'job.cancelled',
   jobEnded: 'job.ended',
   recordMalformed: 'job.recordMalformed',
+  recordRejected: 'job.recordRejected',
   taskPlaced: 'task.placed',
   startUnanswered: 'task.startUnanswered',
   startRefused: 'task.startRefused',
--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -82,7 +82,8 @@
       buildMutations: (jobId) => this.#buildMutations(jobId),
       isAuthorized: () => election.isAuthorized(),
       onSuperseded: () => election.retire(RETIREMENT_REASONS.superseded),
-      onFailed: () => election.renewNow()
+      onFailed: () => election.renewNow(),
+      onUnstorable: (jobId) => this.#supervisor.failUnstorableJob(jobId)
     }, formatWriteSequenceKey)
     const markChanged = (jobId: string): void => this.#writer.markChanged(jobId)
     const runWhenJobStored = (jobId: string, callback: () => void): void => this.#writer.runWhenJobStored(jobId, callback)
@@ -98,6 +99,7 @@
       requestStop: (run) => this.#sessions.get(run.targetId)?.requestStop(run),
       requestRound,
       onFinished: (progress) => this.#planner.forgetJob(progress),
+      onStepsDropped: (steps) => this.#planner.forgetSteps(steps),
       onStalled: (run) => this.#sessions.get(run.targetId)?.health.recordStall(clock.readMonotonicMs())
     })
     this.#planner = new PlacementPlanner({
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,16 +1,26 @@
+import { IndexSet, listIndexes, type IndexRange } from './index-ranges.js'
 import { computeCriticalPathMs, JOB_STATES, type Job, type JobState } from './job.js'
 import { StepProgress, type TaskProgress } from './step-progress.js'
 import type { TaskKey } from './task-run.js'
 
-/** Progress of one job in the owner's memory. */
+/** Occurrences that are due wait while a job has this many open tasks, since its progress record grows with them. */
+const MAXIMUM_OPEN_TASKS = 10_000
+
+/**
+ * Progress of one job in the owner's memory. Of a completed occurrence of a scheduled job only its index is kept, so that the
+ * memory doesn't grow with the work done.
+ */
 export class JobProgress {
   readonly job: Job
   /** Acceptance time on the owner's monotonic clock. */
   readonly acceptedAtMs: number
   /** Completion objective on the owner's monotonic clock. */
   objectiveMs: number
-  /** Steps of each occurrence. Later occurrences are added when they are due. */
-  readonly occurrences: StepProgress[][] = []
+  /** Steps of the added occurrences that are not completed, by index. Later occurrences are added when they are due. */
+  readonly #open = new Map<number, readonly StepProgress[]>()
+  readonly #completed = new IndexSet()
+  readonly #tasksPerOccurrence: number
+  #addedCount = 0
   hasStarted = false
   isCancelled = false
   hasFailed = false
@@ -22,17 +32,66 @@
   constructor (job: Job, acceptedAtMs: number) {
     this.job = job
     this.acceptedAtMs = acceptedAtMs
+    this.#tasksPerOccurrence = job.steps.reduce((sum, step) => sum + step.taskCount, 0)
     this.objectiveMs = acceptedAtMs + job.terms.stretch * computeCriticalPathMs(job.steps) + job.terms.targetDurationMs
   }
 
   /** Adds the next occurrence and returns its steps. */
-  addOccurrence (): StepProgress[] {
-    const occurrence = this.occurrences.length
+  addOccurrence (): readonly StepProgress[] {
+    const occurrence = this.#addedCount++
     const steps = this.job.steps.map((step, index) => new StepProgress(this.job.id, occurrence, index, step))
-    this.occurrences.push(steps)
+    this.#open.set(occurrence, steps)
     return steps
   }
 
+  /** Restores the occurrences that an earlier owner has added, of which some are completed. */
+  restoreOccurrences (count: number, completed: readonly IndexRange[]): void {
+    for (const index of listIndexes(completed)) this.#completed.add(index)
+    while (this.#addedCount < count) {
+      if (this.#completed.has(this.#addedCount)) this.#addedCount++
+      else this.addOccurrence()
+    }
+  }
+
+  /** Drops the steps of an occurrence of a scheduled job once they are complete and have no runs. Returns the dropped steps. */
+  dropCompleted (occurrence: number): readonly StepProgress[] {
+    const steps = this.findSteps(occurrence)
+    if (this.job.schedule === undefined || !steps.every((step) => step.isComplete() && !step.hasRuns())) return []
+    if (this.#open.delete(occurrence)) this.#completed.add(occurrence)
+    return steps
+  }
+
+  /** Returns the number of occurrences that were added, including the completed ones. */
+  countAdded (): number {
+    return this.#addedCount
+  }
+
+  /** Lists the occurrences whose steps were dropped as completed. */
+  listCompleted (): IndexRange[] {
+    return this.#completed.listRanges()
+  }
+
+  /** Returns the steps of each occurrence that wasn't dropped. */
+  listOpen (): Iterable<readonly StepProgress[]> {
+    return this.#open.values()
+  }
+
+  /** Returns the number of tasks in the occurrences that weren't dropped, whether they are done or not. */
+  countOpenTasks (): number {
+    return this.#open.size * this.#tasksPerOccurrence
+  }
+
+  countRuns (): number {
+    let count = 0
+    for (const { task } of this.listTasks()) if (task.run !== undefined) count++
+    return count
+  }
+
+  /** Whether the job's open tasks leave room for those of another occurrence. The first open occurrence may exceed the limit. */
+  hasRoomForOccurrence (): boolean {
+    return this.#open.size === 0 || this.countOpenTasks() + this.#tasksPerOccurrence <= MAXIMUM_OPEN_TASKS
+  }
+
   /** Restarts the objective when the next occurrence of a scheduled job is due. */
   renewObjective (nowMs: number): void {
     this.objectiveMs = nowMs + this.job.terms.stretch * computeCriticalPathMs(this.job.steps) + this.job.terms.targetDurationMs
@@ -49,13 +108,18 @@
     return schedule === undefined ? 0 : schedule.firstDueMs + occurrence * schedule.intervalMs
   }
 
-  /** Marks all tasks of all added occurrences as done. */
+  /** Marks all tasks of the open occurrences as done. */
   markAllDone (): void {
     for (const { step, task } of this.listTasks()) step.markDone(task)
   }
 
+  /** Returns the steps of an occurrence; empty when it was dropped or not added yet. */
+  findSteps (occurrence: number): readonly StepProgress[] {
+    return this.#open.get(occurrence) ?? []
+  }
+
   findStep (occurrence: number, step: number): StepProgress | undefined {
-    return this.occurrences[occurrence]?.[step]
+    return this.findSteps(occurrence)[step]
   }
 
   findTask (key: TaskKey): TaskProgress | undefined {
@@ -64,7 +128,7 @@
 
   /** Whether all steps that a step depends on are complete. */
   isReady (occurrence: number, step: StepProgress): boolean {
-    const steps = this.occurrences[occurrence] ?? []
+    const steps = this.findSteps(occurrence)
     return step.step.after.every((earlier) => steps[earlier]?.isComplete() === true)
   }
 
@@ -72,8 +136,8 @@
   readState (): JobState {
     if (this.isCancelled) return JOB_STATES.cancelled
     if (this.hasFailed) return JOB_STATES.failed
-    const isComplete = this.occurrences.length === this.readOccurrenceCount() &&
-      this.occurrences.every((steps) => steps.every((step) => step.isComplete()))
+    const isComplete = this.#addedCount === this.readOccurrenceCount() &&
+      [...this.#open.values()].every((steps) => steps.every((step) => step.isComplete()))
     if (isComplete) return JOB_STATES.completed
     return this.hasStarted ? JOB_STATES.running : JOB_STATES.queued
   }
@@ -85,11 +149,11 @@
   }
 
   hasRuns (): boolean {
-    return this.occurrences.some((steps) => steps.some((step) => step.hasRuns()))
+    return [...this.#open.values()].some((steps) => steps.some((step) => step.hasRuns()))
   }
 
   * listTasks (): Generator<{ step: StepProgress, task: TaskProgress }> {
-    for (const steps of this.occurrences) {
+    for (const steps of this.#open.values()) {
       for (const step of steps) for (const task of step.tasks) yield { step, task }
     }
   }
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -59,7 +59,7 @@
 
   /** Adds the steps of an occurrence that have become ready to the ready steps, and removes the complete ones. */
   updateReady (progress: JobProgress, occurrence: number, nowMs: number): void {
-    for (const step of progress.occurrences[occurrence] ?? []) {
+    for (const step of progress.findSteps(occurrence)) {
       if (step.isComplete()) {
         this.#ready.delete(step)
         continue
@@ -72,7 +72,7 @@
 
   /** Removes a job's steps from the ready steps. */
   withdraw (progress: JobProgress): void {
-    for (const occurrence of progress.occurrences) for (const step of occurrence) this.#ready.delete(step)
+    for (const steps of progress.listOpen()) for (const step of steps) this.#ready.delete(step)
   }
 
   finish (progress: JobProgress, state: JobState, nowMs: number): void {
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -1,3 +1,6 @@
+/** Runs that one job may have at a time. The job's progress record has an entry for each, and the store limits its length. */
+export const MAXIMUM_RUNS_PER_JOB = 3_000
+
 /** Amounts of a target's resources: what a task requires, or what a target has in all or free. */
 export interface Resources {
   readonly cpuMillis: number
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -5,7 +5,7 @@
 import type { AdviceDispatcher } from './advice-dispatcher.js'
 import { JOB_EVENTS } from './job-events.js'
 import { JOB_METRICS } from './job-metrics.js'
-import type { AdvicePolicy } from './job.js'
+import { MAXIMUM_RUNS_PER_JOB, type AdvicePolicy } from './job.js'
 import type { JobProgress } from './job-progress.js'
 import type { JobTable, ReadyStep } from './job-table.js'
 import { PlacementRound, type Placement, type WaitingStep } from './placement-round.js'
@@ -105,7 +105,12 @@
 
   /** Drops the cached advice on a job's steps. */
   forgetJob (progress: JobProgress): void {
-    for (const steps of progress.occurrences) for (const step of steps) this.#adviceRequester.cache.forget(readStepName(step))
+    for (const steps of progress.listOpen()) this.forgetSteps(steps)
+  }
+
+  /** Drops the cached advice on steps that are complete. */
+  forgetSteps (steps: readonly StepProgress[]): void {
+    for (const step of steps) this.#adviceRequester.cache.forget(readStepName(step))
   }
 
   #placeStep (round: PlacementRound, ready: ReadyStep, urgency: Urgency, { nowMs, activeIds }: RoundState): void {
@@ -120,7 +125,8 @@
       )
     }
     if (nowMs < step.notBeforeMs) return
-    const pending = step.listPending()
+    const pending = listPlaceable(progress, step)
+    if (pending.length === 0) return
     const waiting: WaitingStep = {
       stepName,
       service: terms.service,
@@ -256,6 +262,14 @@
   return key === undefined ? '' : formatStepName(key)
 }
 
+/** Lists the pending tasks of a step that the job's limit on runs leaves room for: all or none of a gang. */
+function listPlaceable (progress: JobProgress, step: StepProgress): TaskProgress[] {
+  const pending = step.listPending()
+  if (progress.countOpenTasks() <= MAXIMUM_RUNS_PER_JOB) return pending
+  const room = Math.max(0, MAXIMUM_RUNS_PER_JOB - progress.countRuns())
+  return step.step.isGang && pending.length > room ? [] : pending.slice(0, room)
+}
+
 function countByTarget (step: StepProgress): Map<string, number> {
   const counts = new Map<string, number>()
   if (step.step.maximumPerTarget === 0) return counts
--- a/packages/jobs/src/progress-record.ts
+++ b/packages/jobs/src/progress-record.ts
@@ -1,37 +1,42 @@
 import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
-import { z } from 'zod'
 import type { Mutation } from '@hibiscusledge/store/key-value-store.js'
+import { z } from 'zod'
+import { buildCompactRecord, compactRecordSchema, convertCompactRecord } from './compact-progress-record.js'
+import { listIndexes, type IndexRange } from './index-ranges.js'
 import { formatCancelKey, formatFinishedKey, formatJobKey, formatProgressKey } from './job-keys.js'
-import { isFinalState, JOB_STATES, type JobState } from './job.js'
 import type { JobProgress } from './job-progress.js'
-import type { StepProgress } from './step-progress.js'
+import { isFinalState, JOB_STATES, type JobState } from './job.js'
+import { buildStepRecord, createCompleteRecord, stepRecordSchema, type StepRecord } from './step-record.js'
 
-const RECORD_VERSION = 1
+const PLAIN_VERSION = 1
+const FINISHED_VERSION = 1
 
-const stepSchema = z.object({
-  occurrence: z.number().int().nonnegative(),
-  step: z.number().int().nonnegative(),
-  /** Indexes of the tasks that are done; true when all are. */
-  done: z.union([z.literal(true), z.array(z.number())]),
-  /** Task index, run number and target of each run that may be on a target. */
-  runs: z.array(z.tuple([z.number(), z.number(), z.string()])),
-  failures: z.array(z.tuple([z.number(), z.number()])),
-  gangFailures: z.number(),
-  checkpoints: z.array(z.tuple([z.number(), z.string()]))
-})
+/** A job with more steps in all of its added occurrences, or with more open tasks, is stored in the compact form. */
+const MAXIMUM_PLAIN_STEPS = 1_000
+const MAXIMUM_PLAIN_TASKS = 5_000
 
-const recordSchema = z.object({
-  version: z.literal(RECORD_VERSION),
+/** Form that every build reads. It lists each complete step, so it is used for short records only. */
+const plainRecordSchema = z.object({
+  version: z.literal(PLAIN_VERSION),
   state: z.enum(JOB_STATES),
   occurrences: z.number().int().nonnegative(),
-  steps: z.array(stepSchema)
+  steps: z.array(stepRecordSchema)
 })
 
-/** A job's progress as stored. */
-export type ProgressRecord = z.infer<typeof recordSchema>
-type StepRecord = ProgressRecord['steps'][number]
+const recordSchema = z.discriminatedUnion('version', [plainRecordSchema, compactRecordSchema])
 
-const finishedSchema = z.object({ version: z.literal(RECORD_VERSION), state: z.enum(JOB_STATES), finishedAtMs: z.number() })
+/** A job's progress as stored, in either form. */
+export interface ProgressRecord {
+  readonly state: JobState
+  /** Number of occurrences that were added. */
+  readonly occurrences: number
+  /** Occurrences of which all steps are complete. */
+  readonly completed: readonly IndexRange[]
+  /** The steps of the other occurrences of which something is stored. */
+  readonly steps: readonly StepRecord[]
+}
+
+const finishedSchema = z.object({ version: z.literal(FINISHED_VERSION), state: z.enum(JOB_STATES), finishedAtMs: z.number() })
 
 /** The final state of a job as stored. */
 export type FinishedRecord = z.infer<typeof finishedSchema>
@@ -41,12 +46,13 @@
   const { id } = progress.job
   const state = progress.readState()
   if (!isFinalState(state) || progress.hasRuns()) return [{ type: 'put', key: formatProgressKey(id), value: encodeProgress(progress) }]
-  const record: FinishedRecord = { version: RECORD_VERSION, state, finishedAtMs: wallMs }
+  const record: FinishedRecord = { version: FINISHED_VERSION, state, finishedAtMs: wallMs }
   return [
     { type: 'put', key: formatFinishedKey(id), value: JSON.stringify(record) },
     { type: 'delete', key: formatJobKey(id) },
     { type: 'delete', key: formatProgressKey(id) },
-    ...(progress.isCancelled ? [{ type: 'delete', key: formatCancelKey(id) } as const] : [])
+    // A cancellation may have been stored although the job was completed before the owner learned of it.
+    { type: 'delete', key: formatCancelKey(id) }
   ]
 }
 
@@ -62,9 +68,9 @@
 
 /** Encodes a job's progress for the store. */
 export function encodeProgress (progress: JobProgress): string {
-  const state = progress.readState()
-  const steps = progress.occurrences.flatMap((occurrence) => occurrence.flatMap((step) => encodeStep(step, state)))
-  return JSON.stringify({ version: RECORD_VERSION, state, occurrences: progress.occurrences.length, steps })
+  const isShort = progress.countAdded() * progress.job.steps.length <= MAXIMUM_PLAIN_STEPS &&
+    progress.countOpenTasks() <= MAXIMUM_PLAIN_TASKS
+  return JSON.stringify(isShort ? buildPlainRecord(progress) : buildCompactRecord(progress))
 }
 
 /** Decodes a job's stored progress. The error names the invalid fields. */
@@ -76,29 +82,20 @@
     return Err(`the progress record is not JSON: ${String(error)}`)
   }
   const parsed = recordSchema.safeParse(value)
-  if (parsed.success) return Ok(parsed.data)
-  return Err(`the progress record is invalid at ${parsed.error.issues.map((issue) => issue.path.join('.')).join(', ')}`)
+  if (!parsed.success) return Err(`the progress record is invalid at ${parsed.error.issues.map((issue) => issue.path.join('.')).join(', ')}`)
+  return Ok(parsed.data.version === PLAIN_VERSION ? { ...parsed.data, completed: [] } : convertCompactRecord(parsed.data))
+}
+
+function buildPlainRecord (progress: JobProgress): z.infer<typeof plainRecordSchema> {
+  const state = progress.readState()
+  const open = [...progress.listOpen()].flatMap((steps) => steps.flatMap((step) => buildStepRecord(step, state) ?? []))
+  const completed = isFinalState(state) ? [] : listCompletedSteps(progress)
+  return { version: PLAIN_VERSION, state, occurrences: progress.countAdded(), steps: [...completed, ...open] }
 }
 
-/** Returns the record of a step; empty when there is nothing to store about it. */
-function encodeStep (step: StepProgress, state: JobState): StepRecord[] {
-  const runs = step.tasks.flatMap(({ key, run }): StepRecord['runs'] => run === undefined ? [] : [[key.index, run.number, run.targetId]])
-  if (isFinalState(state) && runs.length === 0) return []
-  const done = step.tasks.filter((task) => task.isDone).map((task) => task.key.index)
-  const failures = step.tasks.flatMap(({ key, failures }): StepRecord['failures'] => failures === 0 ? [] : [[key.index, failures]])
-  const checkpoints = step.tasks.flatMap(({ key, isDone, checkpoint }): StepRecord['checkpoints'] =>
-    isDone || checkpoint === '' ? [] : [[key.index, checkpoint]])
-  if (done.length + runs.length + failures.length + checkpoints.length === 0) return []
-  const first = step.tasks[0]
-  if (first === undefined) return []
-  const { occurrence, step: index } = first.key
-  return [{
-    occurrence,
-    step: index,
-    done: step.isComplete() ? true : done,
-    runs,
-    failures,
-    gangFailures: step.gangFailures,
-    checkpoints
-  }]
+/** Lists the steps of the completed occurrences, of which memory holds only the indexes. */
+function listCompletedSteps (progress: JobProgress): StepRecord[] {
+  return [...listIndexes(progress.listCompleted())].flatMap((occurrence) => {
+    return progress.job.steps.map((_, step) => createCompleteRecord(occurrence, step))
+  })
 }
--- a/packages/jobs/src/progress-writer-pool.ts
+++ b/packages/jobs/src/progress-writer-pool.ts
@@ -35,7 +35,7 @@
   runWhenJobStored (jobId: string, callback: () => void): void {
     const writer = this.#writers.find((candidate) => candidate.hasUnstored(jobId))
     if (writer === undefined) callback()
-    else writer.runWhenStored(callback)
+    else writer.runWhenJobStored(jobId, callback)
   }
 
   stop (): void {
--- a/packages/jobs/src/progress-writer.ts
+++ b/packages/jobs/src/progress-writer.ts
@@ -2,6 +2,7 @@
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import type { KeyValueStore, Mutation, Transaction } from '@hibiscusledge/store/key-value-store.js'
+import { isRejection } from '@hibiscusledge/store/store-error.js'
 import { JOB_EVENTS } from './job-events.js'
 import { OWNER_KEY } from './job-keys.js'
 import { JOB_METRICS } from './job-metrics.js'
@@ -9,9 +10,19 @@
 /** Mutations of a transaction that the store accepts, less the two comparisons and the write sequence. */
 const MAXIMUM_MUTATIONS = 29
 const RETRY_DELAY_MS = 50
+/** Pause before a record that the store has rejected is written again. */
+const REJECTED_RETRY_DELAY_MS = 300
+/** A record rejected this many times in a row is reported as unstorable. */
+const MAXIMUM_REJECTIONS = 3
 
-/** A callback that waits until all changes up to a sequence number are stored. */
-interface Barrier { readonly sequence: number, readonly callback: () => void }
+const WRITE_OUTCOMES = { stored: 'stored', failed: 'failed', rejected: 'rejected' } as const
+type WriteOutcome = typeof WRITE_OUTCOMES[keyof typeof WRITE_OUTCOMES]
+
+/** A callback that waits until all changes up to a sequence number are stored: those of one job, or of all jobs. */
+interface Barrier { readonly sequence: number, readonly jobId: string | undefined, readonly callback: () => void }
+
+/** A job that is written in a transaction of its own, since the store has rejected one with its record. */
+interface IsolatedJob { rejections: number, notBeforeMs: number }
 
 export interface ProgressWriterOptions {
   readonly clock: Clock
@@ -30,15 +41,19 @@
   readonly onSuperseded: () => void
   /** Called when a write has failed, which may be the first sign that the store is unreachable. */
   readonly onFailed: () => void
+  /** Called when the store has repeatedly rejected the record of a job. The job must change, or it is never stored. */
+  readonly onUnstorable: (jobId: string) => void
 }
 
 /**
  * Writes the progress of changed jobs in batches, one transaction at a time. Each transaction requires the owner key and the
- * write sequence of the previous transaction to be unchanged, so that a transaction carried out late has no effect.
+ * write sequence of the previous transaction to be unchanged, so that a transaction carried out late has no effect. A record that
+ * the store rejects doesn't hold back those of other jobs.
  */
 export class ProgressWriter {
   readonly #options: ProgressWriterOptions
   readonly #dirty = new Map<string, number>()
+  readonly #isolated = new Map<string, IsolatedJob>()
   #inFlight = new Map<string, number>()
   #barriers: Barrier[] = []
   #nextSequence = 1
@@ -78,7 +93,13 @@
   /** Calls back once all changes marked so far are stored. */
   runWhenStored (callback: () => void): void {
     if (this.#dirty.size === 0 && this.#inFlight.size === 0) return callback()
-    this.#barriers.push({ sequence: this.#nextSequence - 1, callback })
+    this.#barriers.push({ sequence: this.#nextSequence - 1, jobId: undefined, callback })
+  }
+
+  /** Calls back once all changes of the job marked so far are stored. */
+  runWhenJobStored (jobId: string, callback: () => void): void {
+    if (!this.hasUnstored(jobId)) return callback()
+    this.#barriers.push({ sequence: this.#nextSequence - 1, jobId, callback })
   }
 
   stop (): void {
@@ -99,38 +120,64 @@
 
   async #write (): Promise<void> {
     if (!this.#options.isAuthorized()) return this.#retryLater()
+    const batch = this.#takeBatch()
+    if (this.#inFlight.size === 0) return this.#retryLater()
     this.#isWriting = true
     this.#lastWriteMs = this.#options.clock.readMonotonicMs()
-    const isStored = await this.#commit(this.#takeBatch())
+    const outcome = await this.#commit(batch)
     this.#lastDurationMs = this.#options.clock.readMonotonicMs() - this.#lastWriteMs
     this.#options.metrics.recordTiming(JOB_METRICS.progressWrite, this.#lastDurationMs)
     this.#isWriting = false
     if (this.#isStopped) return
-    if (!isStored) {
+    if (outcome === WRITE_OUTCOMES.rejected) return this.#handleRejection()
+    if (outcome === WRITE_OUTCOMES.failed) {
       this.#options.onFailed()
       this.#restoreInFlight()
       return this.#retryLater()
     }
+    for (const jobId of this.#inFlight.keys()) this.#isolated.delete(jobId)
     this.#inFlight = new Map()
     this.#releaseBarriers()
     this.#schedule()
   }
 
-  /** Takes as many changed jobs as fit into one transaction, in the order of their changes. */
+  /** Takes as many changed jobs as fit into one transaction, in the order of their changes, or one isolated job. */
   #takeBatch (): Mutation[] {
     const batch: Mutation[] = []
     this.#inFlight = new Map()
+    const nowMs = this.#options.clock.readMonotonicMs()
     for (const [jobId, sequence] of this.#dirty) {
+      const isolated = this.#isolated.get(jobId)
+      if (isolated !== undefined && (nowMs < isolated.notBeforeMs || this.#inFlight.size > 0)) continue
       const mutations = this.#options.buildMutations(jobId)
       if (batch.length + mutations.length > MAXIMUM_MUTATIONS) break
       batch.push(...mutations)
       this.#inFlight.set(jobId, sequence)
+      if (isolated !== undefined) break
     }
     for (const jobId of this.#inFlight.keys()) this.#dirty.delete(jobId)
     return batch
   }
 
-  async #commit (batch: readonly Mutation[]): Promise<boolean> {
+  /** Isolates the jobs of a rejected transaction, since one of them would have all others rejected again. */
+  #handleRejection (): void {
+    const { clock, logger, onUnstorable } = this.#options
+    const jobIds = [...this.#inFlight.keys()]
+    const [only] = jobIds
+    this.#restoreInFlight()
+    for (const jobId of jobIds) if (!this.#isolated.has(jobId)) this.#isolated.set(jobId, { rejections: 0, notBeforeMs: 0 })
+    const isolated = only === undefined || jobIds.length > 1 ? undefined : this.#isolated.get(only)
+    if (only !== undefined && isolated !== undefined) {
+      isolated.notBeforeMs = clock.readMonotonicMs() + REJECTED_RETRY_DELAY_MS
+      if (++isolated.rejections === MAXIMUM_REJECTIONS) {
+        logger.logError(JOB_EVENTS.recordRejected, { jobId: only, rejections: isolated.rejections })
+        onUnstorable(only)
+      }
+    }
+    this.#schedule()
+  }
+
+  async #commit (batch: readonly Mutation[]): Promise<WriteOutcome> {
     const { store, logger, ownerRevision, sequenceKey } = this.#options
     const marker = String(++this.#writeCount)
     const mutations: Mutation[] = [{ type: 'put', key: sequenceKey, value: marker }, ...batch]
@@ -142,13 +189,14 @@
     if (result.err) {
       const { code, isEffectUnknown } = result.val
       logger.logWarning(JOB_EVENTS.writeFailed, { code, records: this.#inFlight.size, isEffectUnknown })
-      return isEffectUnknown ? await this.#resolveUnknownOutcome(marker) : false
+      if (isRejection(result.val)) return WRITE_OUTCOMES.rejected
+      return isEffectUnknown && await this.#resolveUnknownOutcome(marker) ? WRITE_OUTCOMES.stored : WRITE_OUTCOMES.failed
     }
     if (result.val.isCommitted) {
       this.#sequenceRevision = result.val.revision
-      return true
+      return WRITE_OUTCOMES.stored
     }
-    return await this.#resolveUnknownOutcome(marker)
+    return await this.#resolveUnknownOutcome(marker) ? WRITE_OUTCOMES.stored : WRITE_OUTCOMES.failed
   }
 
   /** Determines by reading whether a transaction with a failed comparison or an unknown outcome was carried out. */
@@ -187,8 +235,10 @@
 
   #releaseBarriers (): void {
     const oldest = Math.min(...this.#dirty.values(), Number.POSITIVE_INFINITY)
-    const released = this.#barriers.filter((barrier) => barrier.sequence < oldest)
-    this.#barriers = this.#barriers.filter((barrier) => barrier.sequence >= oldest)
+    const isReleased = ({ sequence, jobId }: Barrier): boolean =>
+      sequence < (jobId === undefined ? oldest : this.#dirty.get(jobId) ?? Number.POSITIVE_INFINITY)
+    const released = this.#barriers.filter(isReleased)
+    this.#barriers = this.#barriers.filter((barrier) => !isReleased(barrier))
     for (const barrier of released) barrier.callback()
   }
 }
--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -77,7 +77,7 @@
 }
 
 function applyProgress ({ clock, table, supervisor, adoptRun }: RecoveryOptions, progress: JobProgress, record: ProgressRecord): void {
-  while (progress.occurrences.length < record.occurrences) progress.addOccurrence()
+  progress.restoreOccurrences(record.occurrences, record.completed)
   progress.hasStarted = record.state !== 'queued'
   for (const stepRecord of record.steps) {
     const step = progress.findStep(stepRecord.occurrence, stepRecord.step)
@@ -111,7 +111,10 @@
   // The record of a completed job contains only steps that still have runs.
   if (record.state === JOB_STATES.completed) progress.markAllDone()
   const nowMs = clock.readMonotonicMs()
-  progress.occurrences.forEach((_, occurrence) => table.updateReady(progress, occurrence, nowMs))
+  for (let occurrence = 0; occurrence < progress.countAdded(); occurrence++) {
+    progress.dropCompleted(occurrence)
+    table.updateReady(progress, occurrence, nowMs)
+  }
   supervisor.closeIfFinal(progress)
 }
 
--- /dev/null
+++ b/packages/jobs/src/step-record.ts
@@ -0,0 +1,49 @@
+import { z } from 'zod'
+import { isFinalState, type JobState } from './job.js'
+import type { StepProgress } from './step-progress.js'
+
+/** Task index, run number and target of each run that may be on a target. */
+export const runsSchema = z.array(z.tuple([z.number(), z.number(), z.string()]))
+/** Task index and number of failed runs. */
+export const failuresSchema = z.array(z.tuple([z.number(), z.number()]))
+/** Task index and last checkpoint. */
+export const checkpointsSchema = z.array(z.tuple([z.number(), z.string()]))
+
+export const stepRecordSchema = z.object({
+  occurrence: z.number().int().nonnegative(),
+  step: z.number().int().nonnegative(),
+  /** Indexes of the tasks that are done; true when all are. */
+  done: z.union([z.literal(true), z.array(z.number())]),
+  runs: runsSchema,
+  failures: failuresSchema,
+  gangFailures: z.number(),
+  checkpoints: checkpointsSchema
+})
+
+/** Progress of one step in a job's progress record. */
+export type StepRecord = z.infer<typeof stepRecordSchema>
+
+/** Builds the record of a step; undefined when there is nothing to store about it. */
+export function buildStepRecord (progress: StepProgress, state: JobState): StepRecord | undefined {
+  const runs: StepRecord['runs'] = []
+  const done: number[] = []
+  const failures: StepRecord['failures'] = []
+  const checkpoints: StepRecord['checkpoints'] = []
+  for (const task of progress.tasks) {
+    const { index } = task.key
+    if (task.run !== undefined) runs.push([index, task.run.number, task.run.targetId])
+    if (task.isDone) done.push(index)
+    else if (task.failures > 0) failures.push([index, task.failures])
+    if (!task.isDone && task.checkpoint !== '') checkpoints.push([index, task.checkpoint])
+  }
+  const key = progress.tasks[0]?.key
+  if (key === undefined || (isFinalState(state) && runs.length === 0)) return undefined
+  if (done.length + runs.length + failures.length + checkpoints.length === 0) return undefined
+  const { occurrence, step } = key
+  return { occurrence, step, done: progress.isComplete() ? true : done, runs, failures, gangFailures: progress.gangFailures, checkpoints }
+}
+
+/** Creates the record of a complete step without runs. */
+export function createCompleteRecord (occurrence: number, step: number): StepRecord {
+  return { occurrence, step, done: true, runs: [], failures: [], gangFailures: 0, checkpoints: [] }
+}
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -31,6 +31,8 @@
   readonly requestRound: () => void
   /** Called once the final state of a job is stored and no run of it is left. */
   readonly onFinished: (progress: JobProgress) => void
+  /** Called with the steps of a completed occurrence. */
+  readonly onStepsDropped: (steps: readonly StepProgress[]) => void
   readonly onStalled: (run: TaskRun) => void
 }
 
@@ -62,8 +64,8 @@
     const nowMs = clock.readMonotonicMs()
     for (const progress of table.listActive()) {
       if (progress.job.schedule === undefined || progress.isFinal()) continue
-      const next = progress.occurrences.length
-      if (next >= progress.readOccurrenceCount() || progress.computeDueWallMs(next) > wallMs) continue
+      const next = progress.countAdded()
+      if (next >= progress.readOccurrenceCount() || progress.computeDueWallMs(next) > wallMs || !progress.hasRoomForOccurrence()) continue
       progress.addOccurrence()
       progress.renewObjective(nowMs)
       table.updateReady(progress, next, nowMs)
@@ -80,6 +82,14 @@
     this.#closeJob(progress)
   }
 
+  /** Fails a job whose progress can't be stored, since its tasks could run twice after a change of the owner. */
+  failUnstorableJob (id: string): void {
+    const progress = this.#options.table.find(id)
+    if (progress === undefined || progress.isFinal()) return
+    progress.hasFailed = true
+    this.#closeJob(progress)
+  }
+
   /** Closes a recovered job that an earlier owner had brought to a final state. */
   closeIfFinal (progress: JobProgress): void {
     if (progress.isFinal()) this.#closeJob(progress)
@@ -116,6 +126,7 @@
     this.#options.markChanged(progress.job.id)
     if (progress.isClosed) return this.#finishIfDone(progress)
     this.#applyOutcome(progress, step, task, run, outcome)
+    this.#options.onStepsDropped(progress.dropCompleted(run.task.occurrence))
   }
 
   /** Creates the run for one that a target reports and this owner doesn't know. It is to be stopped, and its task waits for its end. */
@@ -123,10 +134,12 @@
     const key = parseTaskName(reported.taskName)
     if (key === undefined) return undefined
     const nowMs = this.#options.clock.readMonotonicMs()
-    const step = this.#options.table.find(key.jobId)?.findStep(key.occurrence, key.step)
-    const size = step === undefined
+    const progress = this.#options.table.find(key.jobId)
+    // The occurrence may have been dropped as completed, but the run still uses its capacity.
+    const jobStep = progress?.job.steps[key.step]
+    const size = jobStep === undefined
       ? { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
-      : computeReservedResources(step.step.size, step.step.usesIdleCapacity)
+      : computeReservedResources(jobStep.size, jobStep.usesIdleCapacity)
     const run: TaskRun = {
       task: key,
       number: reported.run,
@@ -140,7 +153,7 @@
       percent: reported.percent,
       percentChangedAtMs: nowMs
     }
-    const task = step?.tasks[key.index]
+    const task = progress?.findTask(key)
     if (task !== undefined && task.run === undefined && !task.isDone) task.run = run
     return run
   }
--- a/packages/jobs/src/urgency.ts
+++ b/packages/jobs/src/urgency.ts
@@ -14,9 +14,9 @@
 
 /** Computes the urgency of a job from its objective and the critical path of its incomplete steps. */
 export function computeUrgency (progress: JobProgress, nowMs: number): Urgency {
-  const occurrence = progress.occurrences[progress.occurrences.length - 1] ?? []
+  const occurrence = progress.findSteps(progress.countAdded() - 1)
   const remainingMs = computeCriticalPathMs(progress.job.steps,
-    (index) => occurrence[index]?.isComplete() === true ? Number.POSITIVE_INFINITY : 0)
+    (index) => occurrence[index]?.isComplete() === false ? 0 : Number.POSITIVE_INFINITY)
   const latestStartMs = progress.objectiveMs - remainingMs
   if (nowMs <= latestStartMs) return { band: 0, latestStartMs }
   const lateEndMs = progress.acceptedAtMs + (progress.objectiveMs - progress.acceptedAtMs) * LATE_LIMIT_FACTOR
--- a/packages/jobs/tests/job-acceptor.test.ts
+++ b/packages/jobs/tests/job-acceptor.test.ts
@@ -177,3 +177,13 @@
   await clock.advanceBy(25)
   t.is(outcomes.get('j1'), 'notStored')
 })
+
+// Guards against an instance that refuses all jobs for a second because the store rejects the record of one.
+test('a job that the store rejects is refused at once, and the other jobs are stored', async (t) => {
+  const { clock, store, outcomes, accept } = createAcceptor()
+  store.faults.isRejected = ({ key }) => key === formatJobKey('j1')
+  store.faults.delayMs = 5
+  for (const id of ['j0', 'j1', 'j2', 'j3']) accept(id)
+  await clock.advanceBy(50)
+  t.deepEqual(Object.fromEntries(outcomes), { j0: 'stored', j1: 'notStored', j2: 'stored', j3: 'stored' })
+})
--- a/packages/jobs/tests/job-records.test.ts
+++ b/packages/jobs/tests/job-records.test.ts
@@ -39,7 +39,9 @@
   const [step] = progress.addOccurrence()
   for (const task of step?.tasks ?? []) step?.markDone(task)
   const mutations = buildMutations(progress, new FakeClock().readWallMs())
-  t.deepEqual(mutations.map(({ type }) => type), ['put', 'delete', 'delete'])
+  t.deepEqual(mutations.map(({ type, ...rest }) => [type, 'key' in rest ? rest.key : '']), [
+    ['put', 'finished/aa'], ['delete', 'work/job/aa'], ['delete', 'progress/aa'], ['delete', 'work/cancel/aa']
+  ])
   const [put] = mutations
   const finished = put?.type === 'put' ? decodeFinished(put.value) : undefined
   t.is(finished?.ok === true ? finished.val.state : undefined, 'completed')
--- /dev/null
+++ b/packages/jobs/tests/progress-growth.test.ts
@@ -0,0 +1,158 @@
+import fc from 'fast-check'
+import test from 'ava'
+import { formatJobKey, formatProgressKey } from '../src/job-keys.js'
+import { JobProgress } from '../src/job-progress.js'
+import { encodeJob } from '../src/job-record.js'
+import { MAXIMUM_RUNS_PER_JOB, type Job } from '../src/job.js'
+import { decodeProgress, encodeProgress } from '../src/progress-record.js'
+import { FakeJobCell, startCell } from './fake-job-cell.js'
+import { createJob, createRun, createStep } from './job-fixtures.js'
+
+const SEED = 20_261_205
+const STEPS = 100
+const STEP_MS = 20
+/** Occurrences whose record in the plain form is just below the largest value of the store. */
+const STORED_OCCURRENCES = 107
+const OCCURRENCES = 110
+
+function createScheduledJob (id: string, occurrences: number, firstDueMs: number): Job {
+  const step = createStep({ estimatedMs: STEP_MS, size: { cpuMillis: 100, memoryMb: 10, accelerators: 0 } })
+  const steps = Array.from({ length: STEPS }, () => step)
+  return createJob(id, steps, { schedule: { occurrences, firstDueMs, intervalMs: 400 } })
+}
+
+/** Formats a record that lists each complete step, as all builds before the compact form did. */
+function formatPlainRecord (occurrences: number): string {
+  const steps = Array.from({ length: occurrences * STEPS }, (_, index) => ({
+    occurrence: Math.floor(index / STEPS), step: index % STEPS, done: true, runs: [], failures: [], gangFailures: 0, checkpoints: []
+  }))
+  return JSON.stringify({ version: 1, state: 'running', occurrences, steps })
+}
+
+// Guards against a cell that starts nothing any more (LOST): the record of one job with many repetitions grew beyond the largest
+// value of the store, and the refused write held back the records of all other jobs.
+test('a job with many repetitions completes, and other jobs run beside it', async (t) => {
+  const cell = new FakeJobCell(4)
+  const job = createScheduledJob('aa', OCCURRENCES, cell.clock.readWallMs() - STORED_OCCURRENCES * 400)
+  const plainRecord = formatPlainRecord(STORED_OCCURRENCES)
+  t.true(plainRecord.length < 1024 * 1024, String(plainRecord.length))
+  await cell.store.commitTransaction({
+    comparisons: [],
+    mutations: [
+      { type: 'put', key: formatJobKey('aa'), value: encodeJob(job) },
+      { type: 'put', key: formatProgressKey('aa'), value: plainRecord }
+    ]
+  }, 'critical')
+  cell.jobs.set('aa', job)
+  cell.addInstance()
+  await cell.advanceUntil(() => cell.findOwner() !== undefined, 2_000)
+  const [only] = cell.instances
+  if (only === undefined) return t.fail()
+  await cell.clock.advanceBy(1_500)
+  t.is(await cell.submit(only, createJob('bb')), 'stored')
+  t.true(await cell.advanceUntil(async () => await cell.readState(only, 'bb') === 'completed', 4_000))
+  t.true(await cell.advanceUntil(async () => await cell.readState(only, 'aa') === 'completed', 8_000))
+  t.is(cell.targets.starts.filter(({ taskName }) => taskName.startsWith('aa.')).length, (OCCURRENCES - STORED_OCCURRENCES) * STEPS)
+  t.deepEqual(cell.targets.violations, [])
+})
+
+test('the length of a progress record does not grow with the occurrences that are completed', (t) => {
+  const progress = new JobProgress(createScheduledJob('aa', 5_000, 0), 0)
+  let longest = 0
+  for (let occurrence = 0; occurrence < 2_000; occurrence++) {
+    for (const step of progress.addOccurrence()) for (const task of step.tasks) step.markDone(task)
+    progress.dropCompleted(occurrence)
+    longest = Math.max(longest, encodeProgress(progress).length)
+  }
+  t.true(longest < 128 * 1024, String(longest))
+  t.true(encodeProgress(progress).length < 1_024)
+  t.is(progress.countOpenTasks(), 0)
+})
+
+test('progress restored from a record equals the recorded progress in both forms', (t) => {
+  const drawTask = fc.record({ isDone: fc.boolean(), failures: fc.nat(3), checkpoint: fc.constantFrom('', 'c1'), hasRun: fc.boolean() })
+  const drawOccurrences = fc.array(fc.array(drawTask, { minLength: 4, maxLength: 4 }), { minLength: 1, maxLength: 6 })
+  fc.assert(fc.property(drawOccurrences, fc.constantFrom(1, 600), (occurrences, filler) => {
+    const steps = [createStep({ taskCount: 3 }), createStep(), ...Array.from({ length: filler }, () => createStep())]
+    const progress = new JobProgress(createJob('aa', steps, { schedule: { occurrences: 10, firstDueMs: 0, intervalMs: 1 } }), 0)
+    progress.hasStarted = true
+    for (const tasks of occurrences) {
+      const added = progress.addOccurrence()
+      const occurrence = progress.countAdded() - 1
+      const drawn = [...added[0]?.tasks ?? [], ...added[1]?.tasks ?? []]
+      drawn.forEach((task, index) => {
+        const values = tasks[index]
+        if (values === undefined) return
+        if (values.isDone) added[task.key.step]?.markDone(task)
+        else Object.assign(task, { failures: values.failures, checkpoint: values.checkpoint })
+        if (values.hasRun) task.run = createRun({ task: task.key, number: 7 })
+      })
+      for (const step of added.slice(2)) for (const task of step.tasks) step.markDone(task)
+      progress.dropCompleted(occurrence)
+    }
+    const text = encodeProgress(progress)
+    const record = decodeProgress(text)
+    if (record.err) return false
+    const restored = new JobProgress(progress.job, 0)
+    restored.hasStarted = true
+    restored.restoreOccurrences(record.val.occurrences, record.val.completed)
+    for (const { occurrence, step: index, done, runs, failures, checkpoints } of record.val.steps) {
+      const step = restored.findStep(occurrence, index)
+      if (step === undefined) return false
+      for (const task of step.tasks) if (done === true || done.includes(task.key.index)) step.markDone(task)
+      for (const [task, number, targetId] of runs) {
+        const found = step.tasks[task]
+        if (found !== undefined) found.run = createRun({ task: found.key, number, targetId })
+      }
+      for (const [task, count] of failures) Object.assign(step.tasks[task] ?? {}, { failures: count })
+      for (const [task, checkpoint] of checkpoints) Object.assign(step.tasks[task] ?? {}, { checkpoint })
+    }
+    for (let occurrence = 0; occurrence < restored.countAdded(); occurrence++) restored.dropCompleted(occurrence)
+    t.deepEqual(restored.listCompleted(), progress.listCompleted())
+    return encodeProgress(restored) === text
+  }), { seed: SEED, numRuns: 60 })
+  t.pass()
+})
+
+// Guards against a record that grows with the tasks that run at the same time.
+test('a job with very many small tasks runs no more of them at a time than its record can list', async (t) => {
+  const cell = await startCell(1, 4)
+  const [only] = cell.instances
+  if (only === undefined) return t.fail()
+  const size = { cpuMillis: 1, memoryMb: 1, accelerators: 0 }
+  const step = createStep({ taskCount: MAXIMUM_RUNS_PER_JOB + 500, estimatedMs: 2_000, size })
+  t.is(await cell.submit(only, createJob('aa', [step])), 'stored')
+  t.true(await cell.advanceUntil(() => cell.targets.starts.length >= MAXIMUM_RUNS_PER_JOB, 1_500))
+  await cell.clock.advanceBy(400)
+  t.is(cell.targets.starts.length, MAXIMUM_RUNS_PER_JOB)
+  t.true(await cell.advanceUntil(async () => await cell.readState(only, 'aa') === 'completed', 12_000))
+  t.deepEqual(cell.targets.violations, [])
+})
+
+test('further occurrences of a job wait while it has very many open tasks', (t) => {
+  const schedule = { occurrences: 9, firstDueMs: 0, intervalMs: 1 }
+  const progress = new JobProgress(createJob('aa', [createStep({ taskCount: 4_000 })], { schedule }), 0)
+  let added = 0
+  while (progress.hasRoomForOccurrence()) {
+    progress.addOccurrence()
+    added++
+  }
+  t.is(added, 2)
+  const [first] = progress.findSteps(0)
+  for (const task of first?.tasks ?? []) first?.markDone(task)
+  progress.dropCompleted(0)
+  t.true(progress.hasRoomForOccurrence())
+})
+
+// Guards against a job that holds back the records of all others for good because the store rejects its own.
+test('a job whose record the store rejects fails, and other jobs complete', async (t) => {
+  const cell = await startCell(2, 2)
+  const owner = cell.findOwner()
+  if (owner === undefined) return t.fail()
+  owner.store.faults.isRejected = ({ key, value }) => key === formatProgressKey('aa') && !value.includes('failed')
+  t.is(await cell.submit(owner, createJob('aa')), 'stored')
+  for (const id of ['bb', 'cc']) t.is(await cell.submit(owner, createJob(id)), 'stored')
+  for (const id of ['bb', 'cc']) t.true(await cell.advanceUntil(async () => await cell.readState(owner, id) === 'completed', 4_000), id)
+  t.true(await cell.advanceUntil(async () => await cell.readState(owner, 'aa') === 'failed', 6_000))
+  t.deepEqual(cell.targets.starts.filter(({ taskName }) => taskName.startsWith('aa.')), [])
+})
--- a/packages/jobs/tests/progress-writer-pool.test.ts
+++ b/packages/jobs/tests/progress-writer-pool.test.ts
@@ -31,7 +31,8 @@
     buildMutations: (id) => [{ type: 'put', key: formatProgressKey(id), value: values.get(id) ?? '' }],
     isAuthorized: () => true,
     onSuperseded: () => {},
-    onFailed: () => {}
+    onFailed: () => {},
+    onUnstorable: () => {}
   }, formatWriteSequenceKey)
   return { clock, store, pool, values }
 }
--- a/packages/jobs/tests/progress-writer.test.ts
+++ b/packages/jobs/tests/progress-writer.test.ts
@@ -14,6 +14,7 @@
   readonly writer: ProgressWriter
   readonly values: Map<string, string>
   readonly superseded: string[]
+  readonly unstorable: string[]
   readStored: (id: string) => Promise<string | undefined>
 }
 
@@ -27,6 +28,7 @@
   const revision = committed.ok ? committed.val.revision : 0
   const values = new Map<string, string>()
   const superseded: string[] = []
+  const unstorable: string[] = []
   const writer = new ProgressWriter({
     clock,
     logger: new SilentEventLogger(),
@@ -39,13 +41,14 @@
     buildMutations: (id) => [{ type: 'put', key: formatProgressKey(id), value: values.get(id) ?? '' }],
     isAuthorized: () => true,
     onSuperseded: () => { superseded.push('superseded') },
-    onFailed: () => {}
+    onFailed: () => {},
+    onUnstorable: (id) => { unstorable.push(id) }
   })
   const readStored = async (id: string): Promise<string | undefined> => {
     const result = await store.readKey(formatProgressKey(id), 'critical')
     return result.ok ? result.val?.value : undefined
   }
-  return { clock, store, writer, values, superseded, readStored }
+  return { clock, store, writer, values, superseded, unstorable, readStored }
 }
 
 test('a callback runs only after all earlier changes are stored', async (t) => {
@@ -122,3 +125,26 @@
   store.faults.delayMs = 0
   t.is(await readStored('j0'), 'second')
 })
+
+// Guards against one rejected record that is written again and again together with the records of other jobs, which wait for it.
+test('a record that the store rejects does not hold back those of other jobs', async (t) => {
+  const { clock, store, writer, values, unstorable, readStored } = await createWriter()
+  store.faults.isRejected = ({ value }) => value === 'poison'
+  for (let index = 0; index < 40; index++) {
+    values.set(`j${index}`, index === 3 ? 'poison' : 'first')
+    writer.markChanged(`j${index}`)
+  }
+  const stored: string[] = []
+  writer.runWhenJobStored('j3', () => { stored.push('j3') })
+  writer.runWhenJobStored('j9', () => { stored.push('j9') })
+  writer.runWhenStored(() => { stored.push('all') })
+  await clock.advanceBy(900)
+  for (let index = 0; index < 40; index++) t.is(await readStored(`j${index}`), index === 3 ? undefined : 'first', String(index))
+  t.deepEqual(stored, ['j9'])
+  t.deepEqual(unstorable, ['j3'])
+  values.set('j3', 'second')
+  writer.markChanged('j3')
+  await clock.advanceBy(500)
+  t.is(await readStored('j3'), 'second')
+  t.deepEqual([...stored].sort(), ['all', 'j3', 'j9'])
+})
--- a/packages/jobs/tests/recover-jobs.test.ts
+++ b/packages/jobs/tests/recover-jobs.test.ts
@@ -56,6 +56,7 @@
     requestStop: (run) => { stopped.push(run) },
     requestRound: () => {},
     onFinished: () => {},
+    onStepsDropped: () => {},
     onStalled: () => {}
   })
 }
--- a/packages/store/src/in-memory-store.ts
+++ b/packages/store/src/in-memory-store.ts
@@ -16,6 +16,8 @@
   loseNextReplies: number
   /** Duration of each call, which takes effect at its end. */
   delayMs: number
+  /** Whether the store rejects a transaction with this put as invalid. */
+  isRejected: (put: { readonly key: string, readonly value: string }) => boolean
 }
 
 const MESSAGES = {
@@ -23,13 +25,14 @@
   historyDropped: 'the history is no longer available',
   leaseNotFound: 'lease not found',
   lost: 'the response was lost',
+  rejected: 'the call is invalid',
   watchClosed: 'the store went down'
 } as const
 const EXPIRY_CHECK_PERIOD_MS = 100
 
 /** Fake of the platform's store for tests. Clients of one store share its `KeySpace`; each has its own faults. */
 export class InMemoryStore implements KeyValueStore {
-  readonly faults: InMemoryStoreFaults = { isDown: false, failNextCalls: 0, loseNextReplies: 0, delayMs: 0 }
+  readonly faults: InMemoryStoreFaults = { isDown: false, failNextCalls: 0, loseNextReplies: 0, delayMs: 0, isRejected: () => false }
   readonly counts = { reads: 0, writes: 0, watches: 0 }
   readonly #clock: Clock
   readonly #keySpace: KeySpace
@@ -74,6 +77,9 @@
 
   async commitTransaction (transaction: Transaction, _priority: CallPriority): Promise<Result<TransactionOutcome, StoreError>> {
     return await this.#runCall('writes', () => {
+      if (transaction.mutations.some((mutation) => mutation.type === 'put' && this.faults.isRejected(mutation))) {
+        return Err({ code: 'protocol', message: MESSAGES.rejected, isEffectUnknown: false })
+      }
       const conditions = transaction.comparisons.map(({ key, modRevision }) => ({ key, field: 'modRevision', expected: modRevision }) as const)
       const outcome = this.#keySpace.commit(conditions, transaction.mutations)
       if (typeof outcome !== 'string') return Ok(outcome)
--- a/packages/store/src/store-error.ts
+++ b/packages/store/src/store-error.ts
@@ -15,3 +15,8 @@
   /** Whether a write may have taken effect although no response arrived. */
   readonly isEffectUnknown: boolean
 }
+
+/** Whether the store has rejected a call because of its content, so that the same call would be rejected again. */
+export function isRejection ({ code, isEffectUnknown }: StoreError): boolean {
+  return !isEffectUnknown && (code === STORE_ERROR_CODES.tooLarge || code === STORE_ERROR_CODES.protocol)
+}
