Pass over work that can't be served when a round counts demand

Cause: a round considers waiting work until it demands twice the capacity of all targets. A step that fits nowhere counted in full, and once its job was late it came first in every round. Change: StepSelector passes over what the usable targets couldn't hold, what the policy permits nowhere and what waits after failures, and considers ten steps beyond the limit in turn. Gangs without tickets hold no capacity while the policy service fails, and reserve none that tasks that last would have to free.

--- a/packages/jobs/src/advice-cache.ts
+++ b/packages/jobs/src/advice-cache.ts
@@ -12,6 +12,8 @@
   openRequests: number
   /** Monotonic time before which a failed request isn't repeated. */
   notBeforeMs: number
+  /** Whether the last request has failed. */
+  isFailing: boolean
   /** Monotonic time before which it isn't checked whether the step needs advice on more targets, or new tickets. */
   nextCheckMs: number
 }
@@ -50,6 +52,11 @@
     return asked === undefined ? [...targetIds] : targetIds.filter((id) => !asked.has(id))
   }
 
+  /** Whether the policy service has answered for the target. */
+  hasBeenAsked (stepName: string, targetId: string): boolean {
+    return this.#steps.get(stepName)?.asked.has(targetId) === true
+  }
+
   listPermitted (stepName: string): string[] {
     return [...this.#steps.get(stepName)?.tickets.keys() ?? []]
   }
@@ -72,6 +79,7 @@
   recordAnswer (stepName: string, askedIds: readonly string[], permitted: readonly AdvisedTarget[], expiresAtMs: number): void {
     const advice = this.#ensure(stepName)
     advice.openRequests--
+    advice.isFailing = false
     for (const id of askedIds) advice.asked.add(id)
     for (const { targetId, ticket } of permitted) advice.tickets.set(targetId, { ticket, expiresAtMs })
   }
@@ -80,6 +88,12 @@
     const advice = this.#ensure(stepName)
     advice.openRequests--
     advice.notBeforeMs = notBeforeMs
+    advice.isFailing = true
+  }
+
+  /** Whether the last request for the step has failed, so that it is unknown when the next tickets come. */
+  isFailing (stepName: string): boolean {
+    return this.#steps.get(stepName)?.isFailing === true
   }
 
   /** Invalidates a ticket that its target refused, so that a new one is requested before the next order. */
@@ -96,7 +110,7 @@
   #ensure (stepName: string): StepAdvice {
     let advice = this.#steps.get(stepName)
     if (advice === undefined) {
-      advice = { tickets: new Map(), asked: new Set(), openRequests: 0, notBeforeMs: 0, nextCheckMs: 0 }
+      advice = { tickets: new Map(), asked: new Set(), openRequests: 0, notBeforeMs: 0, isFailing: false, nextCheckMs: 0 }
       this.#steps.set(stepName, advice)
     }
     return advice
--- a/packages/jobs/src/advice-requester.ts
+++ b/packages/jobs/src/advice-requester.ts
@@ -3,7 +3,7 @@
 import type { MetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import { AdviceCache } from './advice-cache.js'
 import type { AdviceDispatcher } from './advice-dispatcher.js'
-import { MAXIMUM_TARGETS_PER_REQUEST, selectAdviceTargets, splitAdviceTargets, type AdviceCandidate } from './advice-selection.js'
+import { MAXIMUM_TARGETS_PER_REQUEST, MINIMUM_TARGETS_PER_REQUEST, selectAdviceTargets, splitAdviceTargets, type AdviceCandidate } from './advice-selection.js'
 import { JOB_EVENTS } from './job-events.js'
 import { JOB_METRICS } from './job-metrics.js'
 import type { AdvicePolicy, JobStep } from './job.js'
@@ -88,6 +88,11 @@
     return targetIds.length > 0
   }
 
+  /** Whether the policy service has time for one more request that can be left out. */
+  hasSpareTime ({ decisionMs, perTargetMs }: AdvicePolicy): boolean {
+    return this.#dispatcher.hasSpareInstances(decisionMs + perTargetMs * MINIMUM_TARGETS_PER_REQUEST)
+  }
+
   #selectTargets ({ step, taskCount, policy }: AdvisedStep, candidates: readonly AdviceCandidate[], permittedShare: number): string[] {
     return selectAdviceTargets(candidates, step, taskCount, policy, permittedShare, this.#requestCount++, MAXIMUM_TARGETS_PER_STEP)
   }
--- a/packages/jobs/src/advice-selection.ts
+++ b/packages/jobs/src/advice-selection.ts
@@ -4,7 +4,7 @@
 /** Targets that one request to the policy service may name. */
 export const MAXIMUM_TARGETS_PER_REQUEST = 100
 /** Number of targets that a request names at least, where there are as many. */
-const MINIMUM_TARGETS_PER_REQUEST = 10
+export const MINIMUM_TARGETS_PER_REQUEST = 10
 /** A request names targets with capacity for this multiple of the step's tasks, since other steps compete for them meanwhile. */
 const CAPACITY_FACTOR = 2
 /** Additional targets are named as long as they lengthen the policy service's answer by at most this share. */
--- a/packages/jobs/src/capacity-tracker.ts
+++ b/packages/jobs/src/capacity-tracker.ts
@@ -61,6 +61,15 @@
   }
 }
 
+/** Returns the larger amount of each resource. */
+export function mergeMaximum (left: Resources, right: Resources): Resources {
+  return {
+    cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
+    memoryMb: Math.max(left.memoryMb, right.memoryMb),
+    accelerators: Math.max(left.accelerators, right.accelerators)
+  }
+}
+
 /** Returns what one task reserves of a target. Tasks that use idle capacity reserve no processor time. */
 export function computeReservedResources (size: Resources, usesIdleCapacity: boolean): Resources {
   return usesIdleCapacity ? { ...size, cpuMillis: 0 } : size
--- a/packages/jobs/src/gang-reservations.ts
+++ b/packages/jobs/src/gang-reservations.ts
@@ -132,7 +132,8 @@
         continue
       }
       const run = runs[next++]
-      if (run === undefined) break
+      // A run that lasts never gives its capacity back.
+      if (run === undefined || run.expectedEndMs === Number.POSITIVE_INFINITY) break
       free = addResources(free, run.size)
       atMs = Math.max(this.#nowMs, run.expectedEndMs)
     }
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -5,18 +5,19 @@
 import type { AdviceDispatcher } from './advice-dispatcher.js'
 import { JOB_EVENTS } from './job-events.js'
 import { JOB_METRICS } from './job-metrics.js'
-import { MAXIMUM_RUNS_PER_JOB, type AdvicePolicy } from './job.js'
+import type { AdvicePolicy } from './job.js'
 import type { JobProgress } from './job-progress.js'
 import type { JobTable, ReadyStep } from './job-table.js'
 import { PlacementRound, type Placement, type WaitingStep } from './placement-round.js'
 import { NO_RESERVATIONS } from './gang-reservations.js'
-import { compareUrgency, computeUrgency, type Urgency } from './urgency.js'
+import { StepSelector, type SelectedStep } from './step-selector.js'
+import type { Urgency } from './urgency.js'
 import type { StepProgress, TaskProgress } from './step-progress.js'
 import { TargetInventory } from './target-inventory.js'
 import type { TargetSession } from './target-session.js'
 import { computeReservedResources } from './capacity-tracker.js'
-import { formatStepName, RUN_PHASES, type TaskRun } from './task-run.js'
-import { DemandLimiter } from './demand-limiter.js'
+import { computeExpectedEndMs, formatStepName, RUN_PHASES, type TaskRun } from './task-run.js'
+import { countByTarget, listPlaceable, readStepName } from './waiting-tasks.js'
 
 /** Size of the range of run numbers that each term of ownership has for a task, so that numbers of different owners differ. */
 const RUNS_PER_TERM = 1_000
@@ -43,13 +44,6 @@
   readonly requestRound: () => void
 }
 
-/** Values that all steps of a service share in one round. */
-interface RoundState {
-  readonly nowMs: number
-  /** Active targets of the service, the usable ones first. */
-  readonly activeIds: readonly string[]
-}
-
 interface PlannedRun {
   readonly session: TargetSession
   readonly run: TaskRun
@@ -62,6 +56,7 @@
   readonly #options: PlacementPlannerOptions
   readonly #adviceRequester: AdviceRequester
   readonly #inventory: TargetInventory
+  readonly #selector: StepSelector
   #adviceChecksLeft = ADVICE_CHECKS_PER_ROUND
   #reservations = NO_RESERVATIONS
 
@@ -70,6 +65,7 @@
     const { clock, logger, metrics, advice, requestRound } = options
     this.#inventory = new TargetInventory(options.sessions)
     this.#adviceRequester = new AdviceRequester(clock, logger, metrics, advice, requestRound)
+    this.#selector = new StepSelector(this.#adviceRequester, this.#inventory)
   }
 
   /** Places the steps that fit now. The orders are sent once the intents are stored. */
@@ -79,18 +75,9 @@
     const nowMs = clock.readMonotonicMs()
     const targets = this.#inventory.listUsable(nowMs, nowMs + RUN_OVERHEAD_MS)
     const round = new PlacementRound(nowMs, targets, this.#reservations)
-    const limiter = new DemandLimiter(targets)
     this.#adviceChecksLeft = ADVICE_CHECKS_PER_ROUND
-    const active = this.#inventory.groupActive(nowMs)
-    const ordered = [...table.listReady()].filter(({ step }) => step.countPending() > 0)
-      .map((ready) => ({ ready, urgency: computeUrgency(ready.progress, nowMs) }))
-      .sort((left, right) => compareUrgency(left.urgency, right.urgency))
-    for (const { ready, urgency } of ordered) {
-      const { service } = ready.progress.job.terms
-      if (limiter.isLimitReached(service)) continue
-      limiter.add(service, ready.step.countPending() * ready.step.step.size.cpuMillis)
-      this.#placeStep(round, ready, urgency, { nowMs, activeIds: active.get(service) ?? [] })
-    }
+    const selected = this.#selector.select(table.listReady(), { nowMs, usable: targets, activeIds: this.#inventory.groupActive(nowMs) })
+    for (const step of selected) this.#placeStep(round, step, nowMs)
     this.#reservations = round.listReservations()
   }
 
@@ -113,7 +100,8 @@
     for (const step of steps) this.#adviceRequester.cache.forget(readStepName(step))
   }
 
-  #placeStep (round: PlacementRound, ready: ReadyStep, urgency: Urgency, { nowMs, activeIds }: RoundState): void {
+  #placeStep (round: PlacementRound, selected: SelectedStep, nowMs: number): void {
+    const { ready, urgency, activeIds, mayReserve } = selected
     const { progress, step } = ready
     const { terms } = progress.job
     const stepName = readStepName(step)
@@ -124,20 +112,19 @@
         createAdvisedStep(ready, terms.advice, urgency), this.#inventory.listCandidates(round, step.step, activeIds)
       )
     }
-    if (nowMs < step.notBeforeMs) return
     const pending = listPlaceable(progress, step)
-    if (pending.length === 0) return
     const waiting: WaitingStep = {
       stepName,
       service: terms.service,
       step: step.step,
       pending: pending.map((task) => task.key.index),
       avoided: step.failedTargets,
-      mustAvoid: this.#shouldAvoidFailed(ready, stepName, { nowMs, activeIds }),
+      mustAvoid: this.#shouldAvoidFailed(selected, stepName, nowMs),
       countByTarget: countByTarget(step),
       permittedIds: terms.advice === undefined ? undefined : cache.listPermitted(stepName),
       canWait: urgency.latestStartMs - nowMs > RESERVATION_OVERRIDE_MS,
-      reservesCapacity: true
+      // Without tickets, the capacity would stay idle for as long as the policy service gives none.
+      reservesCapacity: mayReserve && !cache.isFailing(stepName)
     }
     const placements = this.#placeWithTickets(round, waiting, nowMs)
     if (placements.length > 0) return this.#startPlaced(round, ready, placements, urgency, nowMs)
@@ -145,7 +132,7 @@
     if (this.#adviceChecksLeft-- <= 0) return
     cache.pauseChecks(stepName, nowMs + ADVICE_CHECK_PERIOD_MS)
     if (step.step.isGang && this.#renewTickets(round, ready, terms.advice, urgency)) return
-    this.#extendAdvice(round, ready, terms.advice, urgency, { nowMs, activeIds })
+    this.#extendAdvice(round, selected, terms.advice, nowMs)
   }
 
   /** Places a step on targets with a valid ticket if it fits there, otherwise on any permitted targets. */
@@ -165,9 +152,7 @@
   }
 
   /** Requests advice on further targets for a step that doesn't fit on the permitted ones. */
-  #extendAdvice (
-    round: PlacementRound, ready: ReadyStep, policy: AdvicePolicy, urgency: Urgency, { nowMs, activeIds }: RoundState
-  ): void {
+  #extendAdvice (round: PlacementRound, { ready, urgency, activeIds }: SelectedStep, policy: AdvicePolicy, nowMs: number): void {
     const advised = createAdvisedStep(ready, policy, urgency)
     const unasked = this.#adviceRequester.cache.listUnasked(advised.stepName, activeIds)
     this.#adviceRequester.requestExtension(advised, this.#inventory.listCandidates(round, ready.step.step, unasked),
@@ -175,7 +160,7 @@
   }
 
   /** Whether to exclude targets on which the step has failed: only while others can hold it, or advice on others can be requested. */
-  #shouldAvoidFailed ({ progress, step }: ReadyStep, stepName: string, { nowMs, activeIds }: RoundState): boolean {
+  #shouldAvoidFailed ({ ready: { progress, step }, activeIds }: SelectedStep, stepName: string, nowMs: number): boolean {
     if (step.gangFailures === 0 && !step.listPending().some((task) => task.failures > 0)) return false
     if (progress.job.terms.advice === undefined) return this.#inventory.hasSlots(step, activeIds, nowMs)
     const { cache } = this.#adviceRequester
@@ -198,7 +183,10 @@
           createAdvisedStep(ready, policy, urgency), placements.map(({ targetId }) => targetId), permitted
         )
       }
-      if (missing.length > 0 && step.step.isGang) return round.reservePlaced(stepName, step.step, placements)
+      const isUnusable = cache.isFailing(stepName)
+      if (missing.length > 0 && step.step.isGang && !isUnusable) return round.reservePlaced(stepName, step.step, placements)
+      if (isUnusable) round.releasePlaced(step.step, step.step.isGang && missing.length > 0 ? placements : missing)
+      if (missing.length > 0 && step.step.isGang) return
     }
     const checkpoint = step.step.isGang ? findGangCheckpoint(step) : undefined
     const planned = placements.flatMap((placement, index): PlannedRun[] => {
@@ -242,7 +230,7 @@
       size: computeReservedResources(step.step.size, step.step.usesIdleCapacity),
       phase: RUN_PHASES.reserved,
       sentAtMs: nowMs,
-      expectedEndMs: nowMs + step.step.estimatedMs + RUN_OVERHEAD_MS,
+      expectedEndMs: computeExpectedEndMs(step.step, nowMs + RUN_OVERHEAD_MS),
       isStopWanted: false,
       isStopAcknowledged: false,
       percent: 0,
@@ -257,26 +245,6 @@
   }
 }
 
-function readStepName (step: StepProgress): string {
-  const key = step.tasks[0]?.key
-  return key === undefined ? '' : formatStepName(key)
-}
-
-/** Lists the pending tasks of a step that the job's limit on runs leaves room for: all or none of a gang. */
-function listPlaceable (progress: JobProgress, step: StepProgress): TaskProgress[] {
-  const pending = step.listPending()
-  if (progress.countOpenTasks() <= MAXIMUM_RUNS_PER_JOB) return pending
-  const room = Math.max(0, MAXIMUM_RUNS_PER_JOB - progress.countRuns())
-  return step.step.isGang && pending.length > room ? [] : pending.slice(0, room)
-}
-
-function countByTarget (step: StepProgress): Map<string, number> {
-  const counts = new Map<string, number>()
-  if (step.step.maximumPerTarget === 0) return counts
-  for (const { run } of step.tasks) if (run !== undefined) counts.set(run.targetId, (counts.get(run.targetId) ?? 0) + 1)
-  return counts
-}
-
 /** Returns the checkpoint from which all members of a gang resume; empty when there is none. */
 function findGangCheckpoint (step: StepProgress): string {
   return step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? ''
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -1,6 +1,6 @@
 import type { JobStep, Resources } from './job.js'
 import { type ReservationsByStep, NO_RESERVATIONS, GangReservations } from './gang-reservations.js'
-import { computeReservedResources, countSlots, hasCapacity, subtractResources } from './capacity-tracker.js'
+import { addResources, computeReservedResources, countSlots, hasCapacity, mergeMaximum, subtractResources } from './capacity-tracker.js'
 import type { TargetView } from './target-view.js'
 
 /** A step with tasks to be placed. */
@@ -73,6 +73,13 @@
     this.#reservations.recordReservation(stepName, step, placements.map(({ targetId }) => targetId))
   }
 
+  /** Frees the capacity of placements that can't be used, for the rest of the round. */
+  releasePlaced (step: JobStep, placements: readonly Placement[]): void {
+    const size = computeReservedResources(step.size, step.usesIdleCapacity)
+    for (const { targetId } of placements) this.#free.set(targetId, addResources(this.#readFree(targetId), size))
+    this.#largestFree.clear()
+  }
+
   /** Returns the reservations of this round, to be passed to the next one. */
   listReservations (): ReservationsByStep {
     return this.#reservations.list()
@@ -137,10 +144,11 @@
     let bestScore = Number.POSITIVE_INFINITY
     const { step } = waiting
     const size = computeReservedResources(step.size, step.usesIdleCapacity)
+    const durationMs = step.isLongRunning ? Number.POSITIVE_INFINITY : step.estimatedMs
     for (const target of candidates) {
       if (step.maximumPerTarget > 0 && (counts.get(target.id) ?? 0) >= step.maximumPerTarget) continue
       const free = this.#readFree(target.id)
-      if (!hasCapacity(free, size) || this.#reservations.isReserved(target.id, free, size, step.estimatedMs)) continue
+      if (!hasCapacity(free, size) || this.#reservations.isReserved(target.id, free, size, durationMs)) continue
       const wasReserved = this.#reservations.isReservedInPreviousRound(target.id, free, size)
       if (wasReserved && waiting.canWait) continue
       const isRemote = step.dataRack !== undefined && step.dataRack !== target.rack
@@ -164,7 +172,7 @@
     if (largest !== undefined) return largest
     largest = NO_RESOURCES
     for (const target of this.#targets.values()) {
-      if (target.service === service) largest = computeMaximum(largest, this.#readFree(target.id))
+      if (target.service === service) largest = mergeMaximum(largest, this.#readFree(target.id))
     }
     this.#largestFree.set(service, largest)
     return largest
@@ -176,14 +184,6 @@
   }
 }
 
-function computeMaximum (left: Resources, right: Resources): Resources {
-  return {
-    cpuMillis: Math.max(left.cpuMillis, right.cpuMillis),
-    memoryMb: Math.max(left.memoryMb, right.memoryMb),
-    accelerators: Math.max(left.accelerators, right.accelerators)
-  }
-}
-
 /** Scores a target by what would be left free on it. Less is better, so that whole targets stay free for large tasks. */
 function scoreFit (left: Resources, capacity: Resources): number {
   const cpuShare = capacity.cpuMillis > 0 ? left.cpuMillis / capacity.cpuMillis : 0
--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -12,7 +12,7 @@
 import { decodeProgress, type ProgressRecord } from './progress-record.js'
 import type { TaskSupervisor } from './task-supervisor.js'
 import { computeReservedResources } from './capacity-tracker.js'
-import { RUN_PHASES, type TaskRun } from './task-run.js'
+import { computeExpectedEndMs, RUN_PHASES, type TaskRun } from './task-run.js'
 import { splitWorkListing } from './work-listing.js'
 
 /** Jobs recovered before control returns to the event loop, so that lease renewals are sent in time however many jobs there are. */
@@ -96,7 +96,7 @@
         size: computeReservedResources(step.step.size, step.step.usesIdleCapacity),
         phase: RUN_PHASES.unsettled,
         sentAtMs: Number.NEGATIVE_INFINITY,
-        expectedEndMs: clock.readMonotonicMs() + step.step.estimatedMs,
+        expectedEndMs: computeExpectedEndMs(step.step, clock.readMonotonicMs()),
         isStopWanted: false,
         isStopAcknowledged: false,
         percent: 0,
--- a/packages/jobs/src/target-inventory.ts
+++ b/packages/jobs/src/target-inventory.ts
@@ -41,11 +41,16 @@
     return groups
   }
 
+  /** Whether a target has a label; true without a label. */
+  hasLabel (id: string, label: string | undefined): boolean {
+    return label === undefined || this.#sessions.get(id)?.readDescription().labels.includes(label) === true
+  }
+
   /** Lists those of the targets that the policy service may be asked about for a step. */
   listCandidates (round: PlacementRound, step: JobStep, targetIds: readonly string[]): AdviceCandidate[] {
     return targetIds.flatMap((id) => {
       const session = this.#sessions.get(id)
-      if (session === undefined || !hasLabel(session, step)) return []
+      if (session === undefined || !this.hasLabel(id, step.requiredLabel)) return []
       const rack = findRack(session.readDescription().labels)
       return [{ id, capacity: session.capacity.readCapacity(), rack, freeSlots: round.countFreeSlots(id, step) }]
     })
@@ -57,17 +62,13 @@
     let slots = 0
     for (const id of targetIds) {
       const session = this.#sessions.get(id)
-      if (session?.isUsable(nowMs) !== true || step.failedTargets.has(id) || !hasLabel(session, step.step)) continue
+      if (session?.isUsable(nowMs) !== true || step.failedTargets.has(id) || !this.hasLabel(id, step.step.requiredLabel)) continue
       slots += countSlots(session.capacity.readCapacity(), step.step)
     }
     return slots >= needed
   }
 }
 
-function hasLabel (session: TargetSession, { requiredLabel }: JobStep): boolean {
-  return requiredLabel === undefined || session.readDescription().labels.includes(requiredLabel)
-}
-
 function findRack (labels: readonly string[]): string | undefined {
   return labels.find((label) => RACK_LABEL_PATTERN.test(label))
 }
--- a/packages/jobs/src/target-view.ts
+++ b/packages/jobs/src/target-view.ts
@@ -3,7 +3,7 @@
 /** Snapshot of a run on a target, for placement. */
 export interface RunView {
   readonly size: Resources
-  /** Monotonic time at which the run is expected to end. */
+  /** Monotonic time at which the run is expected to end; infinite for one that runs until its job is cancelled. */
   readonly expectedEndMs: number
 }
 
--- a/packages/jobs/src/task-run.ts
+++ b/packages/jobs/src/task-run.ts
@@ -1,4 +1,4 @@
-import type { Resources } from './job.js'
+import type { JobStep, Resources } from './job.js'
 
 export const RUN_PHASES = {
   /** Capacity is reserved; the intent is not stored yet. */
@@ -44,7 +44,7 @@
   phase: RunPhase
   /** Monotonic time at which the start order was sent; negative infinity when an earlier owner sent it. */
   sentAtMs: number
-  /** Monotonic time at which the run is expected to end. */
+  /** Monotonic time at which the run is expected to end; infinite for one that runs until its job is cancelled. */
   expectedEndMs: number
   isStopWanted: boolean
   /** The target has answered the stop order. */
@@ -53,6 +53,11 @@
   percentChangedAtMs: number
 }
 
+/** Returns the time at which a task that starts now is expected to end. */
+export function computeExpectedEndMs ({ isLongRunning, estimatedMs }: JobStep, nowMs: number): number {
+  return isLongRunning ? Number.POSITIVE_INFINITY : nowMs + estimatedMs
+}
+
 /** Formats the name of a task, which is unique in the cell. */
 export function formatTaskName (task: TaskKey): string {
   return `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`
--- /dev/null
+++ b/packages/jobs/tests/step-selector.test.ts
@@ -0,0 +1,63 @@
+import test from 'ava'
+import { AdviceCache } from '../src/advice-cache.js'
+import { JobTable, type ReadyStep } from '../src/job-table.js'
+import { StepSelector, type RoundTargets } from '../src/step-selector.js'
+import { TargetInventory } from '../src/target-inventory.js'
+import type { TargetView } from '../src/target-view.js'
+import { TurnRotation } from '../src/turn-rotation.js'
+import { createJob, createQueuePolicy, createStep } from './job-fixtures.js'
+
+const CAPACITY = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 }
+const NOW_MS = 1_000
+const TARGET: TargetView = { id: 't0', service: 'ledger', rack: 'r1', labels: [], capacity: CAPACITY, free: CAPACITY, runs: [] }
+const ROUND: RoundTargets = { nowMs: NOW_MS, usable: [TARGET], activeIds: new Map([['ledger', ['t0']]]) }
+
+/** Creates ready steps whose jobs were accepted one after the other. */
+function createReady (count: number, hasPolicy = false): ReadyStep[] {
+  const table = new JobTable()
+  const terms = createQueuePolicy(hasPolicy ? { advice: { decisionMs: 10, perTargetMs: 1, validityMs: 1_000 } } : {})
+  for (let index = 0; index < count; index++) {
+    const progress = table.add(createJob(`j${index}`, [createStep({ size: { ...CAPACITY, memoryMb: 100 } })], { terms }), index)
+    progress.addOccurrence()
+    table.updateReady(progress, 0, NOW_MS)
+  }
+  return [...table.listReady()]
+}
+
+function createSelector (hasSpareTime = true): StepSelector {
+  return new StepSelector({ cache: new AdviceCache(), hasSpareTime: () => hasSpareTime }, new TargetInventory(new Map()))
+}
+
+function listSelected (selector: StepSelector, ready: readonly ReadyStep[]): string[] {
+  return [...selector.select(ready, ROUND)].map(({ ready: { progress } }) => progress.job.id)
+}
+
+test('the most urgent steps are selected first, and some of the others in turn', (t) => {
+  const selector = createSelector()
+  const ready = createReady(40)
+  const first = listSelected(selector, ready)
+  t.deepEqual(first.slice(0, 2), ['j0', 'j1'])
+  t.is(first.length, 12)
+  const seen = new Set(first)
+  // Guards against steps that are never considered because those before them are not placed, for whatever reason.
+  for (let round = 0; round < 3; round++) for (const id of listSelected(selector, ready)) seen.add(id)
+  t.is(seen.size, 40)
+})
+
+test('steps beyond the limit reserve nothing, and need no advice while the policy service is busy', (t) => {
+  t.deepEqual([...createSelector().select(createReady(4), ROUND)].map(({ mayReserve }) => mayReserve), [true, true, false, false])
+  t.is(listSelected(createSelector(false), createReady(4, true)).length, 2)
+  t.is(listSelected(createSelector(true), createReady(4, true)).length, 4)
+})
+
+test('a step that waits after failures leaves its place to others', (t) => {
+  const ready = createReady(4)
+  for (const { step } of ready.slice(0, 2)) step.notBeforeMs = NOW_MS + 1
+  t.deepEqual(listSelected(createSelector(), ready), ['j2', 'j3'])
+})
+
+test('a rotation chooses each item in turn and begins again after the last', (t) => {
+  const rotation = new TurnRotation(2)
+  t.deepEqual([1, 2, 3].map(() => rotation.choose(['a', 'b', 'c', 'd', 'e'])), [['a', 'b'], ['c', 'd'], ['e', 'a']])
+  t.deepEqual(rotation.choose(['a']), ['a'])
+})
