--- a/packages/store/src/key-space.ts
+++ b/packages/store/src/key-space.ts
@@ -63,6 +63,12 @@
     return this.#history.filter(({ revision }) => revision >= fromRevision)
   }
 
+  /** Forgets all changes so far, so that no watch can continue from before the current revision. */
+  dropHistory (): void {
+    this.#history.length = 0
+    this.#compactedRevision = this.#revision
+  }
+
   /** Calls `subscriber` for every later change. Returns a function that unsubscribes. */
   subscribe (subscriber: (change: KeySpaceChange) => void): () => void {
     this.#subscribers.add(subscriber)
