Share the drawing of faults, the repeating timer and the shape of work

Cause: two fault plans drew their faults in the same lines, two clocks had the same interval, and a work item repeated nine fields of its route. Change: drawFaults serves the soak and the fault runs, startRepeatingTimer both clocks, and WorkShape both types; the bare numbers of the fault runs' plan have names.

--- a/packages/cells/src/fault-injector.ts
+++ b/packages/cells/src/fault-injector.ts
@@ -1,6 +1,6 @@
 import type { Cell, CellInstance } from './cell.js'
 import { sendJson } from './cell.js'
-import type { PlannedFault } from './fault-plan.js'
+import type { CellFault } from './fault-plan.js'
 
 export interface FaultLog {
   readonly leavingTargets: Array<{ readonly target: string, readonly atMs: number }>
@@ -23,14 +23,14 @@
   }
 
   /** Applies every fault at its time; resolves when those that last have ended. */
-  async runPlan (plan: readonly PlannedFault[]): Promise<void> {
+  async runPlan (plan: readonly CellFault[]): Promise<void> {
     await Promise.all(plan.map(async (fault) => {
       await waitMs(fault.atMs)
       await this.#applyFault(fault)
     }))
   }
 
-  async #applyFault (fault: PlannedFault): Promise<void> {
+  async #applyFault (fault: CellFault): Promise<void> {
     const { kind, durationMs } = fault
     switch (kind) {
       case 'kill':
@@ -107,7 +107,7 @@
   }
 
   /** Applies a fault to an instance that has no other fault, or skips it if too few such instances are left. */
-  async #applyToInstance (fault: PlannedFault, apply: (instance: CellInstance) => Promise<void>): Promise<void> {
+  async #applyToInstance (fault: CellFault, apply: (instance: CellInstance) => Promise<void>): Promise<void> {
     const free = this.#cell.instances.filter((instance) => instance.process.isRunning() && !this.#faultyInstances.has(instance.id))
     // Two instances always stay free of faults, as the platform's load balancer needs instances to send callers to.
     const instance = free.length > 2 ? free[fault.selector % free.length] : undefined
@@ -131,7 +131,7 @@
     await this.#cell.setFaults(name, noFaults)
   }
 
-  async #markTargetLeaving (fault: PlannedFault): Promise<void> {
+  async #markTargetLeaving (fault: CellFault): Promise<void> {
     const target = `${fault.selector % 2 === 0 ? 'executor' : 'worker'}-${1 + Math.floor(fault.selector / 2) % 4}`
     await this.#cell.setTargetState(target, 'leaving')
     this.log.leavingTargets.push({ target, atMs: Date.now() })
--- a/packages/cells/src/fault-plan.ts
+++ b/packages/cells/src/fault-plan.ts
@@ -1,4 +1,5 @@
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
+import { drawFaults, type PlannedFault } from '@hibiscusledge/stand-ins/fault-plan.js'
 
 export const FAULT_KINDS = [
   'kill', 'pause', 'plannedStop', 'muteLinks', 'cutLinks', 'cutStore', 'storeDown', 'storeHang', 'storeSlow', 'storeLoseReplies', 'storeFlap', 'storeRates',
@@ -6,29 +7,24 @@
 ] as const
 export type FaultKind = typeof FAULT_KINDS[number]
 
-export interface PlannedFault {
-  readonly kind: FaultKind
-  /** Time after the start of the plan. */
-  readonly atMs: number
-  readonly durationMs: number
-  /** Selects the instance or target, modulo their number, or seeds the random choices of the fault. */
-  readonly selector: number
-}
+/** One fault of a cell run. */
+export type CellFault = PlannedFault<FaultKind>
 
-const MIN_FAULTS = 2
-const MAX_FAULTS = 4
-const MIN_DURATION_MS = 1500
+const MINIMUM_FAULTS = 2
+const MAXIMUM_FAULTS = 4
+const FIRST_FAULT_AT_MS = 500
+const MINIMUM_DURATION_MS = 1_500
 /** Longer than the lease of 3 s, so that the lease expires during some faults. */
-const MAX_DURATION_MS = 6000
+const MAXIMUM_DURATION_MS = 6_000
 
-/** Draws the faults of one run. The kind of one of them follows from the seed alone, so that consecutive seeds cover all kinds. */
-export function drawFaultPlan (seed: number, random: RandomSource, sendDurationMs: number): PlannedFault[] {
-  const count = MIN_FAULTS + random.drawInteger(MAX_FAULTS - MIN_FAULTS + 1)
-  const faults = Array.from({ length: count }, (_, index) => ({
-    kind: FAULT_KINDS[index === 0 ? seed % FAULT_KINDS.length : random.drawInteger(FAULT_KINDS.length)] ?? 'kill',
-    atMs: 500 + random.drawInteger(sendDurationMs - 500),
-    durationMs: MIN_DURATION_MS + random.drawInteger(MAX_DURATION_MS - MIN_DURATION_MS),
-    selector: random.drawInteger(1000)
-  }))
-  return faults.sort((left, right) => left.atMs - right.atMs)
+/** Draws the faults of one run. */
+export function drawFaultPlan (seed: number, random: RandomSource, sendDurationMs: number): CellFault[] {
+  return drawFaults(FAULT_KINDS, seed, random, {
+    minimumFaults: MINIMUM_FAULTS,
+    maximumFaults: MAXIMUM_FAULTS,
+    firstAtMs: FIRST_FAULT_AT_MS,
+    lastAtMs: sendDurationMs,
+    minimumDurationMs: MINIMUM_DURATION_MS,
+    maximumDurationMs: MAXIMUM_DURATION_MS
+  })
 }
--- a/packages/cells/src/fault-run.ts
+++ b/packages/cells/src/fault-run.ts
@@ -2,13 +2,13 @@
 import { Caller, type CallerRecord } from './caller.js'
 import { Cell, readJson } from './cell.js'
 import { FaultInjector } from './fault-injector.js'
-import { drawFaultPlan, type PlannedFault } from './fault-plan.js'
+import { drawFaultPlan, type CellFault } from './fault-plan.js'
 import { checkHistory, type Violation } from './history-checker.js'
 import { FAULT_RUN_POOLS, FAULT_RUN_ROUTES } from './fault-run-tables.js'
 
 export interface FaultRunResult {
   readonly seed: number
-  readonly plan: readonly PlannedFault[]
+  readonly plan: readonly CellFault[]
   readonly violations: readonly Violation[]
   readonly outcomes: Readonly<Record<string, number>>
   readonly records: readonly CallerRecord[]
@@ -31,7 +31,7 @@
 const REQUEST_KINDS = ['enquiry', 'posting', 'reorder', 'sanitation', 'reconciliation'] as const
 
 /** Runs a small cell under the faults of a plan, by default one drawn from the seed, and checks its history against all invariants. */
-export async function runFaults (seed: number, plan?: readonly PlannedFault[]): Promise<FaultRunResult> {
+export async function runFaults (seed: number, plan?: readonly CellFault[]): Promise<FaultRunResult> {
   const random = new SeededRandomSource(seed)
   const cell = new Cell({
     instances: 4,
@@ -52,7 +52,7 @@
 }
 
 async function runPlanInCell (
-  cell: Cell, seed: number, random: SeededRandomSource, plan: readonly PlannedFault[]
+  cell: Cell, seed: number, random: SeededRandomSource, plan: readonly CellFault[]
 ): Promise<FaultRunResult> {
   const tables = { routes: FAULT_RUN_ROUTES, pools: FAULT_RUN_POOLS }
   const revision = await cell.applyTables(tables)
--- a/packages/model/src/virtual-clock.ts
+++ b/packages/model/src/virtual-clock.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from '@hibiscusledge/runtime/clock.js'
+import { startRepeatingTimer } from '@hibiscusledge/runtime/repeating-timer.js'
 
 const WALL_START_MS = 1_700_000_000_000
 
@@ -29,13 +30,7 @@
   }
 
   startInterval (periodMs: number, callback: () => void): Timer {
-    let current = this.startTimer(periodMs, run)
-    const clock = this
-    function run (): void {
-      current = clock.startTimer(periodMs, run)
-      callback()
-    }
-    return { cancel: () => current.cancel() }
+    return startRepeatingTimer(this, periodMs, callback)
   }
 
   /** Resolves after a delay. */
--- a/packages/runtime/src/fake-clock.ts
+++ b/packages/runtime/src/fake-clock.ts
@@ -1,4 +1,5 @@
 import type { Clock, Timer } from './clock.js'
+import { startRepeatingTimer } from './repeating-timer.js'
 
 interface PendingTimer {
   dueMs: number
@@ -33,13 +34,7 @@
   }
 
   startInterval (periodMs: number, callback: () => void): Timer {
-    let current = this.startTimer(periodMs, run)
-    const clock = this
-    function run (): void {
-      current = clock.startTimer(periodMs, run)
-      callback()
-    }
-    return { cancel: () => current.cancel() }
+    return startRepeatingTimer(this, periodMs, callback)
   }
 
   /** Advances the time and runs every timer that becomes due; pending promises settle between timers. */
--- a/packages/scheduling/src/work-item.ts
+++ b/packages/scheduling/src/work-item.ts
@@ -1,30 +1,13 @@
 import type { RequestId, TargetId } from '@hibiscusledge/runtime/identifiers.js'
-import type { Resources } from './resources.js'
-import type { Urgency } from './urgency.js'
+import type { WorkShape } from './work-shape.js'
 
 /** A request as the scheduler of a target shard sees it. Times are on the monotonic clock of the shard's owner. */
-export interface WorkItem {
+export interface WorkItem extends WorkShape {
   readonly requestId: RequestId
   readonly attempt: number
   readonly kind: string
   readonly customer: string
   readonly team: string
-  readonly pool: string
-  readonly urgency: Urgency
-  /** Declared size of one task. Ignored on executors, where each task takes one slot. */
-  readonly resources: Resources
-  /** Number of tasks, which must start together; 1 unless the item is a gang. */
-  readonly taskCount: number
-  /** May run more than once, so it may move to another target after a failure that leaves open whether it ran. */
-  readonly isIdempotent: boolean
-  /** Must never run on two targets at the same time. */
-  readonly isExclusive: boolean
-  /** Can be checkpointed and resumed, so it may be preempted. */
-  readonly isResumable: boolean
-  /** Runs until it is stopped. Services of the same kind are spread over racks. */
-  readonly isService: boolean
-  /** Declared run time; undefined when unknown. */
-  readonly runtimeMs: number | undefined
   readonly enqueuedAtMs: number
   readonly deadlineAtMs: number
   /** Targets that must not be chosen, such as those that failed an earlier attempt. */
