Keep the selection of steps and the final transaction as cheap as before

What is left and was changed: a fourth mutation for each finished job, in transactions that bursts fill, and a look at many targets for each waiting step. Change: an orphaned cancellation is deleted by the periodic cleanup; a step is compared with the smallest target first; turns are taken only while a service's targets are half empty.

--- a/packages/jobs/src/capacity-tracker.ts
+++ b/packages/jobs/src/capacity-tracker.ts
@@ -70,6 +70,15 @@
   }
 }
 
+/** Returns the smaller amount of each resource. */
+export function mergeMinimum (left: Resources, right: Resources): Resources {
+  return {
+    cpuMillis: Math.min(left.cpuMillis, right.cpuMillis),
+    memoryMb: Math.min(left.memoryMb, right.memoryMb),
+    accelerators: Math.min(left.accelerators, right.accelerators)
+  }
+}
+
 /** Returns what one task reserves of a target. Tasks that use idle capacity reserve no processor time. */
 export function computeReservedResources (size: Resources, usesIdleCapacity: boolean): Resources {
   return usesIdleCapacity ? { ...size, cpuMillis: 0 } : size
--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -14,6 +14,7 @@
 import { JobTable } from './job-table.js'
 import type { OwnerElection, Ownership } from './owner-election.js'
 import type { OwnerTimings } from './owner-timings.js'
+import { createPlaceholderDescription } from './placeholder-target.js'
 import { PlacementPlanner } from './placement-planner.js'
 import { buildMutations } from './progress-record.js'
 import { ProgressWriterPool } from './progress-writer-pool.js'
@@ -119,7 +120,7 @@
     this.#sessionContext = this.#createSessionContext()
     this.#workWatcher = new WorkWatcher(clock, logger, store, {
       onJob: (id, record) => { if (!this.#table.has(id)) this.#adoptRecord(record) },
-      onCancel: (id) => this.cancelJob(id)
+      onCancel: (id) => this.#applyStoredCancellation(id)
     })
     this.#cleaner = new FinishedCleaner(clock, store, ownership.ownerRevision, options.retentionMs)
   }
@@ -146,6 +147,7 @@
     this.#workRevision = recovery.val.workRevision
     this.#isReady = true
     for (const id of recovery.val.cancelledIds) this.#supervisor.cancelJob(id)
+    for (const id of recovery.val.orphanedIds) this.#cleaner.recordOrphanedCancellation(id)
     this.#workWatcher.start(recovery.val.workRevision)
     directory.subscribe({ onTargets: (targets) => this.#applyTargets(targets) })
     this.#timers = [
@@ -198,6 +200,13 @@
     return this.#table.countWaiting(queue)
   }
 
+  #applyStoredCancellation (id: string): void {
+    const finished = this.#table.findFinished(id)
+    // The final transaction of a cancelled job has deleted its cancellation.
+    if (finished !== undefined && finished.state !== JOB_STATES.cancelled) this.#cleaner.recordOrphanedCancellation(id)
+    this.cancelJob(id)
+  }
+
   #adoptRecord (text: string): void {
     const job = decodeJob(text)
     if (job.err) return this.#options.logger.logError(JOB_EVENTS.recordMalformed, { message: job.val })
@@ -284,16 +293,3 @@
     return session
   }
 }
-
-/** Describes a target that may have a run and that the directory hasn't listed yet. It gets no tasks. */
-function createPlaceholderDescription (id: string): TargetDescription {
-  return {
-    id,
-    address: '',
-    service: '',
-    failureDomain: '',
-    isDraining: true,
-    capacity: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
-    labels: []
-  }
-}
--- a/packages/jobs/src/progress-record.ts
+++ b/packages/jobs/src/progress-record.ts
@@ -51,8 +51,7 @@
     { type: 'put', key: formatFinishedKey(id), value: JSON.stringify(record) },
     { type: 'delete', key: formatJobKey(id) },
     { type: 'delete', key: formatProgressKey(id) },
-    // A cancellation may have been stored although the job was completed before the owner learned of it.
-    { type: 'delete', key: formatCancelKey(id) }
+    ...(progress.isCancelled ? [{ type: 'delete', key: formatCancelKey(id) } as const] : [])
   ]
 }
 
--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -34,6 +34,8 @@
   /** Revision at which accepted work was read; later changes must be watched. */
   readonly workRevision: number
   readonly cancelledIds: readonly string[]
+  /** Jobs of which a cancellation is stored and no record any more. */
+  readonly orphanedIds: readonly string[]
 }
 
 /** Reads all stored jobs, cancellations and progress records for a new owner, and adopts the jobs and their runs. */
@@ -53,7 +55,9 @@
     recoverJob(options, id, record, records.get(id))
   }
   logger.logInfo(JOB_EVENTS.recovered, { records: records.size, work: workListing.val.values.length, revision: workListing.val.revision })
-  return Ok({ workRevision: workListing.val.revision, cancelledIds })
+  const listedIds = new Set(jobs.map(({ id }) => id))
+  const orphanedIds = cancelledIds.filter((id) => !listedIds.has(id))
+  return Ok({ workRevision: workListing.val.revision, cancelledIds, orphanedIds })
 }
 
 async function waitForNextTurn (clock: Clock): Promise<void> {
--- a/packages/jobs/src/room-checker.ts
+++ b/packages/jobs/src/room-checker.ts
@@ -1,8 +1,11 @@
-import { computeReservedResources, countSlots, hasCapacity, mergeMaximum, subtractResources } from './capacity-tracker.js'
+import { computeReservedResources, countSlots, hasCapacity, mergeMaximum, mergeMinimum, subtractResources } from './capacity-tracker.js'
 import type { JobStep, Resources } from './job.js'
 import type { TargetView } from './target-view.js'
 
 const NO_RESOURCES: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+const ALL_RESOURCES: Resources = {
+  cpuMillis: Number.POSITIVE_INFINITY, memoryMb: Number.POSITIVE_INFINITY, accelerators: Number.POSITIVE_INFINITY
+}
 
 /** What a target could give to waiting work if it ran only the tasks that last. */
 interface Room {
@@ -14,6 +17,8 @@
   readonly rooms: Room[]
   /** The most of each resource in any room. */
   largest: Resources
+  /** The least of each resource in any room. */
+  smallest: Resources
 }
 
 /** Restrictions on where a step's tasks may run, besides the capacity and the label. */
@@ -37,6 +42,7 @@
       const size = computeRoom(target)
       service.rooms.push({ target, size })
       service.largest = mergeMaximum(service.largest, size)
+      service.smallest = mergeMinimum(service.smallest, size)
     }
   }
 
@@ -44,6 +50,9 @@
   countPlaceable (service: string, step: JobStep, pendingCount: number, { countByTarget, permittedIds }: PlacementLimits): number {
     const found = this.#services.get(service)
     if (found === undefined || !hasCapacity(found.largest, computeReservedResources(step.size, step.usesIdleCapacity))) return 0
+    const isRestricted = step.requiredLabel !== undefined || step.maximumPerTarget > 0 || permittedIds !== undefined
+    // Saves a look at each target in the usual case of targets that are alike.
+    if (!isRestricted && found.rooms.length * countSlots(found.smallest, step) >= pendingCount) return pendingCount
     let slots = 0
     for (const { target, size } of found.rooms) {
       if (step.requiredLabel !== undefined && !target.labels.includes(step.requiredLabel)) continue
@@ -59,7 +68,7 @@
   #ensureService (name: string): ServiceRooms {
     let service = this.#services.get(name)
     if (service === undefined) {
-      service = { rooms: [], largest: NO_RESOURCES }
+      service = { rooms: [], largest: NO_RESOURCES, smallest: ALL_RESOURCES }
       this.#services.set(name, service)
     }
     return service
--- a/packages/jobs/src/step-selector.ts
+++ b/packages/jobs/src/step-selector.ts
@@ -7,10 +7,12 @@
 import type { TargetView } from './target-view.js'
 import { TurnRotation } from './turn-rotation.js'
 import { compareUrgency, computeUrgency, type Urgency } from './urgency.js'
-import { countByTarget, listPlaceable, readStepName } from './waiting-tasks.js'
+import { countByTarget, countPlaceable, readStepName } from './waiting-tasks.js'
 
 /** Steps that a round considers in turn beyond the limit on waiting work. */
 const TURNS_PER_ROUND = 10
+/** Share of a service's processor capacity that is free while the work within the limit can't fill its targets. */
+const IDLE_SHARE = 0.5
 
 /** A step that a round considers. */
 export interface SelectedStep {
@@ -18,6 +20,8 @@
   readonly urgency: Urgency
   /** Active targets of the step's service, the usable ones first. */
   readonly activeIds: readonly string[]
+  /** Number of pending tasks that the job's limit on runs leaves room for. */
+  readonly pendingCount: number
   /** Whether a gang that doesn't fit may reserve capacity. */
   readonly mayReserve: boolean
 }
@@ -38,8 +42,9 @@
 
 /**
  * Selects the steps that a placement round considers, the most urgent first. Work that the usable targets couldn't hold even if
- * they ran only what lasts is passed over and doesn't count as demand. Of the work beyond the limit on demand, each round
- * considers a few steps in turn, so that nothing waits for good behind work that isn't served for another reason.
+ * they ran only what lasts is passed over and doesn't count as demand. While a service's targets are half empty, a round also
+ * considers a few steps beyond the limit on demand, in turn, so that nothing waits for good behind work that isn't served for
+ * another reason. In a full pool they would take the capacity that more urgent gangs wait for.
  */
 export class StepSelector {
   readonly #advice: AdviceState
@@ -66,7 +71,9 @@
       limiter.add(service, placeable * step.step.size.cpuMillis)
       yield selected
     }
-    for (const selected of this.#turns.choose(leftOut)) {
+    const idleServices = listIdleServices(targets.usable)
+    const waiting = leftOut.filter(({ ready: { progress } }) => idleServices.has(progress.job.terms.service))
+    for (const selected of this.#turns.choose(waiting)) {
       const { advice } = selected.ready.progress.job.terms
       if (advice !== undefined && !this.#advice.hasSpareTime(advice)) continue
       if (this.#countPlaceable(checker, selected, targets.nowMs) > 0) yield selected
@@ -74,14 +81,14 @@
   }
 
   /** Returns how many tasks of a step could be placed now if the usable targets ran only what lasts. */
-  #countPlaceable (checker: RoomChecker, { ready: { progress, step }, activeIds }: SelectedStep, nowMs: number): number {
+  #countPlaceable (checker: RoomChecker, { ready: { progress, step }, activeIds, pendingCount }: SelectedStep, nowMs: number): number {
     if (nowMs < step.notBeforeMs) return 0
     const { service, advice } = progress.job.terms
     const limits = {
       countByTarget: countByTarget(step),
       permittedIds: advice === undefined ? undefined : this.#listFinallyPermitted(readStepName(step), step.step.requiredLabel, activeIds)
     }
-    return checker.countPlaceable(service, step.step, listPlaceable(progress, step).length, limits)
+    return checker.countPlaceable(service, step.step, pendingCount, limits)
   }
 
   /** Returns the permitted targets once the policy service has answered for all that the step could use; otherwise undefined. */
@@ -93,11 +100,27 @@
   }
 }
 
+/** Lists the services whose targets have most of their processor capacity free. */
+function listIdleServices (targets: readonly TargetView[]): ReadonlySet<string> {
+  const excess = new Map<string, number>()
+  for (const { service, free, capacity } of targets) {
+    excess.set(service, (excess.get(service) ?? 0) + free.cpuMillis - capacity.cpuMillis * IDLE_SHARE)
+  }
+  return new Set([...excess].filter(([, millis]) => millis > 0).map(([service]) => service))
+}
+
 function sortByUrgency (ready: Iterable<ReadyStep>, { nowMs, activeIds }: RoundTargets): SelectedStep[] {
-  return [...ready].filter(({ step }) => step.countPending() > 0).map((entry): SelectedStep => ({
-    ready: entry,
-    urgency: computeUrgency(entry.progress, nowMs),
-    activeIds: activeIds.get(entry.progress.job.terms.service) ?? [],
-    mayReserve: true
-  })).sort((left, right) => compareUrgency(left.urgency, right.urgency))
+  const selected: SelectedStep[] = []
+  for (const entry of ready) {
+    const pendingCount = countPlaceable(entry.progress, entry.step)
+    if (pendingCount === 0) continue
+    selected.push({
+      ready: entry,
+      urgency: computeUrgency(entry.progress, nowMs),
+      activeIds: activeIds.get(entry.progress.job.terms.service) ?? [],
+      pendingCount,
+      mayReserve: true
+    })
+  }
+  return selected.sort((left, right) => compareUrgency(left.urgency, right.urgency))
 }
--- a/packages/jobs/src/waiting-tasks.ts
+++ b/packages/jobs/src/waiting-tasks.ts
@@ -17,6 +17,11 @@
   return step.step.isGang && pending.length > room ? [] : pending.slice(0, room)
 }
 
+/** Counts the tasks that {@link listPlaceable} returns. */
+export function countPlaceable (progress: JobProgress, step: StepProgress): number {
+  return progress.countOpenTasks() <= MAXIMUM_RUNS_PER_JOB ? step.countPending() : listPlaceable(progress, step).length
+}
+
 /** Counts the runs of a step on each target, if the step limits them. */
 export function countByTarget (step: StepProgress): Map<string, number> {
   const counts = new Map<string, number>()
--- a/packages/jobs/tests/step-selector.test.ts
+++ b/packages/jobs/tests/step-selector.test.ts
@@ -50,6 +50,13 @@
   t.is(listSelected(createSelector(true), createReady(4, true)).length, 4)
 })
 
+// Guards against less urgent work that takes the capacity for which gangs wait in a full pool.
+test('no step beyond the limit is selected while the targets are more than half full', (t) => {
+  const full = { ...TARGET, free: { ...CAPACITY, cpuMillis: CAPACITY.cpuMillis / 2 - 1 } }
+  const selected = [...createSelector().select(createReady(40), { ...ROUND, usable: [full] })]
+  t.deepEqual(selected.map(({ ready: { progress } }) => progress.job.id), ['j0', 'j1'])
+})
+
 test('a step that waits after failures leaves its place to others', (t) => {
   const ready = createReady(4)
   for (const { step } of ready.slice(0, 2)) step.notBeforeMs = NOW_MS + 1
--- a/packages/jobs/tests/work-watcher.test.ts
+++ b/packages/jobs/tests/work-watcher.test.ts
@@ -49,3 +49,16 @@
   t.deepEqual(handled.slice(5), ['cancel bb'])
   watcher.stop()
 })
+
+// Guards against cancellations that stay in the store for good.
+test('a cancellation stored while its job is being completed is deleted by the next cleanup', async (t) => {
+  const cell = await startCell(2, 2)
+  const owner = cell.findOwner()
+  if (owner === undefined) return t.fail()
+  t.is(await cell.submit(owner, createJob('aa', [createStep({ estimatedMs: 200 })])), 'stored')
+  t.true(await cell.advanceUntil(async () => await cell.readState(owner, 'aa') === 'completed', 4_000))
+  await storeWork(cell.store, [formatCancelKey('aa')])
+  await cell.clock.advanceBy(61_000)
+  const listing = await cell.store.listPrefix(formatCancelKey(''), 'background')
+  t.deepEqual(listing.ok ? listing.val.values : undefined, [])
+})
