Say in the log what the end of a run was concluded from

task.ended now has the basis of the conclusion. target.restarted has both starts, the target's clock and the age of the poll, so that a report that was overtaken by the answer to an order can be seen. No decision is changed; the tests of packages/jobs pass.

--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -225,7 +225,7 @@
       fencingToken: ownership.fencingToken,
       isAuthorized: () => election.isAuthorized(),
       isStoreHealthy: () => election.isStoreHealthy(),
-      onRunEnded: (run, outcome, checkpoint) => this.#supervisor.onRunEnded(run, outcome, checkpoint),
+      onRunEnded: (run, end) => this.#supervisor.onRunEnded(run, end),
       onRunStarted: (run) => this.#supervisor.onRunStarted(run),
       onCheckpoint: (run, checkpoint) => this.#supervisor.onCheckpoint(run, checkpoint),
       onUnknownRun: (reported, targetId) => this.#supervisor.createUnknownRun(reported, targetId),
--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -4,7 +4,7 @@
 import type { TargetClock } from './target-clock.js'
 import { ORDER_ERROR_CODES, type OrderError, type TargetDescription } from './target-gateway.js'
 import type { TargetHealth } from './target-health.js'
-import { formatTaskName, RUN_OUTCOMES, RUN_PHASES, type RunOutcome, type TaskRun } from './task-run.js'
+import { formatTaskName, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
 
 /** Contents of a start order besides the task name and the run number. */
 export interface StartParameters {
@@ -23,7 +23,7 @@
   /** Records that the target may hold a lease of this length from now on. */
   extendLeaseExpiry (nowMs: number, leaseMs: number): void
   pollNow (): void
-  endRun (run: TaskRun, outcome: RunOutcome, checkpoint: string): void
+  endRun (run: TaskRun, end: RunEnd): void
 }
 
 /** Sends the orders to start and stop runs on one target, and handles the answers. */
@@ -44,7 +44,7 @@
     const nowMs = clock.readMonotonicMs()
     const targetNowMs = session.clock.estimate(nowMs)
     const isAllowed = this.#context.isAuthorized() && !run.isStopWanted
-    if (targetNowMs === undefined || !isAllowed) return session.endRun(run, RUN_OUTCOMES.notStarted, '')
+    if (targetNowMs === undefined || !isAllowed) return session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.notSent })
     run.phase = RUN_PHASES.sent
     run.sentAtMs = nowMs
     session.extendLeaseExpiry(nowMs, timings.startValidityMs)
@@ -119,6 +119,6 @@
     if (error.code === ORDER_ERROR_CODES.unhealthy) session.health.recordRefusal(clock.readMonotonicMs())
     if (error.code === ORDER_ERROR_CODES.fenced) this.#context.onFenced()
     if (error.code === ORDER_ERROR_CODES.invalidTicket) this.#context.onTicketRefused(run)
-    session.endRun(run, RUN_OUTCOMES.notStarted, '')
+    session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.refused })
   }
 }
--- a/packages/jobs/src/session-context.ts
+++ b/packages/jobs/src/session-context.ts
@@ -2,7 +2,7 @@
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import type { OwnerTimings } from './owner-timings.js'
 import type { ReportedRun, TargetGateway } from './target-gateway.js'
-import type { RunOutcome, TaskRun } from './task-run.js'
+import type { RunEnd, TaskRun } from './task-run.js'
 
 /** Dependencies and callbacks that the owner provides to its target sessions. */
 export interface SessionContext {
@@ -15,7 +15,7 @@
   isAuthorized (): boolean
   /** Whether the store answers. While it doesn't, sessions extend leases to the maximum. */
   isStoreHealthy (): boolean
-  onRunEnded (run: TaskRun, outcome: RunOutcome, checkpoint: string): void
+  onRunEnded (run: TaskRun, end: RunEnd): void
   onRunStarted (run: TaskRun): void
   onCheckpoint (run: TaskRun, checkpoint: string): void
   /** Handles a run that the owner doesn't know. Returns the run to track, with `isStopWanted` set, or undefined to ignore it. */
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -12,7 +12,7 @@
 } from './target-gateway.js'
 import { TargetHealth } from './target-health.js'
 import type { CapacityTracker } from './capacity-tracker.js'
-import { formatReportedRunKey, formatRunKey, RUN_OUTCOMES, RUN_PHASES, type RunOutcome, type TaskRun } from './task-run.js'
+import { formatReportedRunKey, formatRunKey, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
 
 /** The owner's session with one target: sends orders and polls, extends the lease, and tracks the runs and their capacity. */
 export class TargetSession {
@@ -48,7 +48,7 @@
       isStopped: () => this.#isStopped,
       extendLeaseExpiry: (nowMs, leaseMs) => this.#extendLeaseExpiry(nowMs, leaseMs),
       pollNow: () => this.pollNow(),
-      endRun: (run, outcome, checkpoint) => this.#endRun(run, outcome, checkpoint)
+      endRun: (run, end) => this.#endRun(run, end)
     })
     this.#abandonedOrders = new AbandonedOrders(context)
     this.#endTracker = new RunEndTracker(context.timings.rememberedEnds)
@@ -141,7 +141,7 @@
     const silentMs = Math.round(nowMs - this.#lastAnswerMs)
     this.#context.logger.logWarning(JOB_EVENTS.targetLeaseLapsed, { target: this.id, runs: this.#runs.count(), silentMs })
     this.#hasReported = false
-    for (const run of this.#runs.copy()) this.#endRun(run, RUN_OUTCOMES.lapsed, '')
+    for (const run of this.#runs.copy()) this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.leaseExpired })
   }
 
   /** Polls the target at once; it answers without waiting for a run to end. */
@@ -149,8 +149,9 @@
     void this.#poll(0)
   }
 
-  #endRun (run: TaskRun, outcome: RunOutcome, checkpoint: string): void {
+  #endRun (run: TaskRun, end: RunEnd): void {
     if (!this.#runs.remove(run)) return
+    const { outcome } = end
     const nowMs = this.#context.clock.readMonotonicMs()
     const mayStillArrive = outcome === RUN_OUTCOMES.lapsed && run.phase === RUN_PHASES.unsettled
     if (mayStillArrive) this.#abandonedOrders.add(run)
@@ -159,7 +160,7 @@
       const isNowSuspected = this.health.recordEnd(nowMs, run.task.jobId, outcome === RUN_OUTCOMES.failed)
       if (isNowSuspected) this.#context.logger.logWarning(JOB_EVENTS.targetSuspected, { target: this.id })
     }
-    this.#context.onRunEnded(run, outcome, checkpoint)
+    this.#context.onRunEnded(run, end)
     this.#context.onCapacityChanged()
   }
 
@@ -211,7 +212,7 @@
     const nowMs = this.#context.clock.readMonotonicMs()
     const isFirst = !this.#hasReported
     if (this.#startedAtMs !== undefined && report.startedAtMs < this.#startedAtMs) return false
-    if (this.#startedAtMs !== undefined && report.startedAtMs > this.#startedAtMs) this.#onTargetRestarted(report)
+    if (this.#startedAtMs !== undefined && report.startedAtMs > this.#startedAtMs) this.#onTargetRestarted(report, sentAtMs)
     this.#startedAtMs = report.startedAtMs
     const hasReturned = isFirst || this.#failedPolls > 0
     if (hasReturned) this.#context.logger.logInfo(JOB_EVENTS.targetReached, { target: this.id, running: report.running.length })
@@ -255,7 +256,7 @@
     if (run === undefined) return
     const hasRun = reported.outcome === RUN_OUTCOMES.done || reported.outcome === RUN_OUTCOMES.failed
     if (hasRun) this.#orders.markRunning(run)
-    this.#endRun(run, reported.outcome, reported.checkpoint)
+    this.#endRun(run, { outcome: reported.outcome, basis: RUN_END_BASES.reported, checkpoint: reported.checkpoint })
   }
 
   /** Ends or stops a run that the target reports neither as running nor as ended. */
@@ -263,19 +264,26 @@
     if (runningKeys.has(formatRunKey(run)) || run.phase === RUN_PHASES.reserved || run.sentAtMs >= sentAtMs) return
     if (run.phase === RUN_PHASES.running) {
       // The start was answered before the poll was sent, so the run has ended and the target no longer reports it.
-      if (sentAtMs - run.sentAtMs > this.#context.timings.orderTimeoutMs) this.#endRun(run, RUN_OUTCOMES.lapsed, '')
-      return
+      if (sentAtMs - run.sentAtMs <= this.#context.timings.orderTimeoutMs) return
+      return this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.unlisted })
     }
     if (run.phase !== RUN_PHASES.unsettled) return
     const isFromEarlierOwner = run.sentAtMs === Number.NEGATIVE_INFINITY
     // The target has seen this owner's fencing token, so it refuses an order of an earlier owner that is still in transit.
-    if (isFromEarlierOwner || run.isStopAcknowledged) return this.#endRun(run, RUN_OUTCOMES.notStarted, '')
-    this.requestStop(run)
+    if (!isFromEarlierOwner && !run.isStopAcknowledged) return this.requestStop(run)
+    this.#endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.unlisted })
   }
 
   /** Handles a restart: the target has lost the fencing token and all earlier orders, and has run only what it reports. */
-  #onTargetRestarted ({ running, ended }: TargetReport): void {
-    this.#context.logger.logWarning(JOB_EVENTS.targetRestarted, { target: this.id, runs: this.#runs.count() })
+  #onTargetRestarted ({ startedAtMs, targetClockMs, running, ended }: TargetReport, sentAtMs: number): void {
+    this.#context.logger.logWarning(JOB_EVENTS.targetRestarted, {
+      target: this.id,
+      runs: this.#runs.count(),
+      previousStartedAtMs: this.#startedAtMs,
+      startedAtMs,
+      targetClockMs: Math.round(targetClockMs),
+      pollAgeMs: Math.round(this.#context.clock.readMonotonicMs() - sentAtMs)
+    })
     this.#endTracker.reset()
     this.#clock.reset()
     const reportedKeys = new Set([...running, ...ended].map((reported) => formatReportedRunKey(reported)))
@@ -284,7 +292,7 @@
       const mayStillArrive = run.phase === RUN_PHASES.sent || run.phase === RUN_PHASES.unsettled
       if (run.phase === RUN_PHASES.reserved) continue
       if (!mayStillArrive || run.sentAtMs === Number.NEGATIVE_INFINITY) {
-        this.#endRun(run, RUN_OUTCOMES.lapsed, '')
+        this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.restarted })
         continue
       }
       // A start order sent to the earlier incarnation may still reach this one, which would accept it.
--- a/packages/jobs/src/task-run.ts
+++ b/packages/jobs/src/task-run.ts
@@ -26,6 +26,31 @@
 } as const
 export type RunOutcome = typeof RUN_OUTCOMES[keyof typeof RUN_OUTCOMES]
 
+/** What the end of a run was concluded from. */
+export const RUN_END_BASES = {
+  /** The target reported the end. */
+  reported: 'reported',
+  /** A report listed the run neither as running nor as ended. */
+  unlisted: 'unlisted',
+  /** A report came from a later incarnation of the target. */
+  restarted: 'restarted',
+  /** Every lease granted to the target has surely expired. */
+  leaseExpired: 'leaseExpired',
+  /** The target refused the start order. */
+  refused: 'refused',
+  /** The start order was never sent. */
+  notSent: 'notSent'
+} as const
+export type RunEndBasis = typeof RUN_END_BASES[keyof typeof RUN_END_BASES]
+
+/** The end of a run, as the owner concluded it. */
+export interface RunEnd {
+  readonly outcome: RunOutcome
+  readonly basis: RunEndBasis
+  /** The run's last checkpoint; undefined when it has left none. */
+  readonly checkpoint?: string | undefined
+}
+
 /** Identifies a task. */
 export interface TaskKey {
   readonly jobId: string
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -10,7 +10,7 @@
 import type { StepProgress, TaskProgress } from './step-progress.js'
 import type { ReportedRun } from './target-gateway.js'
 import { computeReservedResources } from './capacity-tracker.js'
-import { formatTaskName, parseTaskName, RUN_OUTCOMES, RUN_PHASES, type RunOutcome, type TaskRun } from './task-run.js'
+import { formatTaskName, parseTaskName, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type RunOutcome, type TaskRun } from './task-run.js'
 
 /** A run without progress for this long is stalled. */
 const STALL_TIMEOUT_MS = 2_500
@@ -106,7 +106,7 @@
     if (task !== undefined && !task.isDone) task.checkpoint = checkpoint
   }
 
-  onRunEnded (run: TaskRun, outcome: RunOutcome, checkpoint: string): void {
+  onRunEnded (run: TaskRun, { outcome, basis, checkpoint }: RunEnd): void {
     const { table, logger, clock } = this.#options
     logger.logInfo(JOB_EVENTS.taskEnded, {
       jobId: run.task.jobId,
@@ -114,6 +114,7 @@
       run: run.number,
       target: run.targetId,
       outcome,
+      basis,
       afterMs: Number.isFinite(run.sentAtMs) ? Math.round(clock.readMonotonicMs() - run.sentAtMs) : undefined
     })
     this.#options.metrics.incrementCounter(JOB_METRICS.runsEnded, 1, { outcome })
@@ -122,7 +123,7 @@
     const task = step?.tasks[run.task.index]
     if (progress === undefined || step === undefined || task === undefined) return
     if (task.run === run) task.run = undefined
-    if (checkpoint !== '' && !task.isDone) task.checkpoint = checkpoint
+    if (checkpoint !== undefined && checkpoint !== '' && !task.isDone) task.checkpoint = checkpoint
     this.#options.markChanged(progress.job.id)
     if (progress.isClosed) return this.#finishIfDone(progress)
     this.#applyOutcome(progress, step, task, run, outcome)
--- a/packages/jobs/tests/target-session.test.ts
+++ b/packages/jobs/tests/target-session.test.ts
@@ -48,7 +48,7 @@
     fencingToken: 1,
     isAuthorized: () => true,
     isStoreHealthy: () => true,
-    onRunEnded: (run, outcome) => {
+    onRunEnded: (run, { outcome }) => {
       noticedAtMs.set(run.task.jobId, clock.readMonotonicMs())
       outcomes.set(run.task.jobId, outcome)
     },
