Judge runs by the order of messages, and keep what belongs to one incarnation together

Cause: on a report of a restarted target, each run that the report didn't list was ended as lapsed. A report that was written before a start order took effect, and read after the answer to the order, doesn't list that run. Its task was placed again within a write and a round trip, and the run was hidden from all later reports, since it counted as ended: no stop order was ever sent.

Change: a session numbers what it sends and receives. That a run isn't listed says something only if the owner knew of the run before it sent the poll, whichever incarnation reports. The same holds for a run that was never seen, with the answer to its stop order. A restart alone ends no run any more. What means nothing in another incarnation (clock, numbers of ends, answers to stops) is kept in TargetIncarnation and dropped with it. A later incarnation is recognized by the order of messages, not by its start, which is lower after a clock was set back: such a target was ignored for good. Only ends that the target has listed hide a run from an older report.

--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -231,8 +231,9 @@
       phase: RUN_PHASES.reserved,
       sentAtMs: nowMs,
       expectedEndMs: computeExpectedEndMs(step.step, nowMs + RUN_OVERHEAD_MS),
+      confirmedAt: undefined,
       isStopWanted: false,
-      isStopAcknowledged: false,
+      stopAcknowledgedAt: undefined,
       percent: 0,
       percentChangedAtMs: nowMs
     }
--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -101,8 +101,9 @@
         phase: RUN_PHASES.unsettled,
         sentAtMs: Number.NEGATIVE_INFINITY,
         expectedEndMs: computeExpectedEndMs(step.step, clock.readMonotonicMs()),
+        confirmedAt: undefined,
         isStopWanted: false,
-        isStopAcknowledged: false,
+        stopAcknowledgedAt: undefined,
         percent: 0,
         percentChangedAtMs: clock.readMonotonicMs()
       }
--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -1,7 +1,8 @@
 import { JOB_EVENTS } from './job-events.js'
+import type { MessageOrder } from './message-order.js'
 import type { SessionContext } from './session-context.js'
 import type { SessionRuns } from './session-runs.js'
-import type { TargetClock } from './target-clock.js'
+import type { TargetIncarnation } from './target-incarnation.js'
 import { ORDER_ERROR_CODES, type OrderError, type TargetDescription } from './target-gateway.js'
 import type { TargetHealth } from './target-health.js'
 import { formatTaskName, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
@@ -16,12 +17,16 @@
 /** State and operations of a target session that its order sender uses. */
 export interface OrderSession {
   readonly runs: SessionRuns
-  readonly clock: TargetClock
+  readonly messages: MessageOrder
   readonly health: TargetHealth
   readDescription (): TargetDescription
   isStopped (): boolean
+  /** Returns the incarnation that reported last; undefined before the first report. */
+  readIncarnation (): TargetIncarnation | undefined
   /** Records that the target may hold a lease of this length from now on. */
   extendLeaseExpiry (nowMs: number, leaseMs: number): void
+  /** Records the clock reading of an answer to an order that was sent at `sentAtMs`, while `incarnation` was the last to report. */
+  recordReading (targetClockMs: number, sentAtMs: number, incarnation: TargetIncarnation): void
   pollNow (): void
   endRun (run: TaskRun, end: RunEnd): void
 }
@@ -42,9 +47,12 @@
     const session = this.#session
     if (session.isStopped() || !session.runs.has(run)) return
     const nowMs = clock.readMonotonicMs()
-    const targetNowMs = session.clock.estimate(nowMs)
+    const incarnation = session.readIncarnation()
+    const targetNowMs = incarnation?.clock.estimate(nowMs)
     const isAllowed = this.#context.isAuthorized() && !run.isStopWanted
-    if (targetNowMs === undefined || !isAllowed) return session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.notSent })
+    if (incarnation === undefined || targetNowMs === undefined || !isAllowed) {
+      return session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.notSent })
+    }
     run.phase = RUN_PHASES.sent
     run.sentAtMs = nowMs
     session.extendLeaseExpiry(nowMs, timings.startValidityMs)
@@ -58,7 +66,7 @@
       ticket: parameters.ticket
     })
     if (session.isStopped() || !session.runs.has(run)) return
-    if (result.ok) return this.#onStartAnswered(run, result.val.targetClockMs)
+    if (result.ok) return this.#onStartAnswered(run, result.val.targetClockMs, incarnation)
     this.#onStartFailed(run, result.val)
   }
 
@@ -74,31 +82,45 @@
     const { gateway, fencingToken, clock, timings, logger } = this.#context
     const session = this.#session
     const target = session.readDescription()
+    const incarnation = session.readIncarnation()
     logger.logInfo(JOB_EVENTS.taskStopRequested, {
       jobId: run.task.jobId, task: formatTaskName(run.task), run: run.number, target: target.id
     })
     const result = await gateway.stopRun(target, { taskName: formatTaskName(run.task), run: run.number, fencingToken })
     if (session.isStopped() || !session.runs.has(run)) return
     if (result.ok) {
-      run.isStopAcknowledged = true
+      // An earlier incarnation may have answered.
+      if (session.readIncarnation() !== incarnation) return await this.sendStop(run)
+      run.stopAcknowledgedAt = session.messages.advance()
       if (run.phase === RUN_PHASES.unsettled) session.pollNow()
       return
     }
     if (result.val.code === ORDER_ERROR_CODES.fenced) return this.#context.onFenced()
     clock.startTimer(timings.stopRetryMs, () => {
-      if (!session.isStopped() && !run.isStopAcknowledged && session.runs.has(run)) void this.sendStop(run)
+      if (!session.isStopped() && run.stopAcknowledgedAt === undefined && session.runs.has(run)) void this.sendStop(run)
     })
   }
 
+  /** Sends the stop orders again that an earlier incarnation of the target has received, since the present one doesn't know them. */
+  sendStopsAgain (): void {
+    for (const run of this.#session.runs.list()) {
+      if (run.stopAcknowledgedAt === undefined) continue
+      run.stopAcknowledgedAt = undefined
+      void this.sendStop(run)
+    }
+  }
+
+  /** Records that the run is on the target. */
   markRunning (run: TaskRun): void {
     if (run.phase === RUN_PHASES.running) return
     run.phase = RUN_PHASES.running
+    run.confirmedAt = this.#session.messages.advance()
     this.#context.onRunStarted(run)
   }
 
-  #onStartAnswered (run: TaskRun, targetClockMs: number): void {
-    this.#session.clock.update(targetClockMs, this.#context.clock.readMonotonicMs())
+  #onStartAnswered (run: TaskRun, targetClockMs: number, incarnation: TargetIncarnation): void {
     this.markRunning(run)
+    this.#session.recordReading(targetClockMs, run.sentAtMs, incarnation)
     if (run.isStopWanted) void this.sendStop(run)
   }
 
--- a/packages/jobs/src/target-clock.ts
+++ b/packages/jobs/src/target-clock.ts
@@ -17,7 +17,8 @@
   /** Returns a lower bound of the target's clock, in milliseconds; undefined before the first answer. */
   estimate (nowMs: number): number | undefined {
     if (this.#targetMs === undefined) return undefined
-    return this.#targetMs + (nowMs - this.#receivedAtMs) * (1 - CLOCK_DRIFT_SHARE)
+    const elapsedMs = nowMs - this.#receivedAtMs
+    return this.#targetMs + (elapsedMs > 0 ? elapsedMs * (1 - CLOCK_DRIFT_SHARE) : elapsedMs)
   }
 
   reset (): void {
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -1,18 +1,17 @@
 import { AbandonedOrders } from './abandoned-orders.js'
-import { RunEndTracker } from './run-end-tracker.js'
+import { MessageOrder, type MessagePosition } from './message-order.js'
 import { JOB_EVENTS } from './job-events.js'
 import { PollTimer } from './poll-timer.js'
 import { computeEarlierLeaseBoundMs, computeLeaseBoundMs } from './owner-timings.js'
+import { ReportApplier, type SentPoll } from './report-applier.js'
 import { RunOrderSender, type StartParameters } from './run-order-sender.js'
 import type { SessionContext } from './session-context.js'
 import { SessionRuns } from './session-runs.js'
-import { TargetClock } from './target-clock.js'
-import {
-  ORDER_ERROR_CODES, type OrderError, type ReportedEnd, type ReportedRun, type TargetDescription, type TargetReport
-} from './target-gateway.js'
+import { ORDER_ERROR_CODES, type OrderError, type TargetDescription, type TargetReport } from './target-gateway.js'
 import { TargetHealth } from './target-health.js'
+import { TargetIncarnation } from './target-incarnation.js'
 import type { CapacityTracker } from './capacity-tracker.js'
-import { formatReportedRunKey, formatRunKey, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
+import { RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
 
 /** The owner's session with one target: sends orders and polls, extends the lease, and tracks the runs and their capacity. */
 export class TargetSession {
@@ -21,13 +20,16 @@
   readonly #context: SessionContext
   readonly #runs: SessionRuns
   readonly #orders: RunOrderSender
-  readonly #clock = new TargetClock()
+  readonly #reports: ReportApplier
+  readonly #messages = new MessageOrder()
   readonly #abandonedOrders: AbandonedOrders
-  readonly #endTracker: RunEndTracker
   readonly #pollTimer: PollTimer
-  #startedAtMs: number | undefined
+  /** The incarnation that reported last. */
+  #incarnation: TargetIncarnation | undefined
   /** Monotonic time before which a draining target doesn't leave. */
   #leavesAtMs: number | undefined
+  /** An order was answered by another incarnation than the one that reported last. */
+  #isRestartSuspected = false
   #isListed = true
   #hasReported = false
   #isStopped = false
@@ -42,8 +44,10 @@
     this.#runs = new SessionRuns(description.capacity)
     this.#orders = new RunOrderSender(context, {
       runs: this.#runs,
-      clock: this.#clock,
+      messages: this.#messages,
       health: this.health,
+      readIncarnation: () => this.#incarnation,
+      recordReading: (targetClockMs, sentAtMs, incarnation) => this.#recordReading(targetClockMs, sentAtMs, incarnation),
       readDescription: () => this.#description,
       isStopped: () => this.#isStopped,
       extendLeaseExpiry: (nowMs, leaseMs) => this.#extendLeaseExpiry(nowMs, leaseMs),
@@ -51,7 +55,12 @@
       endRun: (run, end) => this.#endRun(run, end)
     })
     this.#abandonedOrders = new AbandonedOrders(context)
-    this.#endTracker = new RunEndTracker(context.timings.rememberedEnds)
+    this.#reports = new ReportApplier(context, {
+      targetId: description.id,
+      runs: this.#runs,
+      orders: this.#orders,
+      endRun: (run, end) => this.#endRun(run, end)
+    })
     this.#pollTimer = new PollTimer(context.clock, async () => await this.#runScheduledPoll())
     const nowMs = context.clock.readMonotonicMs()
     this.#lastAnswerMs = nowMs
@@ -71,7 +80,7 @@
 
   /** Whether the target may get tasks: it is active, has answered this owner recently, and is healthy. */
   isUsable (nowMs: number): boolean {
-    return this.#hasReported && this.isActive() && this.#abandonedOrders.isEmpty() &&
+    return this.#hasReported && !this.#isRestartSuspected && this.isActive() && this.#abandonedOrders.isEmpty() &&
       nowMs - this.#lastAnswerMs < this.#context.timings.unresponsiveMs && this.health.shouldReceiveTasks(nowMs, this.#runs.count())
   }
 
@@ -110,7 +119,8 @@
     this.#description = description
     this.#isListed = true
     this.capacity.setCapacity(description.capacity)
-    const hasRestarted = (description.startedAtMs ?? 0) > (this.#startedAtMs ?? Number.POSITIVE_INFINITY)
+    const hasRestarted = description.startedAtMs !== undefined && this.#incarnation !== undefined &&
+      description.startedAtMs !== this.#incarnation.startedAtMs
     if (hasMoved || hasRestarted) this.#pollTimer.schedule(0)
   }
 
@@ -155,7 +165,6 @@
     const nowMs = this.#context.clock.readMonotonicMs()
     const mayStillArrive = outcome === RUN_OUTCOMES.lapsed && run.phase === RUN_PHASES.unsettled
     if (mayStillArrive) this.#abandonedOrders.add(run)
-    this.#endTracker.rememberEndedRun(formatRunKey(run))
     if (outcome === RUN_OUTCOMES.done || outcome === RUN_OUTCOMES.failed) {
       const isNowSuspected = this.health.recordEnd(nowMs, run.task.jobId, outcome === RUN_OUTCOMES.failed)
       if (isNowSuspected) this.#context.logger.logWarning(JOB_EVENTS.targetSuspected, { target: this.id })
@@ -180,19 +189,20 @@
   async #poll (waitMs: number): Promise<boolean> {
     const { clock, gateway, timings, fencingToken } = this.#context
     const sentAtMs = clock.readMonotonicMs()
-    const targetNowMs = this.#clock.estimate(sentAtMs)
+    const sentAt = this.#messages.advance()
+    const targetNowMs = this.#incarnation?.clock.estimate(sentAtMs)
     const leaseMs = this.#context.isStoreHealthy() ? timings.leaseMs : timings.maximumLeaseMs
     // An unresponsive target may still receive the poll. Its lease is not extended, since it must expire before the tasks run elsewhere.
     const isExtending = targetNowMs !== undefined && this.#failedPolls === 0 && this.#context.isAuthorized()
     if (isExtending) this.#extendLeaseExpiry(sentAtMs, leaseMs)
     const result = await gateway.fetchReport(this.#description, {
       fencingToken,
-      acknowledgedEnd: this.#endTracker.readStoredEnd(),
+      acknowledgedEnd: this.#incarnation?.ends.readStoredEnd() ?? 0,
       leaseUntilMs: isExtending ? Math.floor(targetNowMs + leaseMs) : undefined,
       waitMs
     })
     if (this.#isStopped) return false
-    if (result.ok) return this.#applyReport(result.val, sentAtMs)
+    if (result.ok) return this.#applyReport(result.val, { sentAt, sentAtMs })
     this.#onPollFailed(result.val)
     return false
   }
@@ -208,98 +218,69 @@
     if (error.code === ORDER_ERROR_CODES.fenced) this.#context.onFenced()
   }
 
-  #applyReport (report: TargetReport, sentAtMs: number): boolean {
+  #applyReport (report: TargetReport, poll: SentPoll): boolean {
     const nowMs = this.#context.clock.readMonotonicMs()
-    const isFirst = !this.#hasReported
-    if (this.#startedAtMs !== undefined && report.startedAtMs < this.#startedAtMs) return false
-    if (this.#startedAtMs !== undefined && report.startedAtMs > this.#startedAtMs) this.#onTargetRestarted(report, sentAtMs)
-    this.#startedAtMs = report.startedAtMs
-    const hasReturned = isFirst || this.#failedPolls > 0
-    if (hasReturned) this.#context.logger.logInfo(JOB_EVENTS.targetReached, { target: this.id, running: report.running.length })
-    this.#failedPolls = 0
-    this.#hasReported = true
-    this.#lastAnswerMs = nowMs
-    this.#clock.update(report.targetClockMs, nowMs)
-    const newEnds = this.#endTracker.selectNew(report.ended)
-    const runningKeys = new Set(report.running.map((reported) => formatReportedRunKey(reported)))
-    for (const reported of report.running) this.#applyRunning(reported, nowMs)
-    for (const reported of newEnds) this.#applyEnd(reported)
-    // A run that is not listed may be among the ends that the target did not report this time.
-    if (report.hasMoreEnds !== true) for (const run of this.#runs.copy()) this.#checkUnreported(run, runningKeys, sentAtMs)
+    const receivedAt = this.#messages.advance()
+    const incarnation = this.#resolveIncarnation(report, poll, receivedAt)
+    if (incarnation === undefined) {
+      this.pollNow()
+      return false
+    }
+    const isNewest = incarnation.recordReport(report, poll.sentAt, receivedAt, nowMs)
+    this.#recordContact(report, nowMs)
+    const newEnds = incarnation.ends.selectNew(report.ended)
+    this.#reports.applyEnds(newEnds, incarnation)
+    if (isNewest) this.#reports.applyNewest(report, poll, incarnation)
     this.#abandonedOrders.stopAll(this.#description)
-    if (newEnds.length > 0) this.#endTracker.acknowledge(newEnds, this.#context.runWhenStored)
-    if (isFirst) this.#context.onCapacityChanged()
+    if (newEnds.length > 0) incarnation.ends.acknowledge(newEnds, this.#context.runWhenStored)
     return report.ended.length > 0
   }
 
-  #applyRunning (reported: ReportedRun, nowMs: number): void {
-    const key = formatReportedRunKey(reported)
-    if (this.#endTracker.hasEnded(key)) return
-    let run = this.#runs.find(key)
-    if (run === undefined) {
-      run = this.#context.onUnknownRun(reported, this.id)
-      if (run === undefined) return
-      this.#runs.add(run)
-      void this.#orders.sendStop(run)
-      return
-    }
-    this.#orders.markRunning(run)
-    if (reported.percent !== run.percent) {
-      run.percent = reported.percent
-      run.percentChangedAtMs = nowMs
-    }
-    if (reported.checkpoint !== '') this.#context.onCheckpoint(run, reported.checkpoint)
-  }
-
-  #applyEnd (reported: ReportedEnd): void {
-    const run = this.#runs.find(formatReportedRunKey(reported))
-    if (run === undefined) return
-    const hasRun = reported.outcome === RUN_OUTCOMES.done || reported.outcome === RUN_OUTCOMES.failed
-    if (hasRun) this.#orders.markRunning(run)
-    this.#endRun(run, { outcome: reported.outcome, basis: RUN_END_BASES.reported, checkpoint: reported.checkpoint })
-  }
-
-  /** Ends or stops a run that the target reports neither as running nor as ended. */
-  #checkUnreported (run: TaskRun, runningKeys: ReadonlySet<string>, sentAtMs: number): void {
-    if (runningKeys.has(formatRunKey(run)) || run.phase === RUN_PHASES.reserved || run.sentAtMs >= sentAtMs) return
-    if (run.phase === RUN_PHASES.running) {
-      // The start was answered before the poll was sent, so the run has ended and the target no longer reports it.
-      if (sentAtMs - run.sentAtMs <= this.#context.timings.orderTimeoutMs) return
-      return this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.unlisted })
-    }
-    if (run.phase !== RUN_PHASES.unsettled) return
-    const isFromEarlierOwner = run.sentAtMs === Number.NEGATIVE_INFINITY
-    // The target has seen this owner's fencing token, so it refuses an order of an earlier owner that is still in transit.
-    if (!isFromEarlierOwner && !run.isStopAcknowledged) return this.requestStop(run)
-    this.#endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.unlisted })
+  /** Returns the incarnation that wrote a report; undefined when that one may have ended since. */
+  #resolveIncarnation (report: TargetReport, poll: SentPoll, receivedAt: MessagePosition): TargetIncarnation | undefined {
+    const current = this.#incarnation
+    if (current?.startedAtMs === report.startedAtMs) return current
+    if (current !== undefined && !current.isSucceededBy(poll.sentAt)) return undefined
+    const incarnation = new TargetIncarnation(report.startedAtMs, receivedAt, this.#context.timings.rememberedEnds)
+    this.#incarnation = incarnation
+    if (current !== undefined) this.#onTargetRestarted(report, poll, current)
+    return incarnation
   }
 
-  /** Handles a restart: the target has lost the fencing token and all earlier orders, and has run only what it reports. */
-  #onTargetRestarted ({ startedAtMs, targetClockMs, running, ended }: TargetReport, sentAtMs: number): void {
+  /** Handles a restart. The runs are judged by the reports: an order that was sent before may have taken effect on either side of it. */
+  #onTargetRestarted ({ startedAtMs, targetClockMs }: TargetReport, poll: SentPoll, previous: TargetIncarnation): void {
     this.#context.logger.logWarning(JOB_EVENTS.targetRestarted, {
       target: this.id,
       runs: this.#runs.count(),
-      previousStartedAtMs: this.#startedAtMs,
+      previousStartedAtMs: previous.startedAtMs,
       startedAtMs,
       targetClockMs: Math.round(targetClockMs),
-      pollAgeMs: Math.round(this.#context.clock.readMonotonicMs() - sentAtMs)
+      pollAgeMs: Math.round(this.#context.clock.readMonotonicMs() - poll.sentAtMs)
     })
-    this.#endTracker.reset()
-    this.#clock.reset()
-    const reportedKeys = new Set([...running, ...ended].map((reported) => formatReportedRunKey(reported)))
-    for (const run of this.#runs.copy()) {
-      if (reportedKeys.has(formatRunKey(run))) continue
-      const mayStillArrive = run.phase === RUN_PHASES.sent || run.phase === RUN_PHASES.unsettled
-      if (run.phase === RUN_PHASES.reserved) continue
-      if (!mayStillArrive || run.sentAtMs === Number.NEGATIVE_INFINITY) {
-        this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.restarted })
-        continue
-      }
-      // A start order sent to the earlier incarnation may still reach this one, which would accept it.
-      run.phase = RUN_PHASES.unsettled
-      run.isStopAcknowledged = false
-      run.isStopWanted = true
-      void this.#orders.sendStop(run)
-    }
+    this.#orders.sendStopsAgain()
+  }
+
+  #recordContact (report: TargetReport, nowMs: number): void {
+    const isFirst = !this.#hasReported
+    const hasReturned = isFirst || this.#failedPolls > 0
+    if (hasReturned) this.#context.logger.logInfo(JOB_EVENTS.targetReached, { target: this.id, running: report.running.length })
+    this.#failedPolls = 0
+    this.#isRestartSuspected = false
+    this.#hasReported = true
+    this.#lastAnswerMs = nowMs
+    if (isFirst) this.#context.onCapacityChanged()
+  }
+
+  /** Polls a target of which an order was answered by an incarnation that hasn't reported yet. */
+  #suspectRestart (): void {
+    if (this.#isRestartSuspected) return
+    this.#isRestartSuspected = true
+    this.pollNow()
+  }
+
+  #recordReading (targetClockMs: number, sentAtMs: number, incarnation: TargetIncarnation): void {
+    if (incarnation !== this.#incarnation) return
+    if (incarnation.isClockAhead(targetClockMs, sentAtMs)) return this.#suspectRestart()
+    incarnation.clock.update(targetClockMs, this.#context.clock.readMonotonicMs())
   }
 }
--- a/packages/jobs/src/task-run.ts
+++ b/packages/jobs/src/task-run.ts
@@ -1,4 +1,5 @@
 import type { JobStep, Resources } from './job.js'
+import type { MessagePosition } from './message-order.js'
 
 export const RUN_PHASES = {
   /** Capacity is reserved; the intent is not stored yet. */
@@ -71,9 +72,11 @@
   sentAtMs: number
   /** Monotonic time at which the run is expected to end; infinite for one that runs until its job is cancelled. */
   expectedEndMs: number
+  /** Position at which the owner learned that the run is on its target; undefined before. */
+  confirmedAt: MessagePosition | undefined
   isStopWanted: boolean
-  /** The target has answered the stop order. */
-  isStopAcknowledged: boolean
+  /** Position at which the target's present incarnation answered the stop order; undefined before. */
+  stopAcknowledgedAt: MessagePosition | undefined
   percent: number
   percentChangedAtMs: number
 }
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -146,11 +146,12 @@
       number: reported.run,
       targetId,
       size,
-      phase: RUN_PHASES.running,
+      phase: RUN_PHASES.unsettled,
       sentAtMs: nowMs,
       expectedEndMs: nowMs,
+      confirmedAt: undefined,
       isStopWanted: true,
-      isStopAcknowledged: false,
+      stopAcknowledgedAt: undefined,
       percent: reported.percent,
       percentChangedAtMs: nowMs
     }
--- a/packages/jobs/tests/job-fixtures.ts
+++ b/packages/jobs/tests/job-fixtures.ts
@@ -55,8 +55,9 @@
     phase: RUN_PHASES.running,
     sentAtMs: 0,
     expectedEndMs: 0,
+    confirmedAt: undefined,
     isStopWanted: false,
-    isStopAcknowledged: false,
+    stopAcknowledgedAt: undefined,
     percent: 0,
     percentChangedAtMs: 0,
     ...values
