Acknowledge ended runs once, and only to an incarnation that has just reported

Cause: each poll carried the count of the ends that are stored. A restarted target counts from 1 again, so the first poll after the restart made it drop ends that nobody had seen, and the runs were taken for lost.

Change: an acknowledgement is repeated only until a poll with it is answered; the target has dropped the ends then. It isn't sent while a poll is unanswered, while an order was answered on a clock that was set back, or while a start order is unanswered: the target may have restarted, or have run an order since. What is left is a poll that is carried out by another incarnation seconds after its call was given up; no call can name the incarnation.

--- a/packages/jobs/src/report-applier.ts
+++ b/packages/jobs/src/report-applier.ts
@@ -10,6 +10,8 @@
 export interface SentPoll {
   readonly sentAt: MessagePosition
   readonly sentAtMs: number
+  /** Number up to which the poll acknowledged ended runs; 0 when it acknowledged none. */
+  readonly acknowledgedEnd: number
 }
 
 /** State and operations of a target session that its report applier uses. */
--- a/packages/jobs/src/run-end-tracker.ts
+++ b/packages/jobs/src/run-end-tracker.ts
@@ -7,29 +7,31 @@
   readonly #endedRuns = new Set<string>()
   #handledEnd = 0
   #storedEnd = 0
-  #incarnation = 0
+  #acknowledgedEnd = 0
 
   constructor (maximumRemembered: number) {
     this.#maximumRemembered = maximumRemembered
   }
 
-  /** Returns the number up to which ended runs are stored, so that the target may drop them. */
-  readStoredEnd (): number {
-    return this.#storedEnd
+  /** Returns the number up to which ended runs are stored, so that the target may drop them; 0 when it has dropped them already. */
+  readDroppableEnd (): number {
+    return this.#storedEnd > this.#acknowledgedEnd ? this.#storedEnd : 0
+  }
+
+  /** Records that the target has answered a poll that acknowledged ended runs up to this number. */
+  confirmDropped (end: number): void {
+    this.#acknowledgedEnd = Math.max(this.#acknowledgedEnd, end)
   }
 
   selectNew (ends: readonly ReportedEnd[]): ReportedEnd[] {
     return ends.filter((end) => end.number > this.#handledEnd)
   }
 
-  /** Marks ended runs as handled. They are acknowledged once `runWhenStored` calls back, unless the target has restarted by then. */
+  /** Marks ended runs as handled. They may be acknowledged once `runWhenStored` calls back. */
   acknowledge (ends: readonly ReportedEnd[], runWhenStored: (callback: () => void) => void): void {
     const last = Math.max(...ends.map((end) => end.number))
     this.#handledEnd = Math.max(this.#handledEnd, last)
-    const incarnation = this.#incarnation
-    runWhenStored(() => {
-      if (this.#incarnation === incarnation) this.#storedEnd = Math.max(this.#storedEnd, last)
-    })
+    runWhenStored(() => { this.#storedEnd = Math.max(this.#storedEnd, last) })
   }
 
   rememberEndedRun (key: string): void {
@@ -42,12 +44,4 @@
   hasEnded (key: string): boolean {
     return this.#endedRuns.has(key)
   }
-
-  /** Starts over after a restart of the target, which numbers its ended runs from the beginning. */
-  reset (): void {
-    this.#incarnation++
-    this.#handledEnd = 0
-    this.#storedEnd = 0
-    this.#endedRuns.clear()
-  }
 }
--- a/packages/jobs/src/session-runs.ts
+++ b/packages/jobs/src/session-runs.ts
@@ -1,6 +1,6 @@
 import type { Resources } from './job.js'
 import { CapacityTracker } from './capacity-tracker.js'
-import { formatRunKey, type TaskRun } from './task-run.js'
+import { formatRunKey, RUN_PHASES, type TaskRun } from './task-run.js'
 
 /** The runs that a session tracks on its target, and the capacity that they reserve there. */
 export class SessionRuns {
@@ -36,6 +36,14 @@
     return this.#runs.size
   }
 
+  /** Whether the target hasn't answered a start order of this owner yet, so that a run may be there that no report shows. */
+  hasUnansweredStart (): boolean {
+    for (const { phase, sentAtMs } of this.#runs.values()) {
+      if (phase === RUN_PHASES.sent || (phase === RUN_PHASES.unsettled && Number.isFinite(sentAtMs))) return true
+    }
+    return false
+  }
+
   list (): Iterable<TaskRun> {
     return this.#runs.values()
   }
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -13,6 +13,9 @@
 import type { CapacityTracker } from './capacity-tracker.js'
 import { RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
 
+/** Acknowledges no ended runs. */
+const NO_ENDS = 0
+
 /** The owner's session with one target: sends orders and polls, extends the lease, and tracks the runs and their capacity. */
 export class TargetSession {
   readonly health = new TargetHealth()
@@ -156,7 +159,7 @@
 
   /** Polls the target at once; it answers without waiting for a run to end. */
   pollNow (): void {
-    void this.#poll(0)
+    void this.#poll(0, NO_ENDS)
   }
 
   #endRun (run: TaskRun, end: RunEnd): void {
@@ -175,7 +178,7 @@
 
   async #runScheduledPoll (): Promise<void> {
     const { clock, timings, runWhenStored } = this.#context
-    const hadEnds = await this.#poll(this.#hasReported ? timings.pollWaitMs : 0)
+    const hadEnds = await this.#poll(this.#hasReported ? timings.pollWaitMs : 0, this.#findDroppableEnd())
     if (this.#failedPolls > 0) return this.#pollTimer.schedule(timings.pollRetryMs)
     if (!hadEnds) return this.#pollTimer.schedule(0)
     // The target answers at once while ended runs are unacknowledged, so the next poll waits until they are stored. If that
@@ -185,8 +188,17 @@
     runWhenStored(() => this.#pollTimer.schedule(Math.max(0, notBeforeMs - clock.readMonotonicMs())))
   }
 
+  /**
+   * Returns the number up to which the target may drop its ended runs. Another incarnation that got the poll would drop as many of its
+   * own, so none are acknowledged while the target may have restarted, or may have run an order since its last report.
+   */
+  #findDroppableEnd (): number {
+    if (this.#failedPolls > 0 || this.#isRestartSuspected || this.#runs.hasUnansweredStart()) return NO_ENDS
+    return this.#incarnation?.ends.readDroppableEnd() ?? NO_ENDS
+  }
+
   /** Polls the target. Returns whether the report listed ended runs that are not acknowledged yet. */
-  async #poll (waitMs: number): Promise<boolean> {
+  async #poll (waitMs: number, acknowledgedEnd: number): Promise<boolean> {
     const { clock, gateway, timings, fencingToken } = this.#context
     const sentAtMs = clock.readMonotonicMs()
     const sentAt = this.#messages.advance()
@@ -197,12 +209,12 @@
     if (isExtending) this.#extendLeaseExpiry(sentAtMs, leaseMs)
     const result = await gateway.fetchReport(this.#description, {
       fencingToken,
-      acknowledgedEnd: this.#incarnation?.ends.readStoredEnd() ?? 0,
+      acknowledgedEnd,
       leaseUntilMs: isExtending ? Math.floor(targetNowMs + leaseMs) : undefined,
       waitMs
     })
     if (this.#isStopped) return false
-    if (result.ok) return this.#applyReport(result.val, { sentAt, sentAtMs })
+    if (result.ok) return this.#applyReport(result.val, { sentAt, sentAtMs, acknowledgedEnd })
     this.#onPollFailed(result.val)
     return false
   }
@@ -227,6 +239,8 @@
       return false
     }
     const isNewest = incarnation.recordReport(report, poll.sentAt, receivedAt, nowMs)
+    // A poll from before this incarnation's first report has acknowledged ends of an earlier one.
+    if (poll.sentAt > incarnation.recognizedAt) incarnation.ends.confirmDropped(poll.acknowledgedEnd)
     this.#recordContact(report, nowMs)
     const newEnds = incarnation.ends.selectNew(report.ended)
     this.#reports.applyEnds(newEnds, incarnation)
--- a/packages/jobs/tests/overtaken-answers.test.ts
+++ b/packages/jobs/tests/overtaken-answers.test.ts
@@ -1,79 +1,14 @@
-import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
-import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
 import test from 'ava'
-import { createOwnerTimings } from '../src/owner-timings.js'
-import type { ReportedRun } from '../src/target-gateway.js'
-import { TargetSession } from '../src/target-session.js'
-import { formatTaskName, RUN_PHASES, type RunOutcome, type TaskRun } from '../src/task-run.js'
-import { createRun } from './job-fixtures.js'
-import { createReport, ScriptedTargetGateway } from './scripted-target-gateway.js'
+import { createReport } from './scripted-target-gateway.js'
+import { createSessionFixture, EARLIER, LATER, listAsRunning } from './session-fixture.js'
 
 const POLL_RETRY_MS = 250
 const ORDER_TIMEOUT_MS = 500
-const EARLIER = { startedAtMs: 1_000, targetClockMs: 30_000 }
-const LATER = { startedAtMs: 40_000, targetClockMs: 500 }
-
-interface Fixture {
-  readonly clock: FakeClock
-  readonly gateway: ScriptedTargetGateway
-  readonly session: TargetSession
-  /** Outcomes that the session concluded, by run number. */
-  readonly outcomes: Map<number, RunOutcome>
-  start: (number: number) => TaskRun
-}
-
-/** Creates a session whose target has reported the earlier incarnation. A poll is pending afterwards. */
-async function createFixture (): Promise<Fixture> {
-  const clock = new FakeClock()
-  const gateway = new ScriptedTargetGateway(async () => { await clock.advanceBy(1) })
-  const outcomes = new Map<number, RunOutcome>()
-  const session = new TargetSession({
-    id: 't0',
-    address: 't0',
-    service: 'ledger',
-    failureDomain: 'a',
-    isDraining: false,
-    capacity: { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 },
-    labels: []
-  }, {
-    clock,
-    logger: new SilentEventLogger(),
-    gateway,
-    timings: createOwnerTimings(6_000),
-    fencingToken: 1,
-    isAuthorized: () => true,
-    isStoreHealthy: () => true,
-    onRunEnded: (run, { outcome }) => { outcomes.set(run.number, outcome) },
-    onRunStarted: () => {},
-    onCheckpoint: () => {},
-    onUnknownRun: () => undefined,
-    onTicketRefused: () => {},
-    runWhenStored: (callback) => { callback() },
-    onCapacityChanged: () => {},
-    onAnswerLost: () => {},
-    onFenced: () => {}
-  })
-  session.start()
-  await clock.advanceBy(1)
-  await gateway.polls[0]?.answer(createReport(EARLIER))
-  await clock.advanceBy(10)
-  const start = (number: number): TaskRun => {
-    const run = createRun({ task: { jobId: `job${number}`, occurrence: 0, step: 0, index: 0 }, number, phase: RUN_PHASES.reserved })
-    session.addRun(run)
-    void session.startRun(run, { specification: '', checkpoint: '' })
-    return run
-  }
-  return { clock, gateway, session, outcomes, start }
-}
-
-function listAsRunning (run: TaskRun): ReportedRun {
-  return { taskName: formatTaskName(run.task), run: run.number, checkpoint: '', percent: 0 }
-}
 
 // Guards against two runs of a task at once (issue 33): a restarted target's report from before the start order was carried out,
 // read after the answer to the order, was taken as proof that the run was lost in the restart.
 test('a run whose start was answered is not ended by an older report of the incarnation in which it runs', async (t) => {
-  const { gateway, outcomes, start } = await createFixture()
+  const { gateway, outcomes, start } = await createSessionFixture()
   const [overtaken] = gateway.polls
   const run = start(1)
   await gateway.starts[0]?.answer({ targetClockMs: LATER.targetClockMs + 5 })
@@ -85,7 +20,7 @@
 
 // Guards against tasks of the earlier incarnation that are never started again.
 test('a run whose start was answered before the poll was sent is over when a later incarnation does not list it', async (t) => {
-  const { clock, gateway, outcomes, start } = await createFixture()
+  const { clock, gateway, outcomes, start } = await createSessionFixture()
   start(1)
   await gateway.starts[0]?.answer({ targetClockMs: EARLIER.targetClockMs + 50 })
   await clock.advanceBy(ORDER_TIMEOUT_MS)
@@ -98,7 +33,7 @@
 // Guards against two runs of a task at once: a report from before a late start order, read after the answer to the stop order, was
 // taken as proof that the run never started.
 test('a run without an answer to its start is not ended by a report from before the answer to its stop', async (t) => {
-  const { gateway, outcomes, session, start } = await createFixture()
+  const { gateway, outcomes, session, start } = await createSessionFixture()
   const run = start(1)
   await gateway.starts[0]?.lose()
   const first = gateway.polls.at(-1)
@@ -117,7 +52,7 @@
 // Guards against two runs of a task at once: of two reports that were read in the other order, the older one, in which a run that
 // started late is missing, was taken as proof that the run is over.
 test('a run that a report lists is not ended by an older report', async (t) => {
-  const { clock, gateway, outcomes, session, start } = await createFixture()
+  const { clock, gateway, outcomes, session, start } = await createSessionFixture()
   const run = start(1)
   await gateway.starts[0]?.lose()
   await clock.advanceBy(600)
@@ -132,7 +67,7 @@
 
 // Guards against a target that is never used again, and whose tasks are never started elsewhere, because its wall clock was set back.
 test('a restarted target is recognized although it says that it started earlier than before', async (t) => {
-  const { clock, gateway, outcomes, start } = await createFixture()
+  const { clock, gateway, outcomes, start } = await createSessionFixture()
   start(1)
   await gateway.starts[0]?.answer({ targetClockMs: EARLIER.targetClockMs + 50 })
   await clock.advanceBy(ORDER_TIMEOUT_MS)
@@ -144,7 +79,7 @@
 
 // Guards against a lease on the clock of the earlier incarnation, which lasts on the later one for as long as a target grants at all.
 test('an answer of the earlier incarnation does not set the clock of the later one', async (t) => {
-  const { clock, gateway, start } = await createFixture()
+  const { clock, gateway, start } = await createSessionFixture()
   start(1)
   await gateway.polls[0]?.lose()
   await clock.advanceBy(POLL_RETRY_MS)
@@ -156,7 +91,7 @@
 
 // Guards against a stop that only the earlier incarnation knows: a late start order could still be carried out by the later one.
 test('a stop that the earlier incarnation answered is sent again to the later one', async (t) => {
-  const { gateway, outcomes, start } = await createFixture()
+  const { gateway, outcomes, start } = await createSessionFixture()
   start(1)
   await gateway.starts[0]?.lose()
   await gateway.polls.at(-1)?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 10 }))
@@ -168,7 +103,7 @@
 
 // Guards against a run that keeps its capacity for good: its stop was answered around a restart, before its start order was given up.
 test('a run whose stop was answered by the earlier incarnation is settled by the later one', async (t) => {
-  const { clock, gateway, outcomes, session, start } = await createFixture()
+  const { clock, gateway, outcomes, session, start } = await createSessionFixture()
   const run = start(1)
   session.requestStop(run)
   await gateway.polls[0]?.lose()
--- a/packages/jobs/tests/run-end-tracker.test.ts
+++ b/packages/jobs/tests/run-end-tracker.test.ts
@@ -11,21 +11,21 @@
   const ends = new RunEndTracker(10)
   const stored: (() => void)[] = []
   ends.acknowledge([createRow(1), createRow(2)], (callback) => { stored.push(callback) })
-  t.is(ends.readStoredEnd(), 0)
+  t.is(ends.readDroppableEnd(), 0)
   t.deepEqual(ends.selectNew([createRow(1), createRow(2), createRow(3)]).map(({ number }) => number), [3])
   for (const callback of stored) callback()
-  t.is(ends.readStoredEnd(), 2)
+  t.is(ends.readDroppableEnd(), 2)
 })
 
-// Guards against acknowledging ended runs of a restarted target by the numbers of its earlier incarnation.
-test('a write that completes after a restart of the target acknowledges no run of the new incarnation', (t) => {
+// Guards against acknowledging ended runs of a restarted target by the numbers of its earlier incarnation (review/3): it is enough to
+// acknowledge them once.
+test('ended runs that the target has dropped are not acknowledged again', (t) => {
   const ends = new RunEndTracker(10)
-  const stored: (() => void)[] = []
-  ends.acknowledge([createRow(7)], (callback) => { stored.push(callback) })
-  ends.reset()
-  for (const callback of stored) callback()
-  t.is(ends.readStoredEnd(), 0)
-  t.deepEqual(ends.selectNew([createRow(1)]).map(({ number }) => number), [1])
+  ends.acknowledge([createRow(1), createRow(2)], (callback) => { callback() })
+  ends.confirmDropped(2)
+  t.is(ends.readDroppableEnd(), 0)
+  ends.acknowledge([createRow(3)], (callback) => { callback() })
+  t.is(ends.readDroppableEnd(), 3)
 })
 
 test('ended runs are remembered up to a maximum number', (t) => {
