Treat leases, given-up orders and the listing of a target as those of one incarnation

What callers would see: a task runs twice at once, or on a target that its step doesn't permit, after an executor has started anew under its id.

Cause, three beliefs that outlived the incarnation they were about. Leases: an order on the clock of the earlier incarnation gives the later one the longest lease, while the owner counted the one that it had asked for. Given-up orders: a stop that the earlier incarnation had answered counted as proof that the order never takes effect. Listing: tasks were placed by the capacity, labels and state of an entry that was older than the reports, and a run that was placed before the target began to drain was still started.

Change: TargetLease counts the longest lease once a restart is seen or suspected, and for each run whose start has no answer. AbandonedOrders keeps orders for as long as they may be carried out, and stops them again after a restart; the target gets no tasks until it has answered. TargetListing compares the entry's start with the reports; while they differ the target gets no tasks, for 5 s at most, and a placed run is started only if the target still takes tasks.

--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -21,10 +21,12 @@
   readonly health: TargetHealth
   readDescription (): TargetDescription
   isStopped (): boolean
+  /** Whether a placed run may still be started on the target. */
+  isOpenForStarts (): boolean
   /** Returns the incarnation that reported last; undefined before the first report. */
   readIncarnation (): TargetIncarnation | undefined
   /** Records that the target may hold a lease of this length from now on. */
-  extendLeaseExpiry (nowMs: number, leaseMs: number): void
+  extendLease (nowMs: number, leaseMs: number): void
   /** Records the clock reading of an answer to an order that was sent at `sentAtMs`, while `incarnation` was the last to report. */
   recordReading (targetClockMs: number, sentAtMs: number, incarnation: TargetIncarnation): void
   pollNow (): void
@@ -49,13 +51,13 @@
     const nowMs = clock.readMonotonicMs()
     const incarnation = session.readIncarnation()
     const targetNowMs = incarnation?.clock.estimate(nowMs)
-    const isAllowed = this.#context.isAuthorized() && !run.isStopWanted
+    const isAllowed = this.#context.isAuthorized() && session.isOpenForStarts() && !run.isStopWanted
     if (incarnation === undefined || targetNowMs === undefined || !isAllowed) {
       return session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.notSent })
     }
     run.phase = RUN_PHASES.sent
     run.sentAtMs = nowMs
-    session.extendLeaseExpiry(nowMs, timings.startValidityMs)
+    session.extendLease(nowMs, timings.startValidityMs)
     const result = await gateway.startRun(session.readDescription(), {
       taskName: formatTaskName(run.task),
       run: run.number,
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -2,7 +2,6 @@
 import { MessageOrder, type MessagePosition } from './message-order.js'
 import { JOB_EVENTS } from './job-events.js'
 import { PollTimer } from './poll-timer.js'
-import { computeEarlierLeaseBoundMs, computeLeaseBoundMs } from './owner-timings.js'
 import { ReportApplier, type SentPoll } from './report-applier.js'
 import { RunOrderSender, type StartParameters } from './run-order-sender.js'
 import type { SessionContext } from './session-context.js'
@@ -10,6 +9,8 @@
 import { ORDER_ERROR_CODES, type OrderError, type TargetDescription, type TargetReport } from './target-gateway.js'
 import { TargetHealth } from './target-health.js'
 import { TargetIncarnation } from './target-incarnation.js'
+import { TargetLease } from './target-lease.js'
+import { TargetListing } from './target-listing.js'
 import type { CapacityTracker } from './capacity-tracker.js'
 import { isGivenUp, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
 
@@ -19,7 +20,7 @@
 /** The owner's session with one target: sends orders and polls, extends the lease, and tracks the runs and their capacity. */
 export class TargetSession {
   readonly health = new TargetHealth()
-  #description: TargetDescription
+  readonly #listing: TargetListing
   readonly #context: SessionContext
   readonly #runs: SessionRuns
   readonly #orders: RunOrderSender
@@ -29,20 +30,16 @@
   readonly #pollTimer: PollTimer
   /** The incarnation that reported last. */
   #incarnation: TargetIncarnation | undefined
-  /** Monotonic time before which a draining target doesn't leave. */
-  #leavesAtMs: number | undefined
   /** An order was answered by another incarnation than the one that reported last. */
   #isRestartSuspected = false
-  #isListed = true
   #hasReported = false
   #isStopped = false
-  /** Monotonic time by which every lease granted to this target has surely expired. */
-  #leaseExpiryMs: number
+  readonly #lease: TargetLease
   #lastAnswerMs: number
   #failedPolls = 0
 
   constructor (description: TargetDescription, context: SessionContext) {
-    this.#description = description
+    this.#listing = new TargetListing(description, context.clock)
     this.#context = context
     this.#runs = new SessionRuns(description.capacity, context.timings.rememberedEnds)
     this.#orders = new RunOrderSender(context, {
@@ -51,9 +48,10 @@
       health: this.health,
       readIncarnation: () => this.#incarnation,
       recordReading: (targetClockMs, sentAtMs, incarnation) => this.#recordReading(targetClockMs, sentAtMs, incarnation),
-      readDescription: () => this.#description,
+      readDescription: () => this.readDescription(),
+      isOpenForStarts: () => this.#isOpenForStarts(),
       isStopped: () => this.#isStopped,
-      extendLeaseExpiry: (nowMs, leaseMs) => this.#extendLeaseExpiry(nowMs, leaseMs),
+      extendLease: (nowMs, leaseMs) => this.#lease.extend(nowMs, leaseMs),
       pollNow: () => this.pollNow(),
       endRun: (run, end) => this.#endRun(run, end)
     })
@@ -67,12 +65,12 @@
     this.#pollTimer = new PollTimer(context.clock, async () => await this.#runScheduledPoll())
     const nowMs = context.clock.readMonotonicMs()
     this.#lastAnswerMs = nowMs
-    this.#leaseExpiryMs = nowMs + computeEarlierLeaseBoundMs(context.timings)
+    this.#lease = new TargetLease(context.timings, nowMs)
   }
 
-  get id (): string { return this.#description.id }
+  get id (): string { return this.readDescription().id }
 
-  readDescription (): TargetDescription { return this.#description }
+  readDescription (): TargetDescription { return this.#listing.readDescription() }
 
   /** Capacity of the target and what its runs reserve of it. */
   get capacity (): CapacityTracker { return this.#runs.capacity }
@@ -83,26 +81,22 @@
 
   /** Whether the target may get tasks: it is active, has answered this owner recently, and is healthy. */
   isUsable (nowMs: number): boolean {
-    return this.#hasReported && !this.#isRestartSuspected && this.isActive() && this.#abandonedOrders.isEmpty() &&
+    return this.#hasReported && this.#isOpenForStarts() && !this.#abandonedOrders.hasUnrefused() &&
       nowMs - this.#lastAnswerMs < this.#context.timings.unresponsiveMs && this.health.shouldReceiveTasks(nowMs, this.#runs.count())
   }
 
   /** Whether the target is listed and not draining. */
-  isActive (): boolean {
-    return this.#isListed && !this.#description.isDraining
-  }
+  isActive (): boolean { return this.#listing.isActive() }
 
   /** Returns the monotonic time before which a draining target doesn't leave; undefined when it isn't draining or the time is not known. */
-  readLeavesAtMs (): number | undefined {
-    return this.#leavesAtMs
-  }
+  readLeavesAtMs (): number | undefined { return this.#listing.readLeavesAtMs() }
 
   /** Returns the monotonic time of the last report. */
   readLastAnswerMs (): number { return this.#lastAnswerMs }
 
-  /** Whether the target is no longer listed and has no runs left. */
+  /** Whether the target is no longer listed and can't have any run of this owner. */
   isObsolete (): boolean {
-    return !this.#isListed && this.#runs.count() === 0
+    return !this.#listing.isListed() && this.#runs.count() === 0 && this.#abandonedOrders.isEmpty()
   }
 
   start (): void {
@@ -115,21 +109,11 @@
   }
 
   setDescription (description: TargetDescription): void {
-    const { isDraining, remainingMs } = description
-    if (!isDraining || remainingMs === undefined) this.#leavesAtMs = undefined
-    else if (remainingMs !== this.#description.remainingMs) this.#leavesAtMs = this.#context.clock.readMonotonicMs() + remainingMs
-    const hasMoved = description.address !== this.#description.address
-    this.#description = description
-    this.#isListed = true
     this.capacity.setCapacity(description.capacity)
-    const hasRestarted = description.startedAtMs !== undefined && this.#incarnation !== undefined &&
-      description.startedAtMs !== this.#incarnation.startedAtMs
-    if (hasMoved || hasRestarted) this.#pollTimer.schedule(0)
+    if (this.#listing.update(description)) this.#pollTimer.schedule(0)
   }
 
-  markUnlisted (): void {
-    this.#isListed = false
-  }
+  markUnlisted (): void { this.#listing.markUnlisted() }
 
   /** Tracks a run that is about to be started or that an earlier owner may have started, and reserves its capacity. */
   addRun (run: TaskRun): void {
@@ -146,15 +130,16 @@
     this.#orders.requestStop(run)
   }
 
-  /** Ends all runs as lapsed once every lease granted to the target has surely expired. */
+  /** Ends the runs whose lease has surely expired as lapsed. */
   checkLeaseExpiry (): void {
     const nowMs = this.#context.clock.readMonotonicMs()
     this.#abandonedOrders.prune()
-    if (this.#runs.count() === 0 || nowMs < this.#leaseExpiryMs) return
+    const expired = this.#runs.copy().filter((run) => this.#lease.hasExpired(run, nowMs))
+    if (expired.length === 0) return
     const silentMs = Math.round(nowMs - this.#lastAnswerMs)
-    this.#context.logger.logWarning(JOB_EVENTS.targetLeaseLapsed, { target: this.id, runs: this.#runs.count(), silentMs })
+    this.#context.logger.logWarning(JOB_EVENTS.targetLeaseLapsed, { target: this.id, runs: expired.length, silentMs })
     this.#hasReported = false
-    for (const run of this.#runs.copy()) this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.leaseExpired })
+    for (const run of expired) this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.leaseExpired })
   }
 
   /** Polls the target at once; it answers without waiting for a run to end. */
@@ -167,8 +152,7 @@
     const { outcome } = end
     const nowMs = this.#context.clock.readMonotonicMs()
     if (isGivenUp(end)) this.#runs.rememberGivenUp(run)
-    const mayStillArrive = outcome === RUN_OUTCOMES.lapsed && run.phase === RUN_PHASES.unsettled
-    if (mayStillArrive) this.#abandonedOrders.add(run)
+    if (isGivenUp(end) && run.phase === RUN_PHASES.unsettled) this.#abandonedOrders.add(run, outcome === RUN_OUTCOMES.notStarted)
     if (outcome === RUN_OUTCOMES.done || outcome === RUN_OUTCOMES.failed) {
       const isNowSuspected = this.health.recordEnd(nowMs, run.task.jobId, outcome === RUN_OUTCOMES.failed)
       if (isNowSuspected) this.#context.logger.logWarning(JOB_EVENTS.targetSuspected, { target: this.id })
@@ -180,7 +164,10 @@
   async #runScheduledPoll (): Promise<void> {
     const { clock, timings, runWhenStored } = this.#context
     const hadEnds = await this.#poll(this.#hasReported ? timings.pollWaitMs : 0, this.#findDroppableEnd())
-    if (this.#failedPolls > 0) return this.#pollTimer.schedule(timings.pollRetryMs)
+    if (this.#failedPolls > 0) {
+      const mayMatter = this.#listing.isListed() || this.#runs.count() > 0
+      return this.#pollTimer.schedule(mayMatter ? timings.pollRetryMs : timings.unresponsiveMs)
+    }
     if (!hadEnds) return this.#pollTimer.schedule(0)
     // The target answers at once while ended runs are unacknowledged, so the next poll waits until they are stored. If that
     // takes long, the poll is sent anyway, since other runs may have ended.
@@ -194,7 +181,8 @@
    * own, so none are acknowledged while the target may have restarted, or may have run an order since its last report.
    */
   #findDroppableEnd (): number {
-    if (this.#failedPolls > 0 || this.#isRestartSuspected || this.#runs.hasUnansweredStart()) return NO_ENDS
+    const mayBeAnother = this.#isRestartSuspected || this.#listing.isOfAnotherIncarnation()
+    if (this.#failedPolls > 0 || mayBeAnother || this.#runs.hasUnansweredStart()) return NO_ENDS
     return this.#incarnation?.ends.readDroppableEnd() ?? NO_ENDS
   }
 
@@ -207,8 +195,8 @@
     const leaseMs = this.#context.isStoreHealthy() ? timings.leaseMs : timings.maximumLeaseMs
     // An unresponsive target may still receive the poll. Its lease is not extended, since it must expire before the tasks run elsewhere.
     const isExtending = targetNowMs !== undefined && this.#failedPolls === 0 && this.#context.isAuthorized()
-    if (isExtending) this.#extendLeaseExpiry(sentAtMs, leaseMs)
-    const result = await gateway.fetchReport(this.#description, {
+    if (isExtending) this.#lease.extend(sentAtMs, leaseMs)
+    const result = await gateway.fetchReport(this.readDescription(), {
       fencingToken,
       acknowledgedEnd,
       leaseUntilMs: isExtending ? Math.floor(targetNowMs + leaseMs) : undefined,
@@ -220,10 +208,6 @@
     return false
   }
 
-  #extendLeaseExpiry (nowMs: number, leaseMs: number): void {
-    this.#leaseExpiryMs = Math.max(this.#leaseExpiryMs, nowMs + computeLeaseBoundMs(leaseMs))
-  }
-
   #onPollFailed (error: OrderError): void {
     const { code, message } = error
     if (code === ORDER_ERROR_CODES.noAnswer) this.#context.onAnswerLost(this.id)
@@ -246,7 +230,7 @@
     const newEnds = incarnation.ends.selectNew(report.ended)
     this.#reports.applyEnds(newEnds, incarnation)
     if (isNewest) this.#reports.applyNewest(report, poll, incarnation)
-    this.#abandonedOrders.stopAll(this.#description)
+    this.#abandonedOrders.stopAll(this.readDescription())
     if (newEnds.length > 0) incarnation.ends.acknowledge(newEnds, this.#context.runWhenStored)
     return report.ended.length > 0
   }
@@ -258,6 +242,7 @@
     if (current !== undefined && !current.isSucceededBy(poll.sentAt)) return undefined
     const incarnation = new TargetIncarnation(report.startedAtMs, receivedAt, this.#context.timings.rememberedEnds)
     this.#incarnation = incarnation
+    this.#listing.recordReportedStart(report.startedAtMs)
     if (current !== undefined) this.#onTargetRestarted(report, poll, current)
     return incarnation
   }
@@ -272,9 +257,16 @@
       targetClockMs: Math.round(targetClockMs),
       pollAgeMs: Math.round(this.#context.clock.readMonotonicMs() - poll.sentAtMs)
     })
+    this.#lease.extendToMaximum(this.#context.clock.readMonotonicMs())
+    this.#abandonedOrders.onTargetRestarted()
     this.#orders.sendStopsAgain()
   }
 
+  /** Whether a placed run may be started on the target as it was described when it was chosen. */
+  #isOpenForStarts (): boolean {
+    return this.isActive() && !this.#isRestartSuspected && !this.#listing.isOfAnotherIncarnation()
+  }
+
   #recordContact (report: TargetReport, nowMs: number): void {
     const isFirst = !this.#hasReported
     const hasReturned = isFirst || this.#failedPolls > 0
@@ -290,6 +282,7 @@
   #suspectRestart (): void {
     if (this.#isRestartSuspected) return
     this.#isRestartSuspected = true
+    this.#lease.extendToMaximum(this.#context.clock.readMonotonicMs())
     this.pollNow()
   }
 
--- /dev/null
+++ b/packages/jobs/tests/restarted-target.test.ts
@@ -0,0 +1,106 @@
+import test from 'ava'
+import { RUN_PHASES } from '../src/task-run.js'
+import { createRun } from './job-fixtures.js'
+import { createReport } from './scripted-target-gateway.js'
+import { createSessionFixture, describeTarget, EARLIER, LATER, type SessionFixture } from './session-fixture.js'
+
+const POLL_RETRY_MS = 250
+const MAXIMUM_LEASE_MS = 6_000
+/** Longer than the bound of the lease that an earlier owner can have extended. */
+const OWN_LEASE_AFTER_MS = 7_500
+const LISTING_DELAY_MS = 5_000
+
+/** Lets the session's first lease bound pass while the target reports. */
+async function createSettledFixture (): Promise<SessionFixture> {
+  const fixture = await createSessionFixture()
+  const { clock, gateway } = fixture
+  for (let passedMs = 0; passedMs < OWN_LEASE_AFTER_MS; passedMs += POLL_RETRY_MS) {
+    await clock.advanceBy(POLL_RETRY_MS)
+    await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + clock.readMonotonicMs() }))
+  }
+  return fixture
+}
+
+/** Lets all polls go without an answer for this long. */
+async function keepSilent ({ clock, gateway, session }: SessionFixture, durationMs: number): Promise<void> {
+  for (let passedMs = 0; passedMs < durationMs; passedMs += POLL_RETRY_MS) {
+    for (const poll of [...gateway.polls]) await poll.lose()
+    await clock.advanceBy(POLL_RETRY_MS)
+    session.checkLeaseExpiry()
+  }
+}
+
+// Guards against two runs of a task at once: an order on the clock of the earlier incarnation gives the later one the longest lease.
+test('a run on an incarnation that has not reported keeps the longest lease when the target falls silent', async (t) => {
+  const fixture = await createSettledFixture()
+  const { gateway, outcomes, start } = fixture
+  start(1)
+  await gateway.starts[0]?.answer({ targetClockMs: LATER.targetClockMs })
+  await keepSilent(fixture, MAXIMUM_LEASE_MS - POLL_RETRY_MS)
+  t.deepEqual([...outcomes], [])
+  await keepSilent(fixture, 4 * POLL_RETRY_MS)
+  t.deepEqual([...outcomes], [[1, 'lapsed']])
+})
+
+// Guards against the same when the answer to the order is lost.
+test('a run without an answer to its start keeps the longest lease when the target falls silent', async (t) => {
+  const fixture = await createSettledFixture()
+  const { gateway, outcomes, start } = fixture
+  start(1)
+  await gateway.starts[0]?.lose()
+  await keepSilent(fixture, MAXIMUM_LEASE_MS - POLL_RETRY_MS)
+  t.deepEqual([...outcomes], [])
+  await keepSilent(fixture, 4 * POLL_RETRY_MS)
+  t.deepEqual([...outcomes], [[1, 'lapsed']])
+})
+
+// Guards against a start order that was given up and is carried out by a later incarnation, which doesn't know the stop.
+test('the stop of an order that was given up is sent again after a restart, before the target gets tasks', async (t) => {
+  const { clock, gateway, outcomes, session, start } = await createSessionFixture()
+  start(1)
+  await gateway.starts[0]?.lose()
+  await gateway.polls.at(-1)?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 10 }))
+  await gateway.stops[0]?.answer({ targetClockMs: EARLIER.targetClockMs + 20 })
+  await gateway.polls.at(-1)?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 30 }))
+  t.deepEqual([...outcomes], [[1, 'notStarted']])
+  t.true(session.isUsable(clock.readMonotonicMs()))
+  await gateway.polls[0]?.lose()
+  await clock.advanceBy(POLL_RETRY_MS)
+  await gateway.polls[0]?.answer(createReport(LATER))
+  t.false(session.isUsable(clock.readMonotonicMs()))
+  t.is(gateway.stops.length, 1)
+  await gateway.stops[0]?.answer({ targetClockMs: LATER.targetClockMs + 20 })
+  t.true(session.isUsable(clock.readMonotonicMs()))
+})
+
+// Guards against tasks that are placed by the capacity and labels of an earlier incarnation, which may be of another kind.
+test('a target gets no tasks while the directory lists another incarnation than the one that reports', async (t) => {
+  const { clock, gateway, session } = await createSessionFixture()
+  session.setDescription(describeTarget({ startedAtMs: EARLIER.startedAtMs }))
+  t.true(session.isUsable(clock.readMonotonicMs()))
+  await clock.advanceBy(POLL_RETRY_MS)
+  await gateway.polls[0]?.answer(createReport(LATER))
+  t.false(session.isUsable(clock.readMonotonicMs()))
+  session.setDescription(describeTarget({ startedAtMs: LATER.startedAtMs }))
+  t.true(session.isUsable(clock.readMonotonicMs()))
+})
+
+// Guards against a target that is never used again because its entry and its reports round its start differently.
+test('a target gets tasks again when the listing and the reports differ for long', async (t) => {
+  const { clock, gateway, session } = await createSessionFixture()
+  session.setDescription(describeTarget({ startedAtMs: EARLIER.startedAtMs + 1 }))
+  await clock.advanceBy(LISTING_DELAY_MS)
+  await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + LISTING_DELAY_MS }))
+  t.true(session.isUsable(clock.readMonotonicMs()))
+})
+
+// Guards against a start on a target that began to drain while the intent was stored.
+test('a placed run is not started on a target that drains meanwhile', async (t) => {
+  const { gateway, outcomes, session } = await createSessionFixture()
+  const run = createRun({ phase: RUN_PHASES.reserved })
+  session.addRun(run)
+  session.setDescription(describeTarget({ isDraining: true }))
+  await session.startRun(run, { specification: '', checkpoint: '' })
+  t.is(gateway.starts.length, 0)
+  t.deepEqual([...outcomes], [[1, 'notStarted']])
+})
--- a/packages/jobs/tests/session-fixture.ts
+++ b/packages/jobs/tests/session-fixture.ts
@@ -1,7 +1,7 @@
 import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
 import { createOwnerTimings } from '../src/owner-timings.js'
-import type { ReportedEnd, ReportedRun } from '../src/target-gateway.js'
+import type { ReportedEnd, ReportedRun, TargetDescription } from '../src/target-gateway.js'
 import { TargetSession } from '../src/target-session.js'
 import { formatTaskName, RUN_PHASES, type RunOutcome, type TaskRun } from '../src/task-run.js'
 import { createRun } from './job-fixtures.js'
@@ -11,6 +11,19 @@
 export const EARLIER = { startedAtMs: 1_000, targetClockMs: 30_000 }
 export const LATER = { startedAtMs: 40_000, targetClockMs: 500 }
 
+export function describeTarget (values: Partial<TargetDescription> = {}): TargetDescription {
+  return {
+    id: 't0',
+    address: 't0',
+    service: 'ledger',
+    failureDomain: 'a',
+    isDraining: false,
+    capacity: { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 },
+    labels: [],
+    ...values
+  }
+}
+
 /** A session of which the test writes every answer of the target. */
 export interface SessionFixture {
   readonly clock: FakeClock
@@ -32,15 +45,7 @@
   const outcomes = new Map<number, RunOutcome>()
   const unstored: (() => void)[] = []
   const unknownRuns: ReportedRun[] = []
-  const session = new TargetSession({
-    id: 't0',
-    address: 't0',
-    service: 'ledger',
-    failureDomain: 'a',
-    isDraining: false,
-    capacity: { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 },
-    labels: []
-  }, {
+  const session = new TargetSession(describeTarget(), {
     clock,
     logger: new SilentEventLogger(),
     gateway,
