Probe a suspected target beside the tasks that it had before

Cause: the breaker let a suspected target have a task only while nothing ran on it, and closes only on a run that ends done. A task that lasts keeps the target from being empty for good.

Change: after the cooldown a suspected target gets a task if it has none that was placed since the suspicion.

--- a/packages/jobs/src/target-health.ts
+++ b/packages/jobs/src/target-health.ts
@@ -6,11 +6,14 @@
 const FAILURE_STREAK = 3
 /** Share of failed runs among the recent runs above which a target is suspected. */
 const FAILURE_SHARE_THRESHOLD = 0.5
-/** A suspected target gets no tasks for this long, then one at a time. */
+/** A suspected target gets no tasks for this long, then one at a time, beside those that it had before. */
 const COOLDOWN_MS = 4_000
 /** A target that refuses an order as unhealthy gets no tasks for this long. */
 const REFUSAL_PAUSE_MS = 1_000
 
+/** A run that may be a probe of a suspected target. */
+interface ProbeRun { readonly sentAtMs: number }
+
 interface RecentRun { readonly atMs: number, readonly jobId: string, readonly hasFailed: boolean }
 
 /** Circuit breaker of one target, driven by the outcomes of its runs: a target can fail its tasks while it reports itself healthy. */
@@ -19,6 +22,8 @@
   #cooldownUntilMs = 0
   #pausedUntilMs = 0
   #isSuspected = false
+  /** Monotonic time of the last failure or stall that made the target suspected. */
+  #suspectedAtMs = 0
 
   /** Records the outcome of a run. Returns whether the target has just become suspected. */
   recordEnd (nowMs: number, jobId: string, hasFailed: boolean): boolean {
@@ -33,8 +38,7 @@
     const isMostlyFailing = failedJobs >= FAILED_JOBS_THRESHOLD && failed.length > this.#recentRuns.length * FAILURE_SHARE_THRESHOLD
     if (!this.#isSuspected && !this.#hasFailureStreak() && !isMostlyFailing) return false
     const wasSuspected = this.#isSuspected
-    this.#isSuspected = true
-    this.#cooldownUntilMs = nowMs + COOLDOWN_MS
+    this.#suspect(nowMs)
     return !wasSuspected
   }
 
@@ -45,18 +49,31 @@
 
   /** Records that a run on the target makes no progress, which makes the target suspected. */
   recordStall (nowMs: number): void {
-    this.#isSuspected = true
-    this.#cooldownUntilMs = nowMs + COOLDOWN_MS
+    this.#suspect(nowMs)
   }
 
   recordRefusal (nowMs: number): void {
     this.#pausedUntilMs = nowMs + REFUSAL_PAUSE_MS
   }
 
-  /** Whether the target may get a task. After the cooldown, a suspected target gets one only while nothing runs on it, as a probe. */
-  shouldReceiveTasks (nowMs: number, runCount: number): boolean {
+  /**
+   * Whether the target may get a task. After the cooldown, a suspected target gets one as a probe, and another one only once that has
+   * ended. Runs from before the suspicion don't count, since one that lasts may never end.
+   */
+  shouldReceiveTasks (nowMs: number, runs: Iterable<ProbeRun>): boolean {
     if (nowMs < this.#pausedUntilMs || nowMs < this.#cooldownUntilMs) return false
-    return !this.#isSuspected || runCount === 0
+    return !this.#isSuspected || !this.#hasProbe(runs)
+  }
+
+  #hasProbe (runs: Iterable<ProbeRun>): boolean {
+    for (const { sentAtMs } of runs) if (sentAtMs > this.#suspectedAtMs) return true
+    return false
+  }
+
+  #suspect (nowMs: number): void {
+    this.#isSuspected = true
+    this.#suspectedAtMs = nowMs
+    this.#cooldownUntilMs = nowMs + COOLDOWN_MS
   }
 
   isSuspected (): boolean {
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -82,7 +82,7 @@
   /** Whether the target may get tasks: it is active, has answered this owner recently, and is healthy. */
   isUsable (nowMs: number): boolean {
     return this.#hasReported && this.#isOpenForStarts() && !this.#abandonedOrders.hasUnrefused() &&
-      nowMs - this.#lastAnswerMs < this.#context.timings.unresponsiveMs && this.health.shouldReceiveTasks(nowMs, this.#runs.count())
+      nowMs - this.#lastAnswerMs < this.#context.timings.unresponsiveMs && this.health.shouldReceiveTasks(nowMs, this.#runs.list())
   }
 
   /** Whether the target is listed and not draining. */
--- a/packages/jobs/tests/stalled-runs.test.ts
+++ b/packages/jobs/tests/stalled-runs.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { FakeJobCell, type FakeInstance } from './fake-job-cell.js'
 import type { FakeTarget } from './fake-targets.js'
-import { createJob } from './job-fixtures.js'
+import { createJob, createStep } from './job-fixtures.js'
 
 /** Makes a task with a duration of one second outlast the outage. */
 const SLOWDOWN = 6
@@ -41,3 +41,20 @@
   target.faults.hangs = false
   t.true(await cell.advanceUntil(async () => await cell.readState(instance, 'aa') === 'completed', 16_000))
 })
+
+// Guards against a target that is never used again (review/2): after a stall it was probed only while nothing ran on it.
+test('a target on which a task has stalled gets tasks again beside one that lasts', async (t) => {
+  const cell = new FakeJobCell(1)
+  const instance = cell.addInstance()
+  await cell.advanceUntil(() => cell.findOwner() !== undefined, 2_000)
+  await cell.clock.advanceBy(300)
+  const target = cell.targets.get('t0')
+  t.is(await cell.submit(instance, createJob('aa', [createStep({ isLongRunning: true, estimatedMs: 1_000_000 })])), 'stored')
+  t.true(await cell.advanceUntil(() => cell.targets.starts.length === 1, 1_000))
+  target.faults.hangs = true
+  t.is(await cell.submit(instance, createJob('bb')), 'stored')
+  t.true(await cell.advanceUntil(() => cell.targets.starts.length === 2, 1_000))
+  t.true(await cell.advanceUntil(() => target.runs.size === 1, 4_000))
+  target.faults.hangs = false
+  t.true(await cell.advanceUntil(async () => await cell.readState(instance, 'bb') === 'completed', 8_000))
+})
--- a/packages/jobs/tests/target-health.test.ts
+++ b/packages/jobs/tests/target-health.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import { TargetHealth } from '../src/target-health.js'
+import { createRun } from './job-fixtures.js'
 
 interface Case { readonly title: string, readonly ends: readonly (readonly [string, boolean])[], readonly isSuspected: boolean }
 
@@ -27,9 +28,20 @@
 test('a suspected target gets no task during the cooldown, then one at a time until one succeeds', (t) => {
   const health = new TargetHealth()
   for (const jobId of ['a', 'b', 'c']) health.recordEnd(0, jobId, true)
-  t.false(health.shouldReceiveTasks(1_000, 0))
-  t.true(health.shouldReceiveTasks(5_000, 0))
-  t.false(health.shouldReceiveTasks(5_000, 1))
+  const probe = createRun({ sentAtMs: 4_500 })
+  t.false(health.shouldReceiveTasks(1_000, []))
+  t.true(health.shouldReceiveTasks(5_000, []))
+  t.false(health.shouldReceiveTasks(5_000, [probe]))
   health.recordEnd(6_000, 'd', false)
-  t.true(health.shouldReceiveTasks(6_000, 5))
+  t.true(health.shouldReceiveTasks(6_000, Array.from({ length: 5 }, () => probe)))
+})
+
+// Guards against targets that are never used again, and in the end a cell that starts nothing (review/2): a suspected target with a
+// task that lasts got no probe.
+test('a suspected target gets a probe beside the runs from before the suspicion', (t) => {
+  const health = new TargetHealth()
+  const lasting = createRun({ sentAtMs: -1_000 })
+  health.recordStall(0)
+  t.true(health.shouldReceiveTasks(5_000, [lasting]))
+  t.false(health.shouldReceiveTasks(5_000, [lasting, createRun({ sentAtMs: 4_500 })]))
 })
