Settle the doubt of a restart only by a later poll, and store stray runs

IncarnationDoubt compares positions. - While a target had more ends than one report lists, an unanswered start kept them from being acknowledged, and the ends that were left out kept the start from being settled: for good.

--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -135,6 +135,7 @@
       store,
       table: this.#table,
       supervisor: this.#supervisor,
+      requestStop: (run) => this.#sessions.get(run.targetId)?.requestStop(run),
       adoptRun: (run) => this.#ensureSession(createPlaceholderDescription(run.targetId)).addRun(run)
     })
     if (this.#isStopped) return
@@ -229,6 +230,7 @@
       onRunStarted: (run) => this.#supervisor.onRunStarted(run),
       onCheckpoint: (run, checkpoint) => this.#supervisor.onCheckpoint(run, checkpoint),
       onUnknownRun: (reported, targetId) => this.#supervisor.createUnknownRun(reported, targetId),
+      onUnknownEnd: (reported, targetId) => this.#supervisor.onUnknownEnd(reported, targetId),
       onTicketRefused: (run) => this.#planner.expireTicket(run),
       runWhenStored: (callback) => this.#writer.runWhenStored(callback),
       onCapacityChanged: () => this.#rounds.request(),
--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -28,6 +28,8 @@
   readonly supervisor: TaskSupervisor
   /** Starts tracking a run that an earlier owner may have started. */
   readonly adoptRun: (run: TaskRun) => void
+  /** Sends the stop order of a run that is tracked. */
+  readonly requestStop: (run: TaskRun) => void
 }
 
 export interface Recovery {
@@ -80,7 +82,8 @@
   if (record !== undefined) applyProgress(options, progress, record.val)
 }
 
-function applyProgress ({ clock, table, supervisor, adoptRun }: RecoveryOptions, progress: JobProgress, record: ProgressRecord): void {
+function applyProgress (options: RecoveryOptions, progress: JobProgress, record: ProgressRecord): void {
+  const { clock, table, supervisor, adoptRun, requestStop } = options
   progress.restoreOccurrences(record.occurrences, record.completed)
   progress.hasStarted = record.state !== 'queued'
   for (const stepRecord of record.steps) {
@@ -107,6 +110,10 @@
         percent: 0,
         percentChangedAtMs: clock.readMonotonicMs()
       }
+      if (task.run !== undefined) {
+        task.strayRuns = [...task.strayRuns ?? [], task.run]
+        requestStop(task.run)
+      }
       task.run = run
       adoptRun(run)
     }
--- a/packages/jobs/src/report-applier.ts
+++ b/packages/jobs/src/report-applier.ts
@@ -77,7 +77,8 @@
     const hasRun = reported.outcome === RUN_OUTCOMES.done || reported.outcome === RUN_OUTCOMES.failed
     if (run === undefined) {
       const givenUp = runs.takeGivenUp(key)
-      if (givenUp !== undefined && hasRun) this.#context.onRunEnded(givenUp, end)
+      if (givenUp === undefined) this.#context.onUnknownEnd(reported, this.#session.targetId)
+      else if (hasRun) this.#context.onRunEnded(givenUp, end)
       return
     }
     if (hasRun) orders.markRunning(run)
--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -29,6 +29,8 @@
   extendLease (nowMs: number, leaseMs: number): void
   /** Records the clock reading of an answer to an order that was sent at `sentAtMs`, while `incarnation` was the last to report. */
   recordReading (targetClockMs: number, sentAtMs: number, incarnation: TargetIncarnation): void
+  /** Another incarnation has refused an order. */
+  onOtherIncarnation (): void
   pollNow (): void
   endRun (run: TaskRun, end: RunEnd): void
 }
@@ -141,6 +143,7 @@
     }
     logger.logWarning(JOB_EVENTS.startRefused, fields)
     if (error.code === ORDER_ERROR_CODES.unhealthy) session.health.recordRefusal(clock.readMonotonicMs())
+    if (error.code === ORDER_ERROR_CODES.otherIncarnation) session.onOtherIncarnation()
     if (error.code === ORDER_ERROR_CODES.fenced) this.#context.onFenced()
     if (error.code === ORDER_ERROR_CODES.invalidTicket) this.#context.onTicketRefused(run)
     session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.refused })
--- a/packages/jobs/src/session-context.ts
+++ b/packages/jobs/src/session-context.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import type { OwnerTimings } from './owner-timings.js'
-import type { ReportedRun, TargetGateway } from './target-gateway.js'
+import type { ReportedEnd, ReportedRun, TargetGateway } from './target-gateway.js'
 import type { RunEnd, TaskRun } from './task-run.js'
 
 /** Dependencies and callbacks that the owner provides to its target sessions. */
@@ -20,6 +20,8 @@
   onCheckpoint (run: TaskRun, checkpoint: string): void
   /** Handles a run that the owner doesn't know. Returns the run to track, with `isStopWanted` set, or undefined to ignore it. */
   onUnknownRun (reported: ReportedRun, targetId: string): TaskRun | undefined
+  /** Handles the end of a run that the owner doesn't know. */
+  onUnknownEnd (reported: ReportedEnd, targetId: string): void
   /** The target has refused the ticket of a start order. */
   onTicketRefused (run: TaskRun): void
   /** Calls back once all changes made so far are stored. */
--- a/packages/jobs/src/step-record.ts
+++ b/packages/jobs/src/step-record.ts
@@ -1,8 +1,8 @@
 import { z } from 'zod'
 import { isFinalState, type JobState } from './job.js'
-import type { StepProgress } from './step-progress.js'
+import { listRuns, type StepProgress } from './step-progress.js'
 
-/** Task index, run number and target of each run that may be on a target. */
+/** Task index, run number and target of each run that may be on a target; the present run of a task comes after its stray ones. */
 export const runsSchema = z.array(z.tuple([z.number(), z.number(), z.string()]))
 /** Task index and number of failed runs. */
 export const failuresSchema = z.array(z.tuple([z.number(), z.number()]))
@@ -31,8 +31,7 @@
   const checkpoints: StepRecord['checkpoints'] = []
   for (const task of progress.tasks) {
     const { index } = task.key
-    const run = task.run ?? task.strayRuns?.[0]
-    if (run !== undefined) runs.push([index, run.number, run.targetId])
+    for (const run of listRuns(task)) runs.push([index, run.number, run.targetId])
     if (task.isDone) done.push(index)
     else if (task.failures > 0) failures.push([index, task.failures])
     if (!task.isDone && task.checkpoint !== '') checkpoints.push([index, task.checkpoint])
--- a/packages/jobs/src/target-listing.ts
+++ b/packages/jobs/src/target-listing.ts
@@ -1,9 +1,6 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { TargetDescription } from './target-gateway.js'
 
-/** Time within which a target that has restarted lists itself anew, and within which a poll shows a restart that the listing shows. */
-const LISTING_DELAY_MS = 5_000
-
 /** What the directory says of one target, which may be older or newer than the target's own reports. */
 export class TargetListing {
   readonly #clock: Clock
@@ -12,8 +9,6 @@
   #leavesAtMs: number | undefined
   /** Start of the incarnation that reported last; undefined before the first report. */
   #reportedStartMs: number | undefined
-  /** Monotonic time since which the listing and the reports come from different incarnations; undefined while they agree. */
-  #differsSinceMs: number | undefined
 
   constructor (description: TargetDescription, clock: Clock) {
     this.#description = description
@@ -33,9 +28,10 @@
     return this.#isListed && !this.#description.isDraining
   }
 
-  /** Whether the description is probably that of another incarnation than the one that reported last, which may be of another kind. */
+  /** Whether the description is that of another incarnation than the one that reported last, which may be of another kind. */
   isOfAnotherIncarnation (): boolean {
-    return this.#differsSinceMs !== undefined && this.#clock.readMonotonicMs() - this.#differsSinceMs < LISTING_DELAY_MS
+    const { startedAtMs } = this.#description
+    return startedAtMs !== undefined && this.#reportedStartMs !== undefined && startedAtMs !== this.#reportedStartMs
   }
 
   /** Returns the monotonic time before which a draining target doesn't leave; undefined when it isn't draining or the time is not known. */
@@ -51,8 +47,7 @@
     else if (remainingMs !== previous.remainingMs) this.#leavesAtMs = this.#clock.readMonotonicMs() + remainingMs
     this.#description = description
     this.#isListed = true
-    this.#compareStarts()
-    return description.address !== previous.address || this.#differsSinceMs !== undefined
+    return description.address !== previous.address || this.isOfAnotherIncarnation()
   }
 
   markUnlisted (): void {
@@ -61,13 +56,5 @@
 
   recordReportedStart (startedAtMs: number): void {
     this.#reportedStartMs = startedAtMs
-    this.#compareStarts()
-  }
-
-  #compareStarts (): void {
-    const { startedAtMs } = this.#description
-    const differs = startedAtMs !== undefined && this.#reportedStartMs !== undefined && startedAtMs !== this.#reportedStartMs
-    if (!differs) this.#differsSinceMs = undefined
-    else this.#differsSinceMs ??= this.#clock.readMonotonicMs()
   }
 }
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -1,5 +1,6 @@
 import { AbandonedOrders } from './abandoned-orders.js'
 import { MessageOrder, type MessagePosition } from './message-order.js'
+import { IncarnationDoubt } from './incarnation-doubt.js'
 import { JOB_EVENTS } from './job-events.js'
 import { PollTimer } from './poll-timer.js'
 import { ReportApplier, type SentPoll } from './report-applier.js'
@@ -30,8 +31,8 @@
   readonly #pollTimer: PollTimer
   /** The incarnation that reported last. */
   #incarnation: TargetIncarnation | undefined
-  /** An order was answered by another incarnation than the one that reported last. */
-  #isRestartSuspected = false
+  readonly #doubt: IncarnationDoubt
+  #hasMoreEnds = false
   #hasReported = false
   #isStopped = false
   readonly #lease: TargetLease
@@ -47,6 +48,7 @@
       messages: this.#messages,
       health: this.health,
       readIncarnation: () => this.#incarnation,
+      onOtherIncarnation: () => { this.#doubt.suspectRestart() },
       recordReading: (targetClockMs, sentAtMs, incarnation) => this.#recordReading(targetClockMs, sentAtMs, incarnation),
       readDescription: () => this.readDescription(),
       isOpenForStarts: () => this.#isOpenForStarts(),
@@ -56,6 +58,7 @@
       endRun: (run, end) => this.#endRun(run, end)
     })
     this.#abandonedOrders = new AbandonedOrders(context)
+    this.#doubt = new IncarnationDoubt(this.#messages)
     this.#reports = new ReportApplier(context, {
       targetId: description.id,
       runs: this.#runs,
@@ -181,8 +184,9 @@
    * own, so none are acknowledged while the target may have restarted, or may have run an order since its last report.
    */
   #findDroppableEnd (): number {
-    const mayBeAnother = this.#isRestartSuspected || this.#listing.isOfAnotherIncarnation()
-    if (this.#failedPolls > 0 || mayBeAnother || this.#runs.hasUnansweredStart()) return NO_ENDS
+    if (this.#doubt.isInDoubt() || this.#listing.isOfAnotherIncarnation()) return NO_ENDS
+    // A run whose end the target has left out is settled only once the others are dropped.
+    if (this.#runs.hasUnansweredStart() && !this.#hasMoreEnds) return NO_ENDS
     return this.#incarnation?.ends.readDroppableEnd() ?? NO_ENDS
   }
 
@@ -194,7 +198,8 @@
     const targetNowMs = this.#incarnation?.clock.estimate(sentAtMs)
     const leaseMs = this.#context.isStoreHealthy() ? timings.leaseMs : timings.maximumLeaseMs
     // An unresponsive target may still receive the poll. Its lease is not extended, since it must expire before the tasks run elsewhere.
-    const isExtending = targetNowMs !== undefined && this.#failedPolls === 0 && this.#context.isAuthorized()
+    const isReachable = this.#failedPolls === 0 && !this.#doubt.isRestartSuspected()
+    const isExtending = targetNowMs !== undefined && isReachable && this.#context.isAuthorized()
     if (isExtending) this.#lease.extend(sentAtMs, leaseMs)
     const result = await gateway.fetchReport(this.readDescription(), {
       fencingToken,
@@ -209,10 +214,12 @@
   }
 
   #onPollFailed (error: OrderError): void {
+    this.#doubt.recordLoss()
     const { code, message } = error
     if (code === ORDER_ERROR_CODES.noAnswer) this.#context.onAnswerLost(this.id)
     if (this.#failedPolls++ === 0) this.#context.logger.logWarning(JOB_EVENTS.targetLost, { target: this.id, code, message })
-    if (error.code === ORDER_ERROR_CODES.fenced) this.#context.onFenced()
+    if (code === ORDER_ERROR_CODES.otherIncarnation) this.#doubt.suspectRestart()
+    if (code === ORDER_ERROR_CODES.fenced) this.#context.onFenced()
   }
 
   #applyReport (report: TargetReport, poll: SentPoll): boolean {
@@ -226,6 +233,8 @@
     const isNewest = incarnation.recordReport(report, poll.sentAt, receivedAt, nowMs)
     // A poll from before this incarnation's first report has acknowledged ends of an earlier one.
     if (poll.sentAt > incarnation.recognizedAt) incarnation.ends.confirmDropped(poll.acknowledgedEnd)
+    this.#doubt.recordReport(poll.sentAt)
+    this.#hasMoreEnds = report.hasMoreEnds === true
     this.#recordContact(report, nowMs)
     const newEnds = incarnation.ends.selectNew(report.ended)
     this.#reports.applyEnds(newEnds, incarnation)
@@ -264,7 +273,7 @@
 
   /** Whether a placed run may be started on the target as it was described when it was chosen. */
   #isOpenForStarts (): boolean {
-    return this.isActive() && !this.#isRestartSuspected && !this.#listing.isOfAnotherIncarnation()
+    return this.isActive() && !this.#doubt.isRestartSuspected() && !this.#listing.isOfAnotherIncarnation()
   }
 
   #recordContact (report: TargetReport, nowMs: number): void {
@@ -272,7 +281,6 @@
     const hasReturned = isFirst || this.#failedPolls > 0
     if (hasReturned) this.#context.logger.logInfo(JOB_EVENTS.targetReached, { target: this.id, running: report.running.length })
     this.#failedPolls = 0
-    this.#isRestartSuspected = false
     this.#hasReported = true
     this.#lastAnswerMs = nowMs
     if (isFirst) this.#context.onCapacityChanged()
@@ -280,10 +288,8 @@
 
   /** Polls a target of which an order was answered by an incarnation that hasn't reported yet. */
   #suspectRestart (): void {
-    if (this.#isRestartSuspected) return
-    this.#isRestartSuspected = true
     this.#lease.extendToMaximum(this.#context.clock.readMonotonicMs())
-    this.pollNow()
+    if (this.#doubt.suspectRestart()) this.pollNow()
   }
 
   #recordReading (targetClockMs: number, sentAtMs: number, incarnation: TargetIncarnation): void {
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -8,9 +8,11 @@
 import type { JobTable } from './job-table.js'
 import { shouldEvictRun } from './eviction.js'
 import { addRun, listRuns, removeRun, type StepProgress, type TaskProgress } from './step-progress.js'
-import type { ReportedRun } from './target-gateway.js'
+import type { ReportedEnd, ReportedRun } from './target-gateway.js'
 import { computeReservedResources } from './capacity-tracker.js'
-import { formatTaskName, parseTaskName, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type RunOutcome, type TaskRun } from './task-run.js'
+import {
+  formatTaskName, parseTaskName, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type RunOutcome, type TaskKey, type TaskRun
+} from './task-run.js'
 
 /** A run without progress for this long is stalled. */
 const STALL_TIMEOUT_MS = 2_500
@@ -134,16 +136,35 @@
   createUnknownRun (reported: ReportedRun, targetId: string): TaskRun | undefined {
     const key = parseTaskName(reported.taskName)
     if (key === undefined) return undefined
+    const run = this.#buildUnknownRun(key, reported.run, targetId)
+    const task = this.#options.table.find(key.jobId)?.findTask(key)
+    if (task === undefined) return run
+    // Its start order has not been sent yet, and isn't sent any more.
+    if (task.run?.phase === RUN_PHASES.reserved) this.#options.requestStop(task.run)
+    addRun(task, run)
+    this.#options.markChanged(key.jobId)
+    return run
+  }
+
+  /** Completes the task of a run that a target reports as done and this owner doesn't know. Failures may have been counted before. */
+  onUnknownEnd ({ taskName, run, outcome, checkpoint }: ReportedEnd, targetId: string): void {
+    const key = parseTaskName(taskName)
+    if (key === undefined || outcome !== RUN_OUTCOMES.done) return
+    const task = this.#options.table.find(key.jobId)?.findTask(key)
+    if (task === undefined || task.isDone) return
+    this.onRunEnded(this.#buildUnknownRun(key, run, targetId), { outcome, basis: RUN_END_BASES.reported, checkpoint })
+  }
+
+  #buildUnknownRun (task: TaskKey, number: number, targetId: string): TaskRun {
     const nowMs = this.#options.clock.readMonotonicMs()
-    const progress = this.#options.table.find(key.jobId)
     // The occurrence may have been dropped as completed, but the run still uses its capacity.
-    const jobStep = progress?.job.steps[key.step]
+    const jobStep = this.#options.table.find(task.jobId)?.job.steps[task.step]
     const size = jobStep === undefined
       ? { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
       : computeReservedResources(jobStep.size, jobStep.usesIdleCapacity)
-    const run: TaskRun = {
-      task: key,
-      number: reported.run,
+    return {
+      task,
+      number,
       targetId,
       size,
       phase: RUN_PHASES.unsettled,
@@ -152,15 +173,9 @@
       confirmedAt: undefined,
       isStopWanted: true,
       stopAcknowledgedAt: undefined,
-      percent: reported.percent,
+      percent: 0,
       percentChangedAtMs: nowMs
     }
-    const task = progress?.findTask(key)
-    if (task === undefined) return run
-    // Its start order has not been sent yet, and isn't sent any more.
-    if (task.run?.phase === RUN_PHASES.reserved) this.#options.requestStop(task.run)
-    addRun(task, run)
-    return run
   }
 
   /**
--- a/packages/jobs/tests/acknowledged-ends.test.ts
+++ b/packages/jobs/tests/acknowledged-ends.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { createRun } from './job-fixtures.js'
 import { createReport } from './scripted-target-gateway.js'
 import { createSessionFixture, EARLIER, LATER, listAsDone, type SessionFixture } from './session-fixture.js'
 
@@ -54,3 +55,54 @@
   await clock.advanceBy(POLL_PERIOD_MS)
   t.is(readAcknowledgedEnd(fixture), 0)
 })
+
+// Guards against ends that a later incarnation drops unseen: a report of the earlier one, read after an order's answer had shown the
+// restart, was taken as proof that the target hasn't restarted.
+test('an older report does not clear the suspicion of a restart', async (t) => {
+  const fixture = await createFixtureWithEnd()
+  const { clock, gateway, start } = fixture
+  await gateway.polls[0]?.lose()
+  await clock.advanceBy(POLL_PERIOD_MS)
+  const [older] = gateway.polls
+  t.is(older?.order.acknowledgedEnd, 0)
+  start(2)
+  await gateway.starts[0]?.answer({ targetClockMs: LATER.targetClockMs })
+  await older?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 500 }))
+  await clock.advanceBy(POLL_PERIOD_MS)
+  t.deepEqual(gateway.polls.map(({ order }) => order.acknowledgedEnd), gateway.polls.map(() => 0))
+})
+
+// Guards against the same after a poll that got no answer: the answer of a poll sent before it says nothing about a restart since.
+test('an older report does not clear the loss of a later poll', async (t) => {
+  const fixture = await createFixtureWithEnd()
+  const { clock, gateway, session } = fixture
+  await gateway.polls[0]?.lose()
+  await clock.advanceBy(POLL_PERIOD_MS)
+  const [older] = gateway.polls
+  session.pollNow()
+  await gateway.polls.at(-1)?.lose()
+  await older?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 500 }))
+  await clock.advanceBy(POLL_PERIOD_MS)
+  t.deepEqual(gateway.polls.map(({ order }) => order.acknowledgedEnd), gateway.polls.map(() => 0))
+})
+
+// Guards against a target of which no end is noted any more: a start without an answer kept the ends from being acknowledged, and the
+// ends that the target didn't report kept the start from being settled.
+test('a target with more ends than it reports is acknowledged while a start is unsettled', async (t) => {
+  const fixture = await createSessionFixture()
+  const { clock, gateway, unstored, start } = fixture
+  const ended = Array.from({ length: 500 }, (_, index) => listAsDone(createRun({ number: 100 + index }), index + 1))
+  start(1)
+  await gateway.starts[0]?.lose()
+  let highest = 0
+  for (let round = 1; round <= 100; round++) {
+    for (const stop of [...gateway.stops]) await stop.answer({ targetClockMs: EARLIER.targetClockMs + round * 300 })
+    for (const poll of [...gateway.polls]) {
+      highest = Math.max(highest, poll.order.acknowledgedEnd)
+      await poll.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + round * 300, ended, hasMoreEnds: true }))
+    }
+    for (const callback of unstored.splice(0)) callback()
+    await clock.advanceBy(POLL_PERIOD_MS)
+  }
+  t.is(highest, 500)
+})
--- a/packages/jobs/tests/session-fixture.ts
+++ b/packages/jobs/tests/session-fixture.ts
@@ -60,6 +60,7 @@
       unknownRuns.push(reported)
       return undefined
     },
+    onUnknownEnd: ({ run, outcome }) => { outcomes.set(run, outcome) },
     onTicketRefused: () => {},
     runWhenStored: (callback) => { unstored.push(callback) },
     onCapacityChanged: () => {},
--- a/packages/jobs/tests/stray-runs.test.ts
+++ b/packages/jobs/tests/stray-runs.test.ts
@@ -3,7 +3,8 @@
 import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import test from 'ava'
 import { JobTable } from '../src/job-table.js'
-import type { StepProgress } from '../src/step-progress.js'
+import { addRun, StepProgress } from '../src/step-progress.js'
+import { buildStepRecord } from '../src/step-record.js'
 import { RUN_END_BASES, RUN_PHASES, type TaskRun } from '../src/task-run.js'
 import { TaskSupervisor } from '../src/task-supervisor.js'
 import { createJob, createRun } from './job-fixtures.js'
@@ -11,6 +12,7 @@
 import { createSessionFixture, EARLIER, listAsDone, listAsRunning } from './session-fixture.js'
 
 const ORDER_TIMEOUT_MS = 500
+const POLL_RETRY_MS = 250
 const STRAY = { taskName: 'aa.0.0.0', run: 1, checkpoint: '', percent: 10 }
 
 interface Fixture {
@@ -102,3 +104,28 @@
   await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 800, running: [listAsRunning(run)] }))
   t.deepEqual(unknownRuns, [listAsRunning(run)])
 })
+
+// Guards against two runs of a task at once after a change of the owner: the later one places the task while the stray run works.
+test('the record of a step has all runs of a task', (t) => {
+  const { steps } = createJob('aa')
+  const [jobStep] = steps
+  if (jobStep === undefined) return t.fail()
+  const step = new StepProgress('aa', 0, 0, jobStep)
+  const [task] = step.tasks
+  if (task === undefined) return t.fail()
+  addRun(task, createRun({ number: 2, targetId: 't2' }))
+  addRun(task, createRun({ number: 1, targetId: 't1' }))
+  t.deepEqual(buildStepRecord(step, 'running')?.runs.map(([, number]) => number).sort(), [1, 2])
+})
+
+// Guards against a task that is started again after an end that was noted: the end of a run that the owner doesn't know.
+test('a done end of a run that the owner does not know is not acknowledged without effect', async (t) => {
+  const fixture = await createSessionFixture()
+  const { clock, gateway, outcomes, unstored } = fixture
+  const ended = [listAsDone(createRun({ number: 7 }), 1)]
+  await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 50, ended }))
+  for (const callback of unstored.splice(0)) callback()
+  await clock.advanceBy(POLL_RETRY_MS)
+  const acknowledged = gateway.polls.at(-1)?.order.acknowledgedEnd
+  t.true(outcomes.get(7) === 'done' || acknowledged === 0)
+})
--- a/packages/jobs/tests/target-session.test.ts
+++ b/packages/jobs/tests/target-session.test.ts
@@ -55,6 +55,7 @@
     onRunStarted: () => {},
     onCheckpoint: () => {},
     onUnknownRun: () => undefined,
+    onUnknownEnd: () => {},
     onTicketRefused: () => {},
     runWhenStored: (callback) => { unstored.push(callback) },
     onCapacityChanged: () => {},
