--- a/packages/jobs/tests/fake-job-cell.ts
+++ b/packages/jobs/tests/fake-job-cell.ts
@@ -6,7 +6,7 @@
 import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
 import type { AdviceGateway } from '../src/advice-gateway.js'
 import type { Job, Resources } from '../src/job.js'
-import { JobService } from '../src/job-service.js'
+import { JobService, type JobServiceOptions } from '../src/job-service.js'
 import { createOwnerTimings } from '../src/owner-timings.js'
 import type { TargetGateway } from '../src/target-gateway.js'
 import { parseTaskName } from '../src/task-run.js'
@@ -44,7 +44,8 @@
     this.targets = new FakeTargets(this.clock, targetCount, (name) => this.#readSize(name), (name) => this.#readDuration(name))
   }
 
-  addInstance (advice?: AdviceGateway): FakeInstance {
+  /** Starts an instance. `overrides` replaces dependencies of its job service. */
+  addInstance (advice?: AdviceGateway, overrides: Partial<JobServiceOptions> = {}): FakeInstance {
     const name = `i${this.#instanceCount++}`
     const store = this.store.createClient()
     const gateway = this.targets.createGateway()
@@ -64,7 +65,8 @@
       directory: this.targets.createDirectory(),
       advice,
       timings: createOwnerTimings(MAXIMUM_LEASE_MS),
-      retentionMs: 120_000
+      retentionMs: 120_000,
+      ...overrides
     })
     service.start()
     const instance: FakeInstance = {
