--- a/packages/jobs/tests/fake-job-cell.ts
+++ b/packages/jobs/tests/fake-job-cell.ts
@@ -44,8 +44,10 @@
     this.targets = new FakeTargets(this.clock, targetCount, (name) => this.#readSize(name), (name) => this.#readDuration(name))
   }
 
-  /** Starts an instance. `overrides` replaces dependencies of its job service. */
-  addInstance (advice?: AdviceGateway, overrides: Partial<JobServiceOptions> = {}): FakeInstance {
+  /** Starts an instance. `createOverrides` replaces dependencies of its job service. */
+  addInstance (
+    advice?: AdviceGateway, createOverrides: (name: string, store: InMemoryStore) => Partial<JobServiceOptions> = () => ({})
+  ): FakeInstance {
     const name = `i${this.#instanceCount++}`
     const store = this.store.createClient()
     const gateway = this.targets.createGateway()
@@ -66,7 +68,7 @@
       advice,
       timings: createOwnerTimings(MAXIMUM_LEASE_MS),
       retentionMs: 120_000,
-      ...overrides
+      ...createOverrides(name, store)
     })
     service.start()
     const instance: FakeInstance = {
--- a/packages/jobs/tests/fault-scenario.ts
+++ b/packages/jobs/tests/fault-scenario.ts
@@ -4,27 +4,40 @@
 
 /** Time in which jobs are submitted and faults begin. */
 export const FAULT_WINDOW_MS = 6_000
+/** Times are close to multiples of this period, so that faults and submissions often coincide. */
+const MOMENT_PERIOD_MS = 500
 const MAXIMUM_TARGETS = 3
+/** Size of the tasks that last, of which all that are submitted leave room for the others. */
+const LASTING_CPU_MILLIS = 50
 
+/** How the tasks of a job run: each by itself, only together, or until the job is cancelled. */
+export type JobKind = 'single' | 'gang' | 'lasting'
+
+/** A job that is submitted at a time of the scenario. */
 export interface JobPlan {
   readonly atMs: number
+  readonly kind: JobKind
   readonly taskCount: number
   readonly durationMs: number
   readonly cpuMillis: number
+  /** Time from the submission to the cancellation; 0 for a job that isn't cancelled. */
+  readonly cancelAfterMs: number
 }
 
 /** A fault that begins at a time of the scenario. */
-export type FaultPlan = { readonly atMs: number, readonly target: number } & (
-  | ({ readonly kind: 'restart' } & Restart)
-  | { readonly kind: 'unlist', readonly durationMs: number }
-  | { readonly kind: 'cut', readonly durationMs: number }
+export type FaultPlan = { readonly atMs: number } & (
+  | { readonly kind: 'restart', readonly target: number } & Restart
+  | { readonly kind: 'unlist', readonly target: number, readonly durationMs: number }
+  | { readonly kind: 'cutTarget', readonly target: number, readonly durationMs: number }
+  | { readonly kind: 'cutOwner' | 'suspendOwner' | 'cutOwnerFromStore' | 'slowStore', readonly durationMs: number }
+  | { readonly kind: 'killOwner' | 'powerOffOwner' }
+  | { readonly kind: 'stepWallClock', readonly stepMs: number }
 )
 
 /** A test case as plain data. With the same scenario, a run repeats exactly. */
 export interface Scenario {
   /** Seed of what is drawn for each call, each stop and each clock. */
   readonly seed: number
-  readonly instanceCount: number
   readonly targetCount: number
   readonly checksCapacity: boolean
   /** Faults of all calls to targets until the window is over. */
@@ -33,49 +46,80 @@
   readonly faults: readonly FaultPlan[]
 }
 
-/** Times are close to multiples of this period, so that faults and submissions often coincide. */
-const MOMENT_PERIOD_MS = 500
-const timeArbitrary = fc.tuple(fc.nat({ max: FAULT_WINDOW_MS / MOMENT_PERIOD_MS }), fc.nat({ max: 100 }))
+const atMs = fc.tuple(fc.nat({ max: FAULT_WINDOW_MS / MOMENT_PERIOD_MS - 1 }), fc.nat({ max: 100 }))
   .map(([moment, offsetMs]) => moment * MOMENT_PERIOD_MS + offsetMs)
-const targetArbitrary = fc.nat({ max: MAXIMUM_TARGETS - 1 })
+const target = fc.nat({ max: MAXIMUM_TARGETS - 1 })
+const durationMs = fc.integer({ min: 100, max: 4_000 })
 
 const jobArbitrary: fc.Arbitrary<JobPlan> = fc.record({
-  atMs: timeArbitrary,
-  taskCount: fc.integer({ min: 1, max: 5 }),
+  atMs,
+  kind: fc.oneof(
+    { weight: 6, arbitrary: fc.constant<JobKind>('single') }, { weight: 2, arbitrary: fc.constantFrom<JobKind>('gang', 'lasting') }
+  ),
+  taskCount: fc.integer({ min: 1, max: 4 }),
   durationMs: fc.oneof({ weight: 2, arbitrary: fc.integer({ min: 20, max: 200 }) }, { weight: 1, arbitrary: fc.constant(3_000) }),
-  cpuMillis: fc.constantFrom(500, 1_000, 2_000)
-})
+  cpuMillis: fc.constantFrom(500, 1_000),
+  cancelAfterMs: fc.oneof({ weight: 5, arbitrary: fc.constant(0) }, { weight: 1, arbitrary: fc.integer({ min: 1, max: 2_000 }) })
+}).map((plan) => plan.kind === 'lasting' ? { ...plan, cpuMillis: LASTING_CPU_MILLIS } : plan)
 
-const restartArbitrary: fc.Arbitrary<FaultPlan> = fc.record({
-  kind: fc.constant('restart' as const),
-  atMs: timeArbitrary,
-  target: targetArbitrary,
-  downMs: fc.oneof(fc.nat({ max: 50 }), fc.nat({ max: 2_000 })),
-  wallStepMs: fc.constant(0),
-  hasMoved: fc.constant(false),
-  listingLagMs: fc.integer({ min: 0, max: 500 })
-})
+function createRestartArbitrary (values: Partial<{ [Key in keyof Restart]: fc.Arbitrary<Restart[Key]> }> = {}): fc.Arbitrary<FaultPlan> {
+  return fc.record({
+    kind: fc.constant('restart' as const),
+    atMs,
+    target,
+    downMs: fc.oneof(fc.nat({ max: 50 }), fc.nat({ max: 2_000 })),
+    wallStepMs: fc.constant(0),
+    hasMoved: fc.constant(false),
+    listingLagMs: fc.nat({ max: 500 }),
+    ...values
+  })
+}
 
-const delayArbitrary: fc.Arbitrary<NetworkFaults> = fc.record({
+const plainRestart = createRestartArbitrary()
+const oddRestart: fc.Arbitrary<FaultPlan> = fc.oneof(
+  createRestartArbitrary({ wallStepMs: fc.integer({ min: -10_000, max: 10_000 }), listingLagMs: fc.nat({ max: 3_000 }) }),
+  createRestartArbitrary({ hasMoved: fc.boolean(), listingLagMs: fc.nat({ max: 3_000 }) }),
+  fc.record({ kind: fc.constant('unlist' as const), atMs, target, durationMs })
+)
+const targetCut: fc.Arbitrary<FaultPlan> = fc.record({ kind: fc.constant('cutTarget' as const), atMs, target, durationMs })
+const ownerFault: fc.Arbitrary<FaultPlan> = fc.oneof(
+  fc.record({ kind: fc.constantFrom('cutOwner' as const, 'suspendOwner', 'cutOwnerFromStore', 'slowStore'), atMs, durationMs }),
+  fc.record({ kind: fc.constantFrom('killOwner' as const, 'powerOffOwner'), atMs }),
+  fc.record({ kind: fc.constant('stepWallClock' as const), atMs, stepMs: fc.integer({ min: -5_000, max: 5_000 }) })
+)
+
+const delays = fc.record({
   slowShare: fc.constantFrom(0.2, 0.5), maximumDelayMs: fc.constantFrom(60, 450), lossShare: fc.constant(0), lateShare: fc.constant(0)
 })
+const losses = fc.record({
+  slowShare: fc.constantFrom(0, 0.3), maximumDelayMs: fc.constant(450), lossShare: fc.constantFrom(0.1, 0.3), lateShare: fc.constant(0)
+})
+const lateOrders = fc.record({
+  slowShare: fc.constantFrom(0, 0.3), maximumDelayMs: fc.constant(450), lossShare: fc.constant(0.05), lateShare: fc.constantFrom(0.05, 0.2)
+})
+const noFaults = fc.constant(NO_NETWORK_FAULTS)
 
-function createScenarioArbitrary (network: fc.Arbitrary<NetworkFaults>, faults: fc.Arbitrary<FaultPlan>): fc.Arbitrary<Scenario> {
+function createScenarioArbitrary (network: fc.Arbitrary<NetworkFaults>, ...faults: fc.Arbitrary<FaultPlan>[]): fc.Arbitrary<Scenario> {
   return fc.record({
     seed: fc.nat({ max: 1_000_000 }),
-    instanceCount: fc.constant(2),
-    targetCount: fc.integer({ min: 1, max: MAXIMUM_TARGETS }),
+    targetCount: fc.integer({ min: 2, max: MAXIMUM_TARGETS }),
     checksCapacity: fc.boolean(),
     network,
     jobs: fc.array(jobArbitrary, { minLength: 4, maxLength: 16 }),
-    faults: fc.array(faults, { minLength: 1, maxLength: 8 })
+    faults: faults.length === 0 ? fc.constant([]) : fc.array(fc.oneof(...faults), { minLength: 1, maxLength: 8 })
   })
 }
 
 /** Generators of scenarios by the kinds of faults that they contain. */
 export const SCENARIO_FAMILIES = {
-  none: createScenarioArbitrary(fc.constant(NO_NETWORK_FAULTS), restartArbitrary).map((scenario) => ({ ...scenario, faults: [] })),
-  restarts: createScenarioArbitrary(fc.constant(NO_NETWORK_FAULTS), restartArbitrary),
-  restartsAndDelays: createScenarioArbitrary(delayArbitrary, restartArbitrary)
+  withoutFaults: createScenarioArbitrary(noFaults),
+  delays: createScenarioArbitrary(delays),
+  restarts: createScenarioArbitrary(noFaults, plainRestart),
+  restartsAndDelays: createScenarioArbitrary(delays, plainRestart),
+  oddRestarts: createScenarioArbitrary(delays, oddRestart),
+  losses: createScenarioArbitrary(losses, targetCut),
+  lateOrders: createScenarioArbitrary(lateOrders, targetCut, plainRestart),
+  ownerChanges: createScenarioArbitrary(noFaults, ownerFault),
+  everything: createScenarioArbitrary(fc.oneof(delays, losses, lateOrders), plainRestart, oddRestart, targetCut, ownerFault)
 } as const
 export type ScenarioFamily = keyof typeof SCENARIO_FAMILIES
--- a/packages/jobs/tests/owner-faults.test.ts
+++ b/packages/jobs/tests/owner-faults.test.ts
@@ -16,10 +16,10 @@
 
 /** Runs a scenario and returns one line for each broken guarantee. */
 async function runAndPrint (scenario: Scenario, print: (text: string) => void): Promise<string[]> {
-  const { violations, trace } = await runScenario(scenario)
-  if (violations.length > 0) print(JSON.stringify(scenario))
-  if (violations.length > 0 && PRINTS_TRACE) print(trace.join('\n'))
-  return violations.map(({ kind, detail }) => `${kind}: ${detail}`)
+  const { broken, trace } = await runScenario(scenario)
+  if (broken.length > 0) print(JSON.stringify(scenario))
+  if (broken.length > 0 && PRINTS_TRACE) print(trace.join('\n'))
+  return broken.map(({ kind, detail }) => `${kind}: ${detail}`)
 }
 
 for (const family of Object.keys(SCENARIO_FAMILIES) as ScenarioFamily[]) {
--- a/packages/jobs/tests/run-checker.ts
+++ b/packages/jobs/tests/run-checker.ts
@@ -1,61 +1,67 @@
-import type { Job } from '../src/job.js'
 import { parseTaskName } from '../src/task-run.js'
 import type { RunHistory, RunRecord } from './run-history.js'
+import type { ScenarioJobs } from './scenario-jobs.js'
 
-/** A job of a scenario, and what its caller was told. */
-export interface SubmittedJob {
-  readonly job: Job
-  outcome: string | undefined
-  cancelRequestedAtMs: number | undefined
-  cancelledAtMs: number | undefined
-}
+/** No task of a cancelled job starts later than this after its cancellation was acknowledged. */
+const CANCEL_BOUND_MS = 5_000
 
-/** A broken guarantee, as the targets and the callers saw it. */
-export interface FoundViolation {
-  readonly kind: 'doubleRun' | 'lateDoubleRun' | 'startAfterDone' | 'lateStartAfterDone' | 'startAfterCancel' | 'overCapacity' | 'notCompleted'
+/** A broken guarantee, as the targets and the callers saw it. The late kinds involve an order that was carried out late. */
+export interface BrokenGuarantee {
+  readonly kind: 'doubleRun' | 'lateDoubleRun' | 'startAfterDone' | 'lateStartAfterDone' | 'startAfterCancel' | 'startOfRefused' |
+    'overCapacity' | 'notCompleted' | 'neverStopped'
   readonly detail: string
 }
 
-/** No task of a cancelled job starts later than this after its cancellation was stored. */
-const CANCEL_BOUND_MS = 5_000
-
 /** Compares what the targets saw with the guarantees for runs. */
-export function findRunViolations (history: RunHistory, jobs: ReadonlyMap<string, SubmittedJob>): FoundViolation[] {
-  const byTask = new Map<string, RunRecord[]>()
-  for (const record of history.runs) byTask.set(record.taskName, [...byTask.get(record.taskName) ?? [], record])
+export function findBrokenGuarantees (history: RunHistory, jobs: ScenarioJobs): BrokenGuarantee[] {
+  const byTask = groupRuns(history.runs, ({ taskName }) => taskName)
+  // One member of a gang that is done stands for all.
+  const byUnit = groupRuns(history.runs, ({ taskName }) => jobs.find(taskName)?.step.isGang === true ? `gang of ${parseTaskName(taskName)?.jobId}` : taskName)
   return [
-    ...[...byTask.values()].flatMap((runs) => [...findDoubleRuns(runs), ...findStartsAfterDone(runs)]),
-    ...findStartsAfterCancel(history, jobs),
-    ...history.overloads.map((detail) => ({ kind: 'overCapacity' as const, detail }))
+    ...byTask.flatMap(findDoubleRuns),
+    ...byUnit.flatMap(findStartsAfterDone),
+    ...history.runs.flatMap((record) => findUnwantedStart(record, jobs)),
+    ...history.overloads.map((detail) => ({ kind: 'overCapacity', detail } as const))
   ]
 }
 
-function findDoubleRuns (runs: readonly RunRecord[]): FoundViolation[] {
-  return runs.flatMap((later, index) => runs.slice(0, index).flatMap((earlier): FoundViolation[] => {
+function groupRuns (runs: readonly RunRecord[], getKey: (record: RunRecord) => string): RunRecord[][] {
+  const groups = new Map<string, RunRecord[]>()
+  for (const record of runs) {
+    const group = groups.get(getKey(record))
+    if (group === undefined) groups.set(getKey(record), [record])
+    else group.push(record)
+  }
+  return [...groups.values()]
+}
+
+function findDoubleRuns (runs: readonly RunRecord[]): BrokenGuarantee[] {
+  return runs.flatMap((later, index) => runs.slice(0, index).flatMap((earlier): BrokenGuarantee[] => {
     if ((earlier.endedAtMs ?? Number.POSITIVE_INFINITY) <= later.startedAtMs) return []
     const kind = earlier.isLate || later.isLate ? 'lateDoubleRun' : 'doubleRun'
     return [{ kind, detail: `${formatRecord(later)} starts during ${formatRecord(earlier)}` }]
   }))
 }
 
-function findStartsAfterDone (runs: readonly RunRecord[]): FoundViolation[] {
-  return runs.flatMap((later) => runs.flatMap((earlier): FoundViolation[] => {
-    if (earlier.outcome !== 'done' || earlier.acknowledgedAtMs === undefined || (earlier.endedAtMs ?? 0) > later.startedAtMs) return []
-    if (earlier === later) return []
+function findStartsAfterDone (runs: readonly RunRecord[]): BrokenGuarantee[] {
+  return runs.flatMap((later) => runs.flatMap((earlier): BrokenGuarantee[] => {
+    const { outcome, acknowledgedAtMs, endedAtMs = Number.POSITIVE_INFINITY } = earlier
+    if (earlier === later || outcome !== 'done' || acknowledgedAtMs === undefined || endedAtMs > later.startedAtMs) return []
     const kind = later.isLate ? 'lateStartAfterDone' : 'startAfterDone'
     return [{ kind, detail: `${formatRecord(later)} starts after ${formatRecord(earlier)}` }]
   }))
 }
 
-function findStartsAfterCancel (history: RunHistory, jobs: ReadonlyMap<string, SubmittedJob>): FoundViolation[] {
-  return history.runs.flatMap((record): FoundViolation[] => {
-    const cancelledAtMs = jobs.get(parseTaskName(record.taskName)?.jobId ?? '')?.cancelledAtMs
-    if (record.isLate || cancelledAtMs === undefined || record.startedAtMs <= cancelledAtMs + CANCEL_BOUND_MS) return []
-    return [{ kind: 'startAfterCancel', detail: `${formatRecord(record)} starts after the cancelling at ${cancelledAtMs}` }]
-  })
+function findUnwantedStart (record: RunRecord, jobs: ScenarioJobs): BrokenGuarantee[] {
+  const submitted = jobs.find(record.taskName)
+  if (submitted === undefined || !submitted.isAccepted) return [{ kind: 'startOfRefused', detail: formatRecord(record) }]
+  const { cancelledAtMs } = submitted
+  if (record.isLate || cancelledAtMs === undefined || record.startedAtMs <= cancelledAtMs + CANCEL_BOUND_MS) return []
+  return [{ kind: 'startAfterCancel', detail: `${formatRecord(record)} starts after the cancelling at ${cancelledAtMs}` }]
 }
 
-function formatRecord ({ taskName, run, targetId, isLate, startedAtMs, endedAtMs, outcome, acknowledgedAtMs }: RunRecord): string {
+/** Formats a run with the times of its start, its end and the acknowledgement of its end. */
+export function formatRecord ({ taskName, run, targetId, isLate, startedAtMs, endedAtMs, outcome, acknowledgedAtMs }: RunRecord): string {
   const times = [startedAtMs, endedAtMs, acknowledgedAtMs].map((timeMs) => timeMs === undefined ? '-' : Math.round(timeMs)).join('/')
-  return `${taskName}#${run} on ${targetId}${isLate ? ' late' : ''} (start/end/acknowledged ${times}, ${outcome ?? 'running'})`
+  return `${taskName}#${run} on ${targetId}${isLate ? ' late' : ''} (${times}, ${outcome ?? 'running'})`
 }
--- a/packages/jobs/tests/run-scenario.ts
+++ b/packages/jobs/tests/run-scenario.ts
@@ -1,23 +1,27 @@
 import type { EventLogger, LogFields } from '@hibiscusledge/runtime/event-logger.js'
 import { SeededRandomSource } from '@hibiscusledge/runtime/seeded-random-source.js'
-import { parseTaskName } from '../src/task-run.js'
-import { FakeJobCell } from './fake-job-cell.js'
-import { FAULT_WINDOW_MS, type FaultPlan, type JobPlan, type Scenario } from './fault-scenario.js'
-import { createJob, createStep } from './job-fixtures.js'
-import { findRunViolations, type FoundViolation, type SubmittedJob } from './run-checker.js'
+import { FakeJobCell, type FakeInstance } from './fake-job-cell.js'
+import { FAULT_WINDOW_MS, type JobPlan, type Scenario } from './fault-scenario.js'
+import { FaultInjector } from './fault-injector.js'
+import { findBrokenGuarantees, formatRecord, type BrokenGuarantee } from './run-checker.js'
 import { RunHistory } from './run-history.js'
+import { ScenarioJobs, type SubmittedJob } from './scenario-jobs.js'
 import { SimulatedFleet } from './simulated-fleet.js'
-import { formatPair, NO_NETWORK_FAULTS, SimulatedNetwork } from './simulated-network.js'
+import { NO_NETWORK_FAULTS, SimulatedNetwork } from './simulated-network.js'
+import { SimulatedGang, SingleWork } from './simulated-work.js'
+import { createSuspendableStore, SuspendableClock } from './suspendable-instance.js'
 
+const INSTANCE_COUNT = 3
 const CAPACITY = { cpuMillis: 4_000, memoryMb: 64_000, accelerators: 0 }
-const NO_RESOURCES = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
 const MAXIMUM_STOP_MS = 500
 const CLOCK_DRIFT_SHARE = 0.02
-/** All jobs complete within this time after the last fault. */
-const COMPLETION_BOUND_MS = 40_000
+/** All jobs are completed within this time after the last fault has begun. */
+const COMPLETION_BOUND_MS = 45_000
+const ANSWER_BOUND_MS = 2_000
+const RETRY_DELAY_MS = 100
 
 export interface ScenarioResult {
-  readonly violations: readonly FoundViolation[]
+  readonly broken: readonly BrokenGuarantee[]
   readonly trace: readonly string[]
 }
 
@@ -26,7 +30,9 @@
   readonly #scenario: Scenario
   readonly #cell = new FakeJobCell(0)
   readonly #history = new RunHistory(() => this.#cell.clock.readMonotonicMs())
-  readonly #jobs = new Map<string, SubmittedJob>()
+  readonly #jobs = new ScenarioJobs()
+  readonly #gangs = new Map<string, SimulatedGang>()
+  readonly #clocks = new Map<string, SuspendableClock>()
   readonly #fleet: SimulatedFleet
   readonly #network: SimulatedNetwork
 
@@ -39,8 +45,9 @@
       history: this.#history,
       capacity: CAPACITY,
       checksCapacity: scenario.checksCapacity,
-      readSize: (taskName) => this.#findStep(taskName)?.size ?? NO_RESOURCES,
-      readDurationMs: (taskName) => this.#findStep(taskName)?.estimatedMs ?? 0,
+      readSize: (taskName) => this.#jobs.readSize(taskName),
+      beginWork: (taskName, run, onEnded) => this.#ensureGang(taskName, run)?.join(onEnded) ??
+        new SingleWork(clock, this.#readDurationMs(taskName), onEnded),
       drawStopMs: () => random.drawInteger(MAXIMUM_STOP_MS)
     }, () => 1 - CLOCK_DRIFT_SHARE * random.drawFraction())
     this.#network = new SimulatedNetwork(clock, random, this.#fleet)
@@ -48,62 +55,92 @@
 
   async run (): Promise<ScenarioResult> {
     const { clock } = this.#cell
-    for (let index = 0; index < this.#scenario.instanceCount; index++) this.#addInstance(`i${index}`)
+    const { network, jobs, faults } = this.#scenario
+    for (let index = 0; index < INSTANCE_COUNT; index++) this.#addInstance()
     await this.#cell.advanceUntil(() => this.#cell.findOwner() !== undefined, 2_000)
-    this.#network.faults = this.#scenario.network
-    this.#scenario.jobs.forEach((plan, index) => clock.startTimer(plan.atMs, () => { void this.#submitJob(`j${index}`, plan) }))
-    for (const plan of this.#scenario.faults) clock.startTimer(plan.atMs, () => this.#injectFault(plan))
+    this.#network.faults = network
+    jobs.forEach((plan, index) => clock.startTimer(plan.atMs, () => { void this.#submitJob(`j${index}`, plan, index) }))
+    const injector = new FaultInjector(this.#cell, this.#fleet, this.#network, this.#clocks, () => this.#addInstance())
+    for (const plan of faults) clock.startTimer(plan.atMs, () => injector.inject(plan))
     await clock.advanceBy(FAULT_WINDOW_MS)
     this.#network.faults = NO_NETWORK_FAULTS
-    this.#history.log('the network has no faults any more')
-    await this.#cell.advanceUntil(() => this.#listOpenJobs().length === 0 && this.#fleet.countRuns() === 0, COMPLETION_BOUND_MS)
-    const open = this.#listOpenJobs().map((id) => ({ kind: 'notCompleted', detail: id } as const))
+    this.#history.log('no more faults begin')
+    await this.#cell.advanceUntil(() => this.#isSettled(), COMPLETION_BOUND_MS)
+    const broken = [...this.#findUnsettled(), ...findBrokenGuarantees(this.#history, this.#jobs)]
     for (const { service } of [...this.#cell.instances]) service.stop()
-    return { violations: [...findRunViolations(this.#history, this.#jobs), ...open], trace: this.#history.trace }
+    return { broken, trace: this.#history.trace }
   }
 
-  #addInstance (name: string): void {
-    this.#cell.addInstance(undefined, {
-      targetGateway: this.#network.createGateway(name),
-      directory: this.#fleet.createDirectory(),
-      logger: this.#createLogger(name)
+  #addInstance (): void {
+    this.#cell.addInstance(undefined, (name, store) => {
+      const clock = new SuspendableClock(this.#cell.clock)
+      this.#clocks.set(name, clock)
+      return {
+        clock,
+        store: createSuspendableStore(store, clock),
+        targetGateway: this.#network.createGateway(name, clock),
+        directory: this.#fleet.createDirectory(clock),
+        logger: this.#createLogger(name)
+      }
     })
   }
 
-  async #submitJob (id: string, { taskCount, durationMs, cpuMillis }: JobPlan): Promise<void> {
-    const step = createStep({ taskCount, estimatedMs: durationMs, size: { ...NO_RESOURCES, cpuMillis, memoryMb: 1 } })
-    const submitted: SubmittedJob = {
-      job: createJob(id, [step]), outcome: undefined, cancelRequestedAtMs: undefined, cancelledAtMs: undefined
-    }
-    this.#jobs.set(id, submitted)
-    const nowMs = this.#cell.clock.readMonotonicMs()
-    const [instance] = this.#cell.instances
-    submitted.outcome = await instance?.service.acceptJob(submitted.job, { refuseAtMs: nowMs + 1_000, giveUpAtMs: nowMs + 2_000 })
+  /** Submits a job, at another instance after each attempt with an unknown outcome, and cancels it if that is planned. */
+  async #submitJob (id: string, plan: JobPlan, attempt: number): Promise<void> {
+    const submitted = this.#jobs.add(id, plan)
+    const outcome = await this.#retry(attempt, async ({ service }) => {
+      const nowMs = this.#cell.clock.readMonotonicMs()
+      return await service.acceptJob(submitted.job, { refuseAtMs: nowMs + ANSWER_BOUND_MS, giveUpAtMs: nowMs + ANSWER_BOUND_MS })
+    })
+    submitted.isAccepted = outcome === 'stored'
+    this.#history.log(`${id} is submitted: ${outcome}`)
+    if (plan.cancelAfterMs > 0) this.#cell.clock.startTimer(plan.cancelAfterMs, () => { void this.#cancelJob(id, submitted, attempt) })
+  }
+
+  async #cancelJob (id: string, submitted: SubmittedJob, attempt: number): Promise<void> {
+    submitted.isCancelRequested = true
+    const outcome = await this.#retry(attempt, async ({ service }) => (
+      await service.cancelJob(id, this.#cell.clock.readMonotonicMs() + ANSWER_BOUND_MS)
+    ))
+    if (outcome === 'stored') submitted.cancelledAtMs = this.#cell.clock.readMonotonicMs()
+    this.#history.log(`${id} is cancelled: ${outcome}`)
+  }
+
+  /** Retries a call at one instance after the other while its outcome is unknown or it gets no answer. */
+  async #retry (attempt: number, call: (instance: FakeInstance) => Promise<string>): Promise<string> {
+    const { clock, instances } = this.#cell
+    const instance = instances[attempt % instances.length]
+    const timeout = new Promise<string>((resolve) => { clock.startTimer(2 * ANSWER_BOUND_MS, () => resolve('unknown')) })
+    const outcome = instance === undefined ? 'unknown' : await Promise.race([call(instance), timeout])
+    if (outcome !== 'unknown') return outcome
+    await new Promise<void>((resolve) => { clock.startTimer(RETRY_DELAY_MS, resolve) })
+    return await this.#retry(attempt + 1, call)
+  }
+
+  #isSettled (): boolean {
+    return this.#findUnsettled().length === 0
   }
 
-  #injectFault (plan: FaultPlan): void {
-    const id = `t${plan.target}`
-    if (plan.kind === 'restart') return this.#fleet.restart(id, plan)
-    if (plan.kind === 'unlist') return this.#fleet.removeFromListing(id, plan.durationMs)
-    for (const { name } of this.#cell.instances) {
-      this.#network.cuts.add(formatPair(name, id))
-      this.#cell.clock.startTimer(plan.durationMs, () => { this.#network.cuts.delete(formatPair(name, id)) })
-    }
+  #findUnsettled (): BrokenGuarantee[] {
+    return [
+      ...this.#jobs.listOpen(this.#history).map(({ job }) => ({ kind: 'notCompleted', detail: job.id } as const)),
+      ...this.#jobs.listLeftOver(this.#history).map((record) => ({ kind: 'neverStopped', detail: formatRecord(record) } as const))
+    ]
   }
 
-  /** Lists the accepted jobs that have neither been completed at the targets nor been cancelled. */
-  #listOpenJobs (): string[] {
-    const done = new Set(this.#history.runs.filter(({ outcome }) => outcome === 'done').map(({ taskName }) => taskName))
-    return [...this.#jobs].filter(([id, { job, outcome, cancelRequestedAtMs }]) => {
-      if (outcome !== 'stored' || cancelRequestedAtMs !== undefined) return false
-      return job.steps.some((step, stepIndex) => Array.from({ length: step.taskCount }, (_, index) => `${id}.0.${stepIndex}.${index}`)
-        .some((taskName) => !done.has(taskName)))
-    }).map(([id]) => id)
+  #ensureGang (taskName: string, run: number): SimulatedGang | undefined {
+    const submitted = this.#jobs.find(taskName)
+    if (submitted?.step.isGang !== true) return undefined
+    const key = `${submitted.job.id}#${run}`
+    const { clock } = this.#cell
+    const gang = this.#gangs.get(key) ?? new SimulatedGang(clock, submitted.step.taskCount, submitted.step.estimatedMs)
+    this.#gangs.set(key, gang)
+    return gang
   }
 
-  #findStep (taskName: string): { readonly size: typeof NO_RESOURCES, readonly estimatedMs: number } | undefined {
-    const key = parseTaskName(taskName)
-    return key === undefined ? undefined : this.#jobs.get(key.jobId)?.job.steps[key.step]
+  #readDurationMs (taskName: string): number {
+    const step = this.#jobs.find(taskName)?.step
+    return step?.isLongRunning === true ? Number.POSITIVE_INFINITY : step?.estimatedMs ?? 0
   }
 
   #createLogger (name: string): EventLogger {
--- a/packages/jobs/tests/simulated-fleet.ts
+++ b/packages/jobs/tests/simulated-fleet.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { TargetDescription, TargetDirectory, TargetDirectoryHandler } from '../src/target-gateway.js'
 import type { RunHistory } from './run-history.js'
 import { SimulatedTarget, type TargetSurroundings } from './simulated-target.js'
@@ -43,17 +44,15 @@
 
   get history (): RunHistory { return this.#surroundings.history }
 
+  listIds (): string[] {
+    return [...this.#members.keys()]
+  }
+
   findByAddress (address: string): SimulatedTarget | undefined {
     for (const member of this.#members.values()) if (member.address === address) return member.incarnation
     return undefined
   }
 
-  countRuns (): number {
-    let count = 0
-    for (const { incarnation } of this.#members.values()) count += incarnation?.countRuns() ?? 0
-    return count
-  }
-
   restart (id: string, { downMs, wallStepMs, hasMoved, listingLagMs }: Restart): void {
     const { clock } = this.#surroundings
     const member = this.#members.get(id)
@@ -80,14 +79,14 @@
     this.#surroundings.clock.startTimer(durationMs, () => this.#list(id, member))
   }
 
-  /** Creates a directory that reports the listing on subscription and then periodically. */
-  createDirectory (): TargetDirectory {
+  /** Creates the directory of an instance. It reports the listing on subscription and then periodically. */
+  createDirectory (clock: Clock): TargetDirectory {
     let timer: { cancel: () => void } | undefined
     return {
       subscribe: (handler: TargetDirectoryHandler) => {
         timer?.cancel()
         handler.onTargets([...this.#listing.values()])
-        timer = this.#surroundings.clock.startInterval(LISTING_PERIOD_MS, () => handler.onTargets([...this.#listing.values()]))
+        timer = clock.startInterval(LISTING_PERIOD_MS, () => handler.onTargets([...this.#listing.values()]))
       },
       stop: () => timer?.cancel()
     }
--- a/packages/jobs/tests/simulated-network.ts
+++ b/packages/jobs/tests/simulated-network.ts
@@ -6,6 +6,7 @@
 } from '../src/target-gateway.js'
 import type { SimulatedFleet } from './simulated-fleet.js'
 import type { SimulatedTarget } from './simulated-target.js'
+import type { SuspendableClock } from './suspendable-instance.js'
 
 const ORDER_TIMEOUT_MS = 500
 const POLL_MARGIN_MS = 600
@@ -34,6 +35,8 @@
   faults = NO_NETWORK_FAULTS
   /** Pairs of instance and target id between which nothing passes, formatted by {@link formatPair}. */
   readonly cuts = new Set<string>()
+  /** Instances whose process has ended. */
+  readonly silenced = new Set<string>()
   readonly #clock: Clock
   readonly #random: RandomSource
   readonly #fleet: SimulatedFleet
@@ -44,15 +47,15 @@
     this.#fleet = fleet
   }
 
-  createGateway (instance: string): TargetGateway {
+  createGateway (instance: string, clock: SuspendableClock): TargetGateway {
     return {
-      startRun: async (endpoint: TargetEndpoint, order: StartOrder) => await this.#send(
-        instance, endpoint, `start ${order.taskName}#${order.run}`, ORDER_TIMEOUT_MS, (target, isLate) => target.start(order, isLate)),
-      stopRun: async (endpoint: TargetEndpoint, order: StopOrder) => await this.#send(
-        instance, endpoint, `stop ${order.taskName}#${order.run}`, ORDER_TIMEOUT_MS, (target) => target.stop(order)),
-      fetchReport: async (endpoint: TargetEndpoint, order: PollOrder) => await this.#send(
+      startRun: async (endpoint: TargetEndpoint, order: StartOrder) => await clock.awaitAwake(await this.#send(
+        instance, endpoint, `start ${order.taskName}#${order.run}`, ORDER_TIMEOUT_MS, (target, isLate) => target.start(order, isLate))),
+      stopRun: async (endpoint: TargetEndpoint, order: StopOrder) => await clock.awaitAwake(await this.#send(
+        instance, endpoint, `stop ${order.taskName}#${order.run}`, ORDER_TIMEOUT_MS, (target) => target.stop(order))),
+      fetchReport: async (endpoint: TargetEndpoint, order: PollOrder) => await clock.awaitAwake(await this.#send(
         instance, endpoint, `poll seen=${order.acknowledgedEnd} wait=${order.waitMs}`, order.waitMs + POLL_MARGIN_MS,
-        async (target) => await target.poll(order)),
+        async (target) => await target.poll(order))),
       removeTarget: () => {}
     }
   }
@@ -72,7 +75,7 @@
       const fail = (code: OrderError['code'], message: string): void => resolve(Err({ code, message }))
       const isCut = (): boolean => this.cuts.has(formatPair(instance, id))
       this.#clock.startTimer(timeoutMs, () => fail('noAnswer', 'no answer in time'))
-      if (isCut() || isOrderLost) return
+      if (isCut() || isOrderLost || this.silenced.has(instance)) return
       if (sentTo === undefined) return fail('unhealthy', 'connection refused')
       const deliver = async (): Promise<void> => {
         const target = this.#fleet.findByAddress(address)
--- a/packages/jobs/tests/simulated-target.ts
+++ b/packages/jobs/tests/simulated-target.ts
@@ -6,6 +6,7 @@
 } from '../src/target-gateway.js'
 import type { RunOutcome } from '../src/task-run.js'
 import type { RunHistory, RunRecord } from './run-history.js'
+import type { Work } from './simulated-work.js'
 
 /** Longest lease that a target grants, on its own clock. */
 export const MAXIMUM_LEASE_MS = 6_000
@@ -19,8 +20,8 @@
   /** Whether targets refuse the start of a run that doesn't fit. */
   readonly checksCapacity: boolean
   readSize (taskName: string): Resources
-  /** Returns the duration of a run; infinite for one that ends only when it is stopped. */
-  readDurationMs (taskName: string): number
+  /** Begins the work of a run, which reports its end. */
+  beginWork (taskName: string, run: number, onEnded: (outcome: RunOutcome) => void): Work
   /** Draws how long a stop takes. */
   drawStopMs (): number
 }
@@ -37,8 +38,8 @@
 interface ActiveRun {
   readonly record: RunRecord
   readonly size: Resources
-  timer: Timer | undefined
-  isStopping: boolean
+  readonly work: Work
+  stopTimer: Timer | undefined
 }
 
 interface NumberedEnd {
@@ -70,19 +71,17 @@
     this.#originMs = surroundings.clock.readMonotonicMs()
   }
 
-  countRuns (): number {
-    return this.#runs.size
-  }
-
   /** Ends the incarnation at once, with all of its runs. Calls that wait for an answer get none. */
   terminate (): void {
     this.isUp = false
     this.#leaseTimer?.cancel()
     for (const active of this.#runs.values()) {
-      active.timer?.cancel()
+      active.stopTimer?.cancel()
       this.#surroundings.history.recordEnd(active.record, 'crashed')
     }
+    const ended = [...this.#runs.values()]
     this.#runs.clear()
+    for (const { work } of ended) work.end()
     this.#notifyWaiters()
   }
 
@@ -102,10 +101,9 @@
       history.recordOverload(`${this.settings.id} uses ${usedCpuMillis} millicores after the start of ${taskName}#${run}`)
     }
     const record = history.recordStart({ taskName, run, targetId: this.settings.id, isLate })
-    const active: ActiveRun = { record, size, timer: undefined, isStopping: false }
+    const work = this.#surroundings.beginWork(taskName, run, (outcome) => this.#endRun(active, outcome))
+    const active: ActiveRun = { record, size, work, stopTimer: undefined }
     this.#runs.set(formatKey(taskName, run), active)
-    const durationMs = this.#surroundings.readDurationMs(taskName)
-    if (Number.isFinite(durationMs)) active.timer = this.#startTimer(durationMs, () => this.#endRun(active, 'done'))
     return this.#acknowledge()
   }
 
@@ -114,10 +112,9 @@
     this.#fencingToken = order.fencingToken
     this.#closeRun(order.taskName, order.run)
     const active = this.#runs.get(formatKey(order.taskName, order.run))
-    if (active === undefined || active.isStopping) return this.#acknowledge()
-    active.isStopping = true
-    active.timer?.cancel()
-    active.timer = this.#startTimer(this.#surroundings.drawStopMs(), () => this.#endRun(active, 'stopped'))
+    if (active === undefined || active.stopTimer !== undefined) return this.#acknowledge()
+    active.work.suspend()
+    active.stopTimer = this.#startTimer(this.#surroundings.drawStopMs(), () => this.#endRun(active, 'stopped'))
     return this.#acknowledge()
   }
 
@@ -140,8 +137,9 @@
   #endRun (active: ActiveRun, outcome: RunOutcome): void {
     const { record } = active
     const { taskName, run } = record
-    active.timer?.cancel()
-    this.#runs.delete(formatKey(taskName, run))
+    if (!this.#runs.delete(formatKey(taskName, run))) return
+    active.stopTimer?.cancel()
+    active.work.end()
     this.#closeRun(taskName, run)
     this.#surroundings.history.recordEnd(record, outcome)
     const report: ReportedEnd = { number: ++this.#endCount, taskName, run, outcome, checkpoint: '' }
