--- a/packages/jobs/tests/fault-scenario.ts
+++ b/packages/jobs/tests/fault-scenario.ts
@@ -118,7 +118,8 @@
   restartsAndDelays: createScenarioArbitrary(delays, plainRestart),
   oddRestarts: createScenarioArbitrary(delays, oddRestart),
   losses: createScenarioArbitrary(losses, targetCut),
-  lateOrders: createScenarioArbitrary(lateOrders, targetCut, plainRestart),
+  lateOrders: createScenarioArbitrary(lateOrders, targetCut),
+  lateOrdersAndRestarts: createScenarioArbitrary(lateOrders, targetCut, plainRestart),
   ownerChanges: createScenarioArbitrary(noFaults, ownerFault),
   everything: createScenarioArbitrary(fc.oneof(delays, losses, lateOrders), plainRestart, oddRestart, targetCut, ownerFault)
 } as const
--- a/packages/jobs/tests/run-checker.ts
+++ b/packages/jobs/tests/run-checker.ts
@@ -8,7 +8,7 @@
 /** A broken guarantee, as the targets and the callers saw it. The late kinds involve an order that was carried out late. */
 export interface BrokenGuarantee {
   readonly kind: 'doubleRun' | 'lateDoubleRun' | 'startAfterDone' | 'lateStartAfterDone' | 'startAfterCancel' | 'startOfRefused' |
-    'overCapacity' | 'notCompleted' | 'neverStopped'
+    'overCapacity' | 'lateOverCapacity' | 'notCompleted' | 'neverStopped'
   readonly detail: string
 }
 
@@ -21,7 +21,7 @@
     ...byTask.flatMap(findDoubleRuns),
     ...byUnit.flatMap(findStartsAfterDone),
     ...history.runs.flatMap((record) => findUnwantedStart(record, jobs)),
-    ...history.overloads.map((detail) => ({ kind: 'overCapacity', detail } as const))
+    ...history.overloads.map(({ detail, isLate }) => ({ kind: isLate ? 'lateOverCapacity' : 'overCapacity', detail } as const))
   ]
 }
 
--- a/packages/jobs/tests/run-history.ts
+++ b/packages/jobs/tests/run-history.ts
@@ -17,7 +17,7 @@
 /** Everything that the targets of a test saw, and a trace of it in the order of time. */
 export class RunHistory {
   readonly runs: RunRecord[] = []
-  readonly overloads: string[] = []
+  readonly overloads: { readonly detail: string, readonly isLate: boolean }[] = []
   readonly trace: string[] = []
   readonly #readNowMs: () => number
 
@@ -44,8 +44,9 @@
     record.acknowledgedAtMs = this.#readNowMs()
   }
 
-  recordOverload (detail: string): void {
-    this.overloads.push(detail)
+  /** Records that a target needs more than its capacity; `isLate` if that involves an order that was carried out late. */
+  recordOverload (detail: string, isLate: boolean): void {
+    this.overloads.push({ detail, isLate })
     this.log(detail)
   }
 
--- a/packages/jobs/tests/simulated-target.ts
+++ b/packages/jobs/tests/simulated-target.ts
@@ -98,7 +98,8 @@
     const { history, capacity, checksCapacity } = this.#surroundings
     if (usedCpuMillis > capacity.cpuMillis) {
       if (checksCapacity) return this.#refuse('noRoom')
-      history.recordOverload(`${this.settings.id} uses ${usedCpuMillis} millicores after the start of ${taskName}#${run}`)
+      const hasLate = isLate || [...this.#runs.values()].some(({ record }) => record.isLate)
+      history.recordOverload(`${this.settings.id} uses ${usedCpuMillis} millicores after the start of ${taskName}#${run}`, hasLate)
     }
     const record = history.recordStart({ taskName, run, targetId: this.settings.id, isLate })
     const work = this.#surroundings.beginWork(taskName, run, (outcome) => this.#endRun(active, outcome))
