--- a/packages/jobs/tests/fault-injector.ts
+++ b/packages/jobs/tests/fault-injector.ts
@@ -46,6 +46,10 @@
       case 'killOwner':
       case 'powerOffOwner': return this.#endInstance(owner, plan.kind === 'powerOffOwner')
       case 'stepWallClock': return clock?.advanceWall(plan.stepMs)
+      case 'loseStoreReplies': {
+        owner.store.faults.loseNextReplies = plan.count
+        return
+      }
       case 'suspendOwner': {
         clock?.suspend(plan.durationMs)
         this.#cell.mesh.unreachable.add(owner.name)
--- a/packages/jobs/tests/fault-scenario.ts
+++ b/packages/jobs/tests/fault-scenario.ts
@@ -32,6 +32,7 @@
   | { readonly kind: 'cutOwner' | 'suspendOwner' | 'cutOwnerFromStore' | 'slowStore', readonly durationMs: number }
   | { readonly kind: 'killOwner' | 'powerOffOwner' }
   | { readonly kind: 'stepWallClock', readonly stepMs: number }
+  | { readonly kind: 'loseStoreReplies', readonly count: number }
 )
 
 /** A test case as plain data. With the same scenario, a run repeats exactly. */
@@ -40,6 +41,7 @@
   readonly seed: number
   readonly targetCount: number
   readonly checksCapacity: boolean
+  readonly endsPerReport: number
   /** Faults of all calls to targets until the window is over. */
   readonly network: NetworkFaults
   readonly jobs: readonly JobPlan[]
@@ -85,25 +87,34 @@
 const ownerFault: fc.Arbitrary<FaultPlan> = fc.oneof(
   fc.record({ kind: fc.constantFrom('cutOwner' as const, 'suspendOwner', 'cutOwnerFromStore', 'slowStore'), atMs, durationMs }),
   fc.record({ kind: fc.constantFrom('killOwner' as const, 'powerOffOwner'), atMs }),
-  fc.record({ kind: fc.constant('stepWallClock' as const), atMs, stepMs: fc.integer({ min: -5_000, max: 5_000 }) })
+  fc.record({ kind: fc.constant('stepWallClock' as const), atMs, stepMs: fc.integer({ min: -5_000, max: 5_000 }) }),
+  fc.record({ kind: fc.constant('loseStoreReplies' as const), atMs, count: fc.integer({ min: 1, max: 3 }) })
 )
 
-const delays = fc.record({
-  slowShare: fc.constantFrom(0.2, 0.5), maximumDelayMs: fc.constantFrom(60, 450), lossShare: fc.constant(0), lateShare: fc.constant(0)
-})
-const losses = fc.record({
-  slowShare: fc.constantFrom(0, 0.3), maximumDelayMs: fc.constant(450), lossShare: fc.constantFrom(0.1, 0.3), lateShare: fc.constant(0)
+const noFaults = fc.constant(NO_NETWORK_FAULTS)
+const delays = createNetworkArbitrary({ slowShare: fc.constantFrom(0.2, 0.5), maximumDelayMs: fc.constantFrom(60, 450) })
+const losses = createNetworkArbitrary({
+  slowShare: fc.constantFrom(0, 0.3), lossShare: fc.constantFrom(0.1, 0.3), refusalShare: fc.constantFrom(0, 0.1)
 })
-const lateOrders = fc.record({
-  slowShare: fc.constantFrom(0, 0.3), maximumDelayMs: fc.constant(450), lossShare: fc.constant(0.05), lateShare: fc.constantFrom(0.05, 0.2)
+const lateOrders = createNetworkArbitrary({
+  slowShare: fc.constantFrom(0, 0.3), lossShare: fc.constant(0.05), lateShare: fc.constantFrom(0.05, 0.2)
 })
-const noFaults = fc.constant(NO_NETWORK_FAULTS)
+
+function createNetworkArbitrary (
+  values: Partial<{ [Key in keyof NetworkFaults]: fc.Arbitrary<NetworkFaults[Key]> }>
+): fc.Arbitrary<NetworkFaults> {
+  const none = fc.constant(0)
+  return fc.record({
+    slowShare: none, maximumDelayMs: fc.constant(450), lossShare: none, refusalShare: none, lateShare: none, ...values
+  })
+}
 
 function createScenarioArbitrary (network: fc.Arbitrary<NetworkFaults>, ...faults: fc.Arbitrary<FaultPlan>[]): fc.Arbitrary<Scenario> {
   return fc.record({
     seed: fc.nat({ max: 1_000_000 }),
     targetCount: fc.integer({ min: 2, max: MAXIMUM_TARGETS }),
     checksCapacity: fc.boolean(),
+    endsPerReport: fc.constantFrom(500, 3),
     network,
     jobs: fc.array(jobArbitrary, { minLength: 4, maxLength: 16 }),
     faults: faults.length === 0 ? fc.constant([]) : fc.array(fc.oneof(...faults), { minLength: 1, maxLength: 8 })
@@ -121,6 +132,7 @@
   lateOrders: createScenarioArbitrary(lateOrders, targetCut),
   lateOrdersAndRestarts: createScenarioArbitrary(lateOrders, targetCut, plainRestart),
   ownerChanges: createScenarioArbitrary(noFaults, ownerFault),
+  ownerChangesAndLateOrders: createScenarioArbitrary(lateOrders, ownerFault),
   everything: createScenarioArbitrary(fc.oneof(delays, losses, lateOrders), plainRestart, oddRestart, targetCut, ownerFault)
 } as const
 export type ScenarioFamily = keyof typeof SCENARIO_FAMILIES
--- a/packages/jobs/tests/run-checker.ts
+++ b/packages/jobs/tests/run-checker.ts
@@ -5,10 +5,14 @@
 /** No task of a cancelled job starts later than this after its cancellation was acknowledged. */
 const CANCEL_BOUND_MS = 5_000
 
-/** A broken guarantee, as the targets and the callers saw it. The late kinds involve an order that was carried out late. */
+/** A broken guarantee, as the targets and the callers saw it. */
 export interface BrokenGuarantee {
-  readonly kind: 'doubleRun' | 'lateDoubleRun' | 'startAfterDone' | 'lateStartAfterDone' | 'startAfterCancel' | 'startOfRefused' |
-    'overCapacity' | 'lateOverCapacity' | 'notCompleted' | 'neverStopped'
+  /**
+   * `late...`: by an order that was carried out late. `...BesideLate`: by a timely order, beside a run whose order was carried out late.
+   * `startAfterLateDone`: the end was acknowledged only by a poll that was carried out late.
+   */
+  readonly kind: 'doubleRun' | 'doubleRunBesideLate' | 'lateDoubleRun' | 'startAfterDone' | 'startAfterLateDone' | 'lateStartAfterDone' |
+    'startAfterCancel' | 'startOfRefused' | 'overCapacity' | 'overCapacityBesideLate' | 'lateOverCapacity' | 'notCompleted' | 'neverStopped'
   readonly detail: string
 }
 
@@ -21,7 +25,7 @@
     ...byTask.flatMap(findDoubleRuns),
     ...byUnit.flatMap(findStartsAfterDone),
     ...history.runs.flatMap((record) => findUnwantedStart(record, jobs)),
-    ...history.overloads.map(({ detail, isLate }) => ({ kind: isLate ? 'lateOverCapacity' : 'overCapacity', detail } as const))
+    ...history.overloads
   ]
 }
 
@@ -38,7 +42,7 @@
 function findDoubleRuns (runs: readonly RunRecord[]): BrokenGuarantee[] {
   return runs.flatMap((later, index) => runs.slice(0, index).flatMap((earlier): BrokenGuarantee[] => {
     if ((earlier.endedAtMs ?? Number.POSITIVE_INFINITY) <= later.startedAtMs) return []
-    const kind = earlier.isLate || later.isLate ? 'lateDoubleRun' : 'doubleRun'
+    const kind = later.isLate ? 'lateDoubleRun' : earlier.isLate ? 'doubleRunBesideLate' : 'doubleRun'
     return [{ kind, detail: `${formatRecord(later)} starts during ${formatRecord(earlier)}` }]
   }))
 }
@@ -47,7 +51,7 @@
   return runs.flatMap((later) => runs.flatMap((earlier): BrokenGuarantee[] => {
     const { outcome, acknowledgedAtMs, endedAtMs = Number.POSITIVE_INFINITY } = earlier
     if (earlier === later || outcome !== 'done' || acknowledgedAtMs === undefined || endedAtMs > later.startedAtMs) return []
-    const kind = later.isLate ? 'lateStartAfterDone' : 'startAfterDone'
+    const kind = later.isLate ? 'lateStartAfterDone' : earlier.isAcknowledgedLate ? 'startAfterLateDone' : 'startAfterDone'
     return [{ kind, detail: `${formatRecord(later)} starts after ${formatRecord(earlier)}` }]
   }))
 }
--- a/packages/jobs/tests/run-history.ts
+++ b/packages/jobs/tests/run-history.ts
@@ -12,12 +12,17 @@
   outcome: RunOutcome | 'crashed' | undefined
   /** Time at which an owner acknowledged the end. Stays undefined if the lease of the target lapsed in between. */
   acknowledgedAtMs: number | undefined
+  /** Whether the poll that acknowledged the end was carried out late. */
+  isAcknowledgedLate: boolean
 }
 
+/** By a timely order, by one beside a run whose order was carried out late, or by one that was carried out late itself. */
+export type OverloadKind = 'overCapacity' | 'overCapacityBesideLate' | 'lateOverCapacity'
+
 /** Everything that the targets of a test saw, and a trace of it in the order of time. */
 export class RunHistory {
   readonly runs: RunRecord[] = []
-  readonly overloads: { readonly detail: string, readonly isLate: boolean }[] = []
+  readonly overloads: { readonly kind: OverloadKind, readonly detail: string }[] = []
   readonly trace: string[] = []
   readonly #readNowMs: () => number
 
@@ -27,7 +32,12 @@
 
   recordStart (start: Pick<RunRecord, 'taskName' | 'run' | 'targetId' | 'isLate'>): RunRecord {
     const record: RunRecord = {
-      ...start, startedAtMs: this.#readNowMs(), endedAtMs: undefined, outcome: undefined, acknowledgedAtMs: undefined
+      ...start,
+      startedAtMs: this.#readNowMs(),
+      endedAtMs: undefined,
+      outcome: undefined,
+      acknowledgedAtMs: undefined,
+      isAcknowledgedLate: false
     }
     this.runs.push(record)
     this.log(`${start.targetId} starts ${start.taskName}#${start.run}${start.isLate ? ' late' : ''}`)
@@ -40,13 +50,13 @@
     this.log(`${record.targetId} ends ${record.taskName}#${record.run} ${outcome}`)
   }
 
-  recordAcknowledgement (record: RunRecord): void {
+  recordAcknowledgement (record: RunRecord, isLate: boolean): void {
     record.acknowledgedAtMs = this.#readNowMs()
+    record.isAcknowledgedLate = isLate
   }
 
-  /** Records that a target needs more than its capacity; `isLate` if that involves an order that was carried out late. */
-  recordOverload (detail: string, isLate: boolean): void {
-    this.overloads.push({ detail, isLate })
+  recordOverload (kind: OverloadKind, detail: string): void {
+    this.overloads.push({ kind, detail })
     this.log(detail)
   }
 
--- a/packages/jobs/tests/run-scenario.ts
+++ b/packages/jobs/tests/run-scenario.ts
@@ -45,6 +45,7 @@
       history: this.#history,
       capacity: CAPACITY,
       checksCapacity: scenario.checksCapacity,
+      endsPerReport: scenario.endsPerReport,
       readSize: (taskName) => this.#jobs.readSize(taskName),
       beginWork: (taskName, run, onEnded) => this.#ensureGang(taskName, run)?.join(onEnded) ??
         new SingleWork(clock, this.#readDurationMs(taskName), onEnded),
--- a/packages/jobs/tests/simulated-network.ts
+++ b/packages/jobs/tests/simulated-network.ts
@@ -22,11 +22,15 @@
   readonly maximumDelayMs: number
   /** Share of the orders, and of the answers, that are lost. */
   readonly lossShare: number
-  /** Share of the calls without an answer whose order is carried out long after they have timed out. */
+  /** Share of the orders that a target refuses as unhealthy. */
+  readonly refusalShare: number
+  /** Share of the calls whose order is carried out long after they have timed out, without an answer. */
   readonly lateShare: number
 }
 
-export const NO_NETWORK_FAULTS: NetworkFaults = { slowShare: 0, maximumDelayMs: 0, lossShare: 0, lateShare: 0 }
+export const NO_NETWORK_FAULTS: NetworkFaults = {
+  slowShare: 0, maximumDelayMs: 0, lossShare: 0, refusalShare: 0, lateShare: 0
+}
 
 type Execute<Value> = (target: SimulatedTarget, isLate: boolean) => Result<Value, OrderError> | Promise<Result<Value, OrderError>>
 
@@ -55,7 +59,7 @@
         instance, endpoint, `stop ${order.taskName}#${order.run}`, ORDER_TIMEOUT_MS, (target) => target.stop(order))),
       fetchReport: async (endpoint: TargetEndpoint, order: PollOrder) => await clock.awaitAwake(await this.#send(
         instance, endpoint, `poll seen=${order.acknowledgedEnd} wait=${order.waitMs}`, order.waitMs + POLL_MARGIN_MS,
-        async (target) => await target.poll(order))),
+        async (target, isLate) => await target.poll(order, isLate))),
       removeTarget: () => {}
     }
   }
@@ -67,6 +71,7 @@
     const sentAtMs = this.#clock.readMonotonicMs()
     const isLate = this.#drawFault(this.faults.lateShare)
     const isOrderLost = !isLate && this.#drawFault(this.faults.lossShare)
+    const isRefused = this.#drawFault(this.faults.refusalShare)
     const isAnswerLost = this.#drawFault(this.faults.lossShare)
     const orderMs = isLate ? timeoutMs + this.#random.drawInteger(MAXIMUM_LATE_MS - timeoutMs) : this.#drawDelayMs()
     const answerMs = this.#drawDelayMs()
@@ -82,6 +87,7 @@
         if (isCut() && !isLate) return
         if (target === undefined) return fail('noAnswer', 'connection reset')
         if (target.settings.id !== id) return fail('otherIncarnation', 'another target answers')
+        if (isRefused) return fail('unhealthy', 'the target refuses')
         const result = await execute(target, isLate || target !== sentTo)
         const writtenAtMs = this.#clock.readMonotonicMs()
         if (!target.isUp) return fail('noAnswer', 'connection reset')
--- a/packages/jobs/tests/simulated-target.ts
+++ b/packages/jobs/tests/simulated-target.ts
@@ -10,7 +10,6 @@
 
 /** Longest lease that a target grants, on its own clock. */
 export const MAXIMUM_LEASE_MS = 6_000
-const MAXIMUM_REPORTED_ENDS = 500
 
 /** What the targets of a test have in common. */
 export interface TargetSurroundings {
@@ -19,6 +18,8 @@
   readonly capacity: Resources
   /** Whether targets refuse the start of a run that doesn't fit. */
   readonly checksCapacity: boolean
+  /** Number of ended runs that a target reports at a time. */
+  readonly endsPerReport: number
   readSize (taskName: string): Resources
   /** Begins the work of a run, which reports its end. */
   beginWork (taskName: string, run: number, onEnded: (outcome: RunOutcome) => void): Work
@@ -98,8 +99,9 @@
     const { history, capacity, checksCapacity } = this.#surroundings
     if (usedCpuMillis > capacity.cpuMillis) {
       if (checksCapacity) return this.#refuse('noRoom')
-      const hasLate = isLate || [...this.#runs.values()].some(({ record }) => record.isLate)
-      history.recordOverload(`${this.settings.id} uses ${usedCpuMillis} millicores after the start of ${taskName}#${run}`, hasLate)
+      const isBesideLate = [...this.#runs.values()].some(({ record }) => record.isLate)
+      const kind = isLate ? 'lateOverCapacity' : isBesideLate ? 'overCapacityBesideLate' : 'overCapacity'
+      history.recordOverload(kind, `${this.settings.id} uses ${usedCpuMillis} millicores after the start of ${taskName}#${run}`)
     }
     const record = history.recordStart({ taskName, run, targetId: this.settings.id, isLate })
     const work = this.#surroundings.beginWork(taskName, run, (outcome) => this.#endRun(active, outcome))
@@ -120,18 +122,19 @@
   }
 
   /** Extends the lease, forgets acknowledged ends, and reports the runs once an end is listed or the wait is over. */
-  async poll (order: PollOrder): Promise<Result<TargetReport, OrderError>> {
+  async poll (order: PollOrder, isLate: boolean): Promise<Result<TargetReport, OrderError>> {
     if (order.fencingToken < this.#fencingToken) return this.#refuse('fenced')
     this.#fencingToken = order.fencingToken
-    this.#forgetEnds(order.acknowledgedEnd)
+    this.#forgetEnds(order.acknowledgedEnd, isLate)
     if (order.leaseUntilMs !== undefined) this.#extendLease(order.leaseUntilMs)
     if (this.#ends.length === 0 && order.waitMs > 0) await this.#awaitEnd(order.waitMs)
+    const { endsPerReport } = this.#surroundings
     return Ok({
       targetClockMs: this.#readClockMs(),
       startedAtMs: this.settings.startedAtMs,
       running: [...this.#runs.values()].map(({ record: { taskName, run } }) => ({ taskName, run, checkpoint: '', percent: 100 })),
-      ended: this.#ends.slice(0, MAXIMUM_REPORTED_ENDS).map(({ report }) => report),
-      hasMoreEnds: this.#ends.length >= MAXIMUM_REPORTED_ENDS
+      ended: this.#ends.slice(0, endsPerReport).map(({ report }) => report),
+      hasMoreEnds: this.#ends.length >= endsPerReport
     })
   }
 
@@ -152,9 +155,10 @@
     this.#closedRuns.set(taskName, Math.max(run, this.#closedRuns.get(taskName) ?? 0))
   }
 
-  #forgetEnds (lastNumber: number): void {
+  #forgetEnds (lastNumber: number, isLate: boolean): void {
     for (const { report, record, lapseCount } of this.#ends) {
-      if (report.number <= lastNumber && lapseCount === this.#lapseCount) this.#surroundings.history.recordAcknowledgement(record)
+      if (report.number > lastNumber || lapseCount !== this.#lapseCount) continue
+      this.#surroundings.history.recordAcknowledgement(record, isLate)
     }
     this.#ends = this.#ends.filter(({ report }) => report.number > lastNumber)
   }
