Track the incarnations of a target in one class, and log what is suspected of them

IncarnationTracker holds the present incarnation and the doubt about it, and decides which one wrote a report or an answer. target.restartSuspected and target.listingDiffers say why a target gets no tasks for a while, and logs explain shows them.

--- a/packages/ctl/src/job-timeline.ts
+++ b/packages/ctl/src/job-timeline.ts
@@ -13,7 +13,8 @@
 ])
 /** Events of a target that explain why a run on it was lost or its end was recorded late. */
 const TARGET_EVENTS: ReadonlySet<string> = new Set([
-  'target.lost', 'target.reached', 'target.suspected', 'target.leaseLapsed', 'target.restarted', 'target.removed'
+  'target.lost', 'target.reached', 'target.suspected', 'target.leaseLapsed', 'target.restarted',
+  'target.restartSuspected', 'target.listingDiffers', 'target.removed'
 ])
 /** Such events are included from this long before the first record of the job to this long after the last one. */
 const CONTEXT_WINDOW_MS = 2_000
--- a/packages/jobs/src/job-events.ts
+++ b/packages/jobs/src/job-events.ts
@@ -20,6 +20,8 @@
   targetReached: 'target.reached',
   targetLost: 'target.lost',
   targetRestarted: 'target.restarted',
+  targetRestartSuspected: 'target.restartSuspected',
+  targetListingDiffers: 'target.listingDiffers',
   targetLeaseLapsed: 'target.leaseLapsed',
   targetSuspected: 'target.suspected',
   ownershipAcquired: 'ownership.acquired',
--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -1,3 +1,4 @@
+import type { IncarnationTracker } from './incarnation-tracker.js'
 import { JOB_EVENTS } from './job-events.js'
 import type { MessageOrder } from './message-order.js'
 import type { SessionContext } from './session-context.js'
@@ -18,19 +19,14 @@
 export interface OrderSession {
   readonly runs: SessionRuns
   readonly messages: MessageOrder
+  readonly incarnations: IncarnationTracker
   readonly health: TargetHealth
   readDescription (): TargetDescription
   isStopped (): boolean
   /** Whether a placed run may still be started on the target. */
   isOpenForStarts (): boolean
-  /** Returns the incarnation that reported last; undefined before the first report. */
-  readIncarnation (): TargetIncarnation | undefined
   /** Records that the target may hold a lease of this length from now on. */
   extendLease (nowMs: number, leaseMs: number): void
-  /** Records the clock reading of an answer to an order that was sent at `sentAtMs`, while `incarnation` was the last to report. */
-  recordReading (targetClockMs: number, sentAtMs: number, incarnation: TargetIncarnation): void
-  /** Another incarnation has refused an order. */
-  onOtherIncarnation (): void
   pollNow (): void
   endRun (run: TaskRun, end: RunEnd): void
 }
@@ -51,7 +47,7 @@
     const session = this.#session
     if (session.isStopped() || !session.runs.has(run)) return
     const nowMs = clock.readMonotonicMs()
-    const incarnation = session.readIncarnation()
+    const incarnation = session.incarnations.readCurrent()
     const targetNowMs = incarnation?.clock.estimate(nowMs)
     const isAllowed = this.#context.isAuthorized() && session.isOpenForStarts() && !run.isStopWanted
     if (incarnation === undefined || targetNowMs === undefined || !isAllowed) {
@@ -86,7 +82,7 @@
     const { gateway, fencingToken, clock, timings, logger } = this.#context
     const session = this.#session
     const target = session.readDescription()
-    const incarnation = session.readIncarnation()
+    const incarnation = session.incarnations.readCurrent()
     logger.logInfo(JOB_EVENTS.taskStopRequested, {
       jobId: run.task.jobId, task: formatTaskName(run.task), run: run.number, target: target.id
     })
@@ -94,7 +90,7 @@
     if (session.isStopped() || !session.runs.has(run)) return
     if (result.ok) {
       // An earlier incarnation may have answered.
-      if (session.readIncarnation() !== incarnation) return await this.sendStop(run)
+      if (session.incarnations.readCurrent() !== incarnation) return await this.sendStop(run)
       run.stopAcknowledgedAt = session.messages.advance()
       if (run.phase === RUN_PHASES.unsettled) session.pollNow()
       return
@@ -124,7 +120,7 @@
 
   #onStartAnswered (run: TaskRun, targetClockMs: number, incarnation: TargetIncarnation): void {
     this.markRunning(run)
-    this.#session.recordReading(targetClockMs, run.sentAtMs, incarnation)
+    this.#session.incarnations.recordReading(targetClockMs, run.sentAtMs, this.#context.clock.readMonotonicMs(), incarnation)
     if (run.isStopWanted) void this.sendStop(run)
   }
 
@@ -143,7 +139,7 @@
     }
     logger.logWarning(JOB_EVENTS.startRefused, fields)
     if (error.code === ORDER_ERROR_CODES.unhealthy) session.health.recordRefusal(clock.readMonotonicMs())
-    if (error.code === ORDER_ERROR_CODES.otherIncarnation) session.onOtherIncarnation()
+    if (error.code === ORDER_ERROR_CODES.otherIncarnation) session.incarnations.suspectRestart()
     if (error.code === ORDER_ERROR_CODES.fenced) this.#context.onFenced()
     if (error.code === ORDER_ERROR_CODES.invalidTicket) this.#context.onTicketRefused(run)
     session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.refused })
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -1,6 +1,6 @@
 import { AbandonedOrders } from './abandoned-orders.js'
-import { MessageOrder, type MessagePosition } from './message-order.js'
-import { IncarnationDoubt } from './incarnation-doubt.js'
+import { MessageOrder } from './message-order.js'
+import { IncarnationTracker } from './incarnation-tracker.js'
 import { JOB_EVENTS } from './job-events.js'
 import { PollTimer } from './poll-timer.js'
 import { ReportApplier, type SentPoll } from './report-applier.js'
@@ -9,7 +9,7 @@
 import { SessionRuns } from './session-runs.js'
 import { ORDER_ERROR_CODES, type OrderError, type TargetDescription, type TargetReport } from './target-gateway.js'
 import { TargetHealth } from './target-health.js'
-import { TargetIncarnation } from './target-incarnation.js'
+import type { TargetIncarnation } from './target-incarnation.js'
 import { TargetLease } from './target-lease.js'
 import { TargetListing } from './target-listing.js'
 import type { CapacityTracker } from './capacity-tracker.js'
@@ -29,9 +29,7 @@
   readonly #messages = new MessageOrder()
   readonly #abandonedOrders: AbandonedOrders
   readonly #pollTimer: PollTimer
-  /** The incarnation that reported last. */
-  #incarnation: TargetIncarnation | undefined
-  readonly #doubt: IncarnationDoubt
+  readonly #incarnations: IncarnationTracker
   #hasMoreEnds = false
   #hasReported = false
   #isStopped = false
@@ -43,13 +41,15 @@
     this.#listing = new TargetListing(description, context.clock)
     this.#context = context
     this.#runs = new SessionRuns(description.capacity, context.timings.rememberedEnds)
+    this.#incarnations = new IncarnationTracker(this.#messages, context.timings.rememberedEnds, {
+      onRestarted: (report, previous) => this.#onTargetRestarted(report, previous),
+      onUnknownIncarnation: (targetClockMs, isNew) => this.#onUnknownIncarnation(targetClockMs, isNew)
+    })
     this.#orders = new RunOrderSender(context, {
       runs: this.#runs,
       messages: this.#messages,
       health: this.health,
-      readIncarnation: () => this.#incarnation,
-      onOtherIncarnation: () => { this.#doubt.suspectRestart() },
-      recordReading: (targetClockMs, sentAtMs, incarnation) => this.#recordReading(targetClockMs, sentAtMs, incarnation),
+      incarnations: this.#incarnations,
       readDescription: () => this.readDescription(),
       isOpenForStarts: () => this.#isOpenForStarts(),
       isStopped: () => this.#isStopped,
@@ -58,7 +58,6 @@
       endRun: (run, end) => this.#endRun(run, end)
     })
     this.#abandonedOrders = new AbandonedOrders(context)
-    this.#doubt = new IncarnationDoubt(this.#messages)
     this.#reports = new ReportApplier(context, {
       targetId: description.id,
       runs: this.#runs,
@@ -113,7 +112,12 @@
 
   setDescription (description: TargetDescription): void {
     this.capacity.setCapacity(description.capacity)
+    const wasOfAnother = this.#listing.isOfAnotherIncarnation()
     if (this.#listing.update(description)) this.#pollTimer.schedule(0)
+    if (wasOfAnother || !this.#listing.isOfAnotherIncarnation()) return
+    this.#context.logger.logInfo(JOB_EVENTS.targetListingDiffers, {
+      target: this.id, listedStartedAtMs: description.startedAtMs, startedAtMs: this.#incarnations.readCurrent()?.startedAtMs
+    })
   }
 
   markUnlisted (): void { this.#listing.markUnlisted() }
@@ -184,10 +188,10 @@
    * own, so none are acknowledged while the target may have restarted, or may have run an order since its last report.
    */
   #findDroppableEnd (): number {
-    if (this.#doubt.isInDoubt() || this.#listing.isOfAnotherIncarnation()) return NO_ENDS
+    if (this.#incarnations.isInDoubt() || this.#listing.isOfAnotherIncarnation()) return NO_ENDS
     // A run whose end the target has left out is settled only once the others are dropped.
     if (this.#runs.hasUnansweredStart() && !this.#hasMoreEnds) return NO_ENDS
-    return this.#incarnation?.ends.readDroppableEnd() ?? NO_ENDS
+    return this.#incarnations.readCurrent()?.ends.readDroppableEnd() ?? NO_ENDS
   }
 
   /** Polls the target. Returns whether the report listed ended runs that are not acknowledged yet. */
@@ -195,10 +199,10 @@
     const { clock, gateway, timings, fencingToken } = this.#context
     const sentAtMs = clock.readMonotonicMs()
     const sentAt = this.#messages.advance()
-    const targetNowMs = this.#incarnation?.clock.estimate(sentAtMs)
+    const targetNowMs = this.#incarnations.readCurrent()?.clock.estimate(sentAtMs)
     const leaseMs = this.#context.isStoreHealthy() ? timings.leaseMs : timings.maximumLeaseMs
     // An unresponsive target may still receive the poll. Its lease is not extended, since it must expire before the tasks run elsewhere.
-    const isReachable = this.#failedPolls === 0 && !this.#doubt.isRestartSuspected()
+    const isReachable = this.#failedPolls === 0 && !this.#incarnations.isRestartSuspected()
     const isExtending = targetNowMs !== undefined && isReachable && this.#context.isAuthorized()
     if (isExtending) this.#lease.extend(sentAtMs, leaseMs)
     const result = await gateway.fetchReport(this.readDescription(), {
@@ -214,26 +218,26 @@
   }
 
   #onPollFailed (error: OrderError): void {
-    this.#doubt.recordLoss()
+    this.#incarnations.recordLoss()
     const { code, message } = error
     if (code === ORDER_ERROR_CODES.noAnswer) this.#context.onAnswerLost(this.id)
     if (this.#failedPolls++ === 0) this.#context.logger.logWarning(JOB_EVENTS.targetLost, { target: this.id, code, message })
-    if (code === ORDER_ERROR_CODES.otherIncarnation) this.#doubt.suspectRestart()
+    if (code === ORDER_ERROR_CODES.otherIncarnation) this.#incarnations.suspectRestart()
     if (code === ORDER_ERROR_CODES.fenced) this.#context.onFenced()
   }
 
   #applyReport (report: TargetReport, poll: SentPoll): boolean {
     const nowMs = this.#context.clock.readMonotonicMs()
     const receivedAt = this.#messages.advance()
-    const incarnation = this.#resolveIncarnation(report, poll, receivedAt)
+    const incarnation = this.#incarnations.resolve(report, poll.sentAt, receivedAt)
     if (incarnation === undefined) {
       this.pollNow()
       return false
     }
+    this.#listing.recordReportedStart(incarnation.startedAtMs)
     const isNewest = incarnation.recordReport(report, poll.sentAt, receivedAt, nowMs)
     // A poll from before this incarnation's first report has acknowledged ends of an earlier one.
     if (poll.sentAt > incarnation.recognizedAt) incarnation.ends.confirmDropped(poll.acknowledgedEnd)
-    this.#doubt.recordReport(poll.sentAt)
     this.#hasMoreEnds = report.hasMoreEnds === true
     this.#recordContact(report, nowMs)
     const newEnds = incarnation.ends.selectNew(report.ended)
@@ -244,36 +248,31 @@
     return report.ended.length > 0
   }
 
-  /** Returns the incarnation that wrote a report; undefined when that one may have ended since. */
-  #resolveIncarnation (report: TargetReport, poll: SentPoll, receivedAt: MessagePosition): TargetIncarnation | undefined {
-    const current = this.#incarnation
-    if (current?.startedAtMs === report.startedAtMs) return current
-    if (current !== undefined && !current.isSucceededBy(poll.sentAt)) return undefined
-    const incarnation = new TargetIncarnation(report.startedAtMs, receivedAt, this.#context.timings.rememberedEnds)
-    this.#incarnation = incarnation
-    this.#listing.recordReportedStart(report.startedAtMs)
-    if (current !== undefined) this.#onTargetRestarted(report, poll, current)
-    return incarnation
-  }
-
   /** Handles a restart. The runs are judged by the reports: an order that was sent before may have taken effect on either side of it. */
-  #onTargetRestarted ({ startedAtMs, targetClockMs }: TargetReport, poll: SentPoll, previous: TargetIncarnation): void {
+  #onTargetRestarted ({ startedAtMs, targetClockMs }: TargetReport, previous: TargetIncarnation): void {
     this.#context.logger.logWarning(JOB_EVENTS.targetRestarted, {
       target: this.id,
       runs: this.#runs.count(),
       previousStartedAtMs: previous.startedAtMs,
       startedAtMs,
-      targetClockMs: Math.round(targetClockMs),
-      pollAgeMs: Math.round(this.#context.clock.readMonotonicMs() - poll.sentAtMs)
+      targetClockMs: Math.round(targetClockMs)
     })
     this.#lease.extendToMaximum(this.#context.clock.readMonotonicMs())
     this.#abandonedOrders.onTargetRestarted()
     this.#orders.sendStopsAgain()
   }
 
+  /** Polls a target of which an order was answered by an incarnation that hasn't reported yet. Its lease can't be known. */
+  #onUnknownIncarnation (targetClockMs: number, isNew: boolean): void {
+    this.#lease.extendToMaximum(this.#context.clock.readMonotonicMs())
+    if (!isNew) return
+    this.#context.logger.logInfo(JOB_EVENTS.targetRestartSuspected, { target: this.id, targetClockMs: Math.round(targetClockMs) })
+    this.pollNow()
+  }
+
   /** Whether a placed run may be started on the target as it was described when it was chosen. */
   #isOpenForStarts (): boolean {
-    return this.isActive() && !this.#doubt.isRestartSuspected() && !this.#listing.isOfAnotherIncarnation()
+    return this.isActive() && !this.#incarnations.isRestartSuspected() && !this.#listing.isOfAnotherIncarnation()
   }
 
   #recordContact (report: TargetReport, nowMs: number): void {
@@ -285,16 +284,4 @@
     this.#lastAnswerMs = nowMs
     if (isFirst) this.#context.onCapacityChanged()
   }
-
-  /** Polls a target of which an order was answered by an incarnation that hasn't reported yet. */
-  #suspectRestart (): void {
-    this.#lease.extendToMaximum(this.#context.clock.readMonotonicMs())
-    if (this.#doubt.suspectRestart()) this.pollNow()
-  }
-
-  #recordReading (targetClockMs: number, sentAtMs: number, incarnation: TargetIncarnation): void {
-    if (incarnation !== this.#incarnation) return
-    if (incarnation.isClockAhead(targetClockMs, sentAtMs)) return this.#suspectRestart()
-    incarnation.clock.update(targetClockMs, this.#context.clock.readMonotonicMs())
-  }
 }
