--- a/packages/dispatch/src/worker-session.ts
+++ b/packages/dispatch/src/worker-session.ts
@@ -40,7 +40,8 @@
   readonly trackedSinceMs: number
   /** When the last renewal was sent. The worker may have received it. */
   lastRenewedAtMs: number
-  hasBeenListed: boolean
+  /** When the worker was first seen to list the task; undefined before. */
+  listedAtMs: number | undefined
   resolve (report: RunReport): void
 }
 
@@ -71,7 +72,7 @@
     if (this.#isClosed) return Promise.resolve({ type: 'detached' })
     const nowMs = this.#clock.readMonotonicMs()
     return new Promise((resolve) => {
-      this.#tasks.set(formatTaskId(order), { order, trackedSinceMs: nowMs, lastRenewedAtMs: nowMs, hasBeenListed: false, resolve })
+      this.#tasks.set(formatTaskId(order), { order, trackedSinceMs: nowMs, lastRenewedAtMs: nowMs, listedAtMs: undefined, resolve })
       this.#startSync()
     })
   }
@@ -157,7 +158,7 @@
   }
 
   #applyTask (taskId: string, tracked: TrackedTask, task: SyncedTask): void {
-    tracked.hasBeenListed = true
+    tracked.listedAtMs ??= this.#clock.readMonotonicMs()
     if (task.usage !== undefined) this.#onUsage(tracked.order.requestId, tracked.order.taskIndex, task.usage)
     const report = buildReport(task)
     if (report === undefined) return
@@ -166,12 +167,13 @@
   }
 
   /**
-   * A task that the worker has listed before and no longer lists has ended. The start of one that was never listed may still
-   * be in transit, so it counts as ended only after a lease and its margin: the lease of a later start would not be renewed.
+   * A task that the worker had listed before the sync was sent, and lists no longer, has ended. The start of one that was never listed
+   * may still be in transit, so it counts as ended only after a lease and its margin: the lease of a later start would not be renewed.
    */
   #checkAbsence (taskId: string, tracked: TrackedTask, sentAtMs: number): void {
     const isSettled = sentAtMs - tracked.trackedSinceMs > WORKER_LEASE_MS + LEASE_MARGIN_MS
-    if (!tracked.hasBeenListed && !isSettled) return
+    const wasListed = tracked.listedAtMs !== undefined && tracked.listedAtMs < sentAtMs
+    if (!wasListed && !isSettled) return
     this.#tasks.delete(taskId)
     tracked.resolve({ type: 'lost', message: 'the worker no longer lists the task' })
   }
