--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -139,7 +139,7 @@
     }
     logger.logWarning(JOB_EVENTS.startRefused, fields)
     if (error.code === ORDER_ERROR_CODES.unhealthy) session.health.recordRefusal(clock.readMonotonicMs())
-    if (error.code === ORDER_ERROR_CODES.otherIncarnation) session.incarnations.suspectRestart()
+    if (error.code === ORDER_ERROR_CODES.otherIncarnation && session.incarnations.suspectRestart()) session.pollNow()
     if (error.code === ORDER_ERROR_CODES.fenced) this.#context.onFenced()
     if (error.code === ORDER_ERROR_CODES.invalidTicket) this.#context.onTicketRefused(run)
     session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.refused })
--- a/packages/jobs/src/session-runs.ts
+++ b/packages/jobs/src/session-runs.ts
@@ -1,6 +1,7 @@
 import type { Resources } from './job.js'
 import { CapacityTracker } from './capacity-tracker.js'
-import { formatRunKey, RUN_PHASES, type TaskRun } from './task-run.js'
+import type { RUN_PHASES, TaskRun } from './task-run.js'
+import { formatRunKey } from './task-run.js'
 
 /** The runs that a session tracks on its target, and the capacity that they reserve there. */
 export class SessionRuns {
@@ -55,11 +56,9 @@
     return this.#runs.size
   }
 
-  /** Whether the target hasn't answered a start order of this owner yet, so that a run may be there that no report shows. */
-  hasUnansweredStart (): boolean {
-    for (const { phase, sentAtMs } of this.#runs.values()) {
-      if (phase === RUN_PHASES.sent || (phase === RUN_PHASES.unsettled && Number.isFinite(sentAtMs))) return true
-    }
+  /** Whether a start order of this owner is unanswered in this phase, so that a run may be there that no report shows. */
+  hasUnansweredStart (phase: typeof RUN_PHASES.sent | typeof RUN_PHASES.unsettled): boolean {
+    for (const run of this.#runs.values()) if (run.phase === phase && Number.isFinite(run.sentAtMs)) return true
     return false
   }
 
--- a/packages/jobs/src/target-gateway.ts
+++ b/packages/jobs/src/target-gateway.ts
@@ -87,8 +87,11 @@
   readonly checkpoint: string
 }
 
+/** Start of a target that doesn't say when it started. */
+export const UNKNOWN_START_MS = 0
+
 export interface TargetReport extends OrderAnswer {
-  /** Start of the target in Unix milliseconds. A different value means a different incarnation. */
+  /** Start of the target in Unix milliseconds, or {@link UNKNOWN_START_MS}. A different value means a different incarnation. */
   readonly startedAtMs: number
   readonly running: readonly ReportedRun[]
   readonly ended: readonly ReportedEnd[]
--- a/packages/jobs/src/target-health.ts
+++ b/packages/jobs/src/target-health.ts
@@ -12,7 +12,7 @@
 const REFUSAL_PAUSE_MS = 1_000
 
 /** A run that may be a probe of a suspected target. */
-interface ProbeRun { readonly sentAtMs: number }
+interface ProbeRun { readonly sentAtMs: number, readonly expectedEndMs: number }
 
 interface RecentRun { readonly atMs: number, readonly jobId: string, readonly hasFailed: boolean }
 
@@ -58,7 +58,7 @@
 
   /**
    * Whether the target may get a task. After the cooldown, a suspected target gets one as a probe, and another one only once that has
-   * ended. Runs from before the suspicion don't count, since one that lasts may never end.
+   * ended. Runs from before the suspicion don't count, nor do those that last, since they may never end.
    */
   shouldReceiveTasks (nowMs: number, runs: Iterable<ProbeRun>): boolean {
     if (nowMs < this.#pausedUntilMs || nowMs < this.#cooldownUntilMs) return false
@@ -66,7 +66,7 @@
   }
 
   #hasProbe (runs: Iterable<ProbeRun>): boolean {
-    for (const { sentAtMs } of runs) if (sentAtMs > this.#suspectedAtMs) return true
+    for (const { sentAtMs, expectedEndMs } of runs) if (sentAtMs > this.#suspectedAtMs && Number.isFinite(expectedEndMs)) return true
     return false
   }
 
--- a/packages/jobs/src/target-lease.ts
+++ b/packages/jobs/src/target-lease.ts
@@ -1,5 +1,4 @@
 import { computeEarlierLeaseBoundMs, computeLeaseBoundMs, type OwnerTimings } from './owner-timings.js'
-import { RUN_PHASES, type TaskRun } from './task-run.js'
 
 /** Upper bound of the lease under which a target keeps its runs while it doesn't answer. Times are monotonic. */
 export class TargetLease {
@@ -22,13 +21,8 @@
     this.extend(nowMs, this.#timings.maximumLeaseMs)
   }
 
-  /**
-   * Whether the lease of a run has surely expired. A run whose start order has no answer may be in an incarnation that hasn't reported
-   * yet, to which the order granted the maximum.
-   */
-  hasExpired (run: TaskRun, nowMs: number): boolean {
-    const isUnanswered = run.phase === RUN_PHASES.sent || run.phase === RUN_PHASES.unsettled
-    const startExpiryMs = isUnanswered ? run.sentAtMs + computeLeaseBoundMs(this.#timings.maximumLeaseMs) : Number.NEGATIVE_INFINITY
-    return nowMs >= Math.max(this.#expiryMs, startExpiryMs)
+  /** Whether every lease that the target may hold has surely expired. */
+  hasExpired (nowMs: number): boolean {
+    return nowMs >= this.#expiryMs
   }
 }
--- a/packages/jobs/src/target-listing.ts
+++ b/packages/jobs/src/target-listing.ts
@@ -1,5 +1,8 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
-import type { TargetDescription } from './target-gateway.js'
+import { UNKNOWN_START_MS, type TargetDescription } from './target-gateway.js'
+
+/** Number of earlier incarnations whose entries are recognized as outdated. */
+const REMEMBERED_STARTS = 5
 
 /** What the directory says of one target, which may be older or newer than the target's own reports. */
 export class TargetListing {
@@ -9,6 +12,8 @@
   #leavesAtMs: number | undefined
   /** Start of the incarnation that reported last; undefined before the first report. */
   #reportedStartMs: number | undefined
+  /** Starts of the incarnations that reported before, latest first. */
+  #earlierStartsMs: readonly number[] = []
 
   constructor (description: TargetDescription, clock: Clock) {
     this.#description = description
@@ -34,6 +39,11 @@
     return startedAtMs !== undefined && this.#reportedStartMs !== undefined && startedAtMs !== this.#reportedStartMs
   }
 
+  /** Whether the description is that of an incarnation that hasn't reported yet. */
+  isOfLaterIncarnation (): boolean {
+    return this.isOfAnotherIncarnation() && !this.#earlierStartsMs.includes(this.#description.startedAtMs ?? UNKNOWN_START_MS)
+  }
+
   /** Returns the monotonic time before which a draining target doesn't leave; undefined when it isn't draining or the time is not known. */
   readLeavesAtMs (): number | undefined {
     return this.#leavesAtMs
@@ -55,6 +65,10 @@
   }
 
   recordReportedStart (startedAtMs: number): void {
+    if (startedAtMs === UNKNOWN_START_MS || startedAtMs === this.#reportedStartMs) return
+    if (this.#reportedStartMs !== undefined) {
+      this.#earlierStartsMs = [this.#reportedStartMs, ...this.#earlierStartsMs].slice(0, REMEMBERED_STARTS)
+    }
     this.#reportedStartMs = startedAtMs
   }
 }
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -1,5 +1,6 @@
 import { AbandonedOrders } from './abandoned-orders.js'
 import { MessageOrder } from './message-order.js'
+import { EndAcknowledger, NO_ENDS } from './end-acknowledger.js'
 import { IncarnationTracker } from './incarnation-tracker.js'
 import { JOB_EVENTS } from './job-events.js'
 import { PollTimer } from './poll-timer.js'
@@ -15,9 +16,6 @@
 import type { CapacityTracker } from './capacity-tracker.js'
 import { isGivenUp, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
 
-/** Acknowledges no ended runs. */
-const NO_ENDS = 0
-
 /** The owner's session with one target: sends orders and polls, extends the lease, and tracks the runs and their capacity. */
 export class TargetSession {
   readonly health = new TargetHealth()
@@ -30,7 +28,7 @@
   readonly #abandonedOrders: AbandonedOrders
   readonly #pollTimer: PollTimer
   readonly #incarnations: IncarnationTracker
-  #hasMoreEnds = false
+  readonly #acknowledger: EndAcknowledger
   #hasReported = false
   #isStopped = false
   readonly #lease: TargetLease
@@ -58,6 +56,9 @@
       endRun: (run, end) => this.#endRun(run, end)
     })
     this.#abandonedOrders = new AbandonedOrders(context)
+    this.#acknowledger = new EndAcknowledger({
+      clock: context.clock, incarnations: this.#incarnations, listing: this.#listing, runs: this.#runs
+    })
     this.#reports = new ReportApplier(context, {
       targetId: description.id,
       runs: this.#runs,
@@ -115,6 +116,8 @@
     const wasOfAnother = this.#listing.isOfAnotherIncarnation()
     if (this.#listing.update(description)) this.#pollTimer.schedule(0)
     if (wasOfAnother || !this.#listing.isOfAnotherIncarnation()) return
+    // An order on the earlier clock may have reached the incarnation that is listed.
+    this.#lease.extendToMaximum(this.#context.clock.readMonotonicMs())
     this.#context.logger.logInfo(JOB_EVENTS.targetListingDiffers, {
       target: this.id, listedStartedAtMs: description.startedAtMs, startedAtMs: this.#incarnations.readCurrent()?.startedAtMs
     })
@@ -137,16 +140,15 @@
     this.#orders.requestStop(run)
   }
 
-  /** Ends the runs whose lease has surely expired as lapsed. */
+  /** Ends all runs as lapsed once every lease granted to the target has surely expired. */
   checkLeaseExpiry (): void {
     const nowMs = this.#context.clock.readMonotonicMs()
     this.#abandonedOrders.prune()
-    const expired = this.#runs.copy().filter((run) => this.#lease.hasExpired(run, nowMs))
-    if (expired.length === 0) return
+    if (this.#runs.count() === 0 || !this.#lease.hasExpired(nowMs)) return
     const silentMs = Math.round(nowMs - this.#lastAnswerMs)
-    this.#context.logger.logWarning(JOB_EVENTS.targetLeaseLapsed, { target: this.id, runs: expired.length, silentMs })
+    this.#context.logger.logWarning(JOB_EVENTS.targetLeaseLapsed, { target: this.id, runs: this.#runs.count(), silentMs })
     this.#hasReported = false
-    for (const run of expired) this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.leaseExpired })
+    for (const run of this.#runs.copy()) this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.leaseExpired })
   }
 
   /** Polls the target at once; it answers without waiting for a run to end. */
@@ -170,7 +172,7 @@
 
   async #runScheduledPoll (): Promise<void> {
     const { clock, timings, runWhenStored } = this.#context
-    const hadEnds = await this.#poll(this.#hasReported ? timings.pollWaitMs : 0, this.#findDroppableEnd())
+    const hadEnds = await this.#poll(this.#choosePollWaitMs(), this.#acknowledger.findDroppableEnd())
     if (this.#failedPolls > 0) {
       const mayMatter = this.#listing.isListed() || this.#runs.count() > 0
       return this.#pollTimer.schedule(mayMatter ? timings.pollRetryMs : timings.unresponsiveMs)
@@ -183,15 +185,11 @@
     runWhenStored(() => this.#pollTimer.schedule(Math.max(0, notBeforeMs - clock.readMonotonicMs())))
   }
 
-  /**
-   * Returns the number up to which the target may drop its ended runs. Another incarnation that got the poll would drop as many of its
-   * own, so none are acknowledged while the target may have restarted, or may have run an order since its last report.
-   */
-  #findDroppableEnd (): number {
-    if (this.#incarnations.isInDoubt() || this.#listing.isOfAnotherIncarnation()) return NO_ENDS
-    // A run whose end the target has left out is settled only once the others are dropped.
-    if (this.#runs.hasUnansweredStart() && !this.#hasMoreEnds) return NO_ENDS
-    return this.#incarnations.readCurrent()?.ends.readDroppableEnd() ?? NO_ENDS
+  /** Returns how long the target may wait for a run to end: not while it may have restarted, and briefly while stops are repeated. */
+  #choosePollWaitMs (): number {
+    const { pollWaitMs, stopRetryMs } = this.#context.timings
+    if (!this.#hasReported || this.#incarnations.isInDoubt()) return 0
+    return this.#abandonedOrders.hasUnrefused() ? stopRetryMs : pollWaitMs
   }
 
   /** Polls the target. Returns whether the report listed ended runs that are not acknowledged yet. */
@@ -238,11 +236,13 @@
     const isNewest = incarnation.recordReport(report, poll.sentAt, receivedAt, nowMs)
     // A poll from before this incarnation's first report has acknowledged ends of an earlier one.
     if (poll.sentAt > incarnation.recognizedAt) incarnation.ends.confirmDropped(poll.acknowledgedEnd)
-    this.#hasMoreEnds = report.hasMoreEnds === true
     this.#recordContact(report, nowMs)
     const newEnds = incarnation.ends.selectNew(report.ended)
     this.#reports.applyEnds(newEnds, incarnation)
-    if (isNewest) this.#reports.applyNewest(report, poll, incarnation)
+    if (isNewest) {
+      this.#acknowledger.hasMoreEnds = report.hasMoreEnds === true
+      this.#reports.applyNewest(report, poll, incarnation)
+    }
     this.#abandonedOrders.stopAll(this.readDescription())
     if (newEnds.length > 0) incarnation.ends.acknowledge(newEnds, this.#context.runWhenStored)
     return report.ended.length > 0
--- a/packages/jobs/tests/acknowledged-ends.test.ts
+++ b/packages/jobs/tests/acknowledged-ends.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { createRun } from './job-fixtures.js'
 import { createReport } from './scripted-target-gateway.js'
-import { createSessionFixture, EARLIER, LATER, listAsDone, type SessionFixture } from './session-fixture.js'
+import { createSessionFixture, describeTarget, EARLIER, LATER, listAsDone, type SessionFixture } from './session-fixture.js'
 
 const POLL_PERIOD_MS = 250
 
@@ -106,3 +106,19 @@
   }
   t.is(highest, 500)
 })
+
+// Guards against ends that are never noted because the directory lags behind the restarts of a target.
+test('ends are acknowledged to a target whose entry is older than its reports', async (t) => {
+  const fixture = await createSessionFixture()
+  const { clock, gateway, session, start, unstored } = fixture
+  session.setDescription(describeTarget({ startedAtMs: EARLIER.startedAtMs }))
+  const run = start(1)
+  await gateway.starts[0]?.answer({ targetClockMs: LATER.targetClockMs })
+  await gateway.polls.at(-1)?.answer(createReport({ ...LATER, targetClockMs: LATER.targetClockMs + 50, ended: [listAsDone(run, 1)] }))
+  for (const callback of unstored) callback()
+  await gateway.polls[0]?.lose()
+  await clock.advanceBy(POLL_PERIOD_MS)
+  await gateway.polls.at(-1)?.answer(createReport({ ...LATER, targetClockMs: LATER.targetClockMs + 400, ended: [listAsDone(run, 1)] }))
+  await clock.advanceBy(POLL_PERIOD_MS)
+  t.is(readAcknowledgedEnd(fixture), 1)
+})
