--- a/packages/jobs/tests/owner-faults.test.ts
+++ b/packages/jobs/tests/owner-faults.test.ts
@@ -7,7 +7,7 @@
 // HIBISCUSLEDGE_SHRINK=1 reduces each failing scenario first, HIBISCUSLEDGE_TRACE=1 prints what happened in it, and
 // HIBISCUSLEDGE_SCENARIO='{"seed":...}' runs a printed scenario.
 const FIRST_SEED = Number(process.env['HIBISCUSLEDGE_FIRST_SEED'] ?? 1)
-const SEED_COUNT = Number(process.env['HIBISCUSLEDGE_SEEDS'] ?? 8)
+const SEED_COUNT = Number(process.env['HIBISCUSLEDGE_SEEDS'] ?? 20)
 const SHRINKS = process.env['HIBISCUSLEDGE_SHRINK'] !== undefined
 const PRINTS_TRACE = process.env['HIBISCUSLEDGE_TRACE'] !== undefined
 const GIVEN_SCENARIO = process.env['HIBISCUSLEDGE_SCENARIO']
