--- a/packages/jobs/tests/run-scenario.ts
+++ b/packages/jobs/tests/run-scenario.ts
@@ -97,6 +97,7 @@
     })
     this.#history.log(`${id} is submitted: ${submitted.outcome}`)
     if (plan.cancelAfterMs > 0) this.#cell.clock.startTimer(plan.cancelAfterMs, () => { void this.#cancelJob(id, submitted, attempt) })
+    else submitted.isAnswered = true
   }
 
   async #cancelJob (id: string, submitted: SubmittedJob, attempt: number): Promise<void> {
@@ -105,6 +106,7 @@
       await service.cancelJob(id, this.#cell.clock.readMonotonicMs() + ANSWER_BOUND_MS)
     ))
     if (outcome === 'stored') submitted.cancelledAtMs = this.#cell.clock.readMonotonicMs()
+    submitted.isAnswered = true
     this.#history.log(`${id} is cancelled: ${outcome}`)
   }
 
--- a/packages/jobs/tests/scenario-jobs.ts
+++ b/packages/jobs/tests/scenario-jobs.ts
@@ -12,6 +12,8 @@
   readonly step: JobStep
   /** Last outcome of the submission; undefined while it is not known. */
   outcome: string | undefined
+  /** Whether the submission, and the cancellation if one is planned, have been answered. */
+  isAnswered: boolean
   isCancelRequested: boolean
   /** Time at which the cancellation was acknowledged. */
   cancelledAtMs: number | undefined
@@ -30,7 +32,7 @@
       isLongRunning: kind === 'lasting'
     })
     const submitted: SubmittedJob = {
-      job: createJob(id, [step]), step, outcome: undefined, isCancelRequested: false, cancelledAtMs: undefined
+      job: createJob(id, [step]), step, outcome: undefined, isAnswered: false, isCancelRequested: false, cancelledAtMs: undefined
     }
     this.#jobs.set(id, submitted)
     return submitted
@@ -45,9 +47,9 @@
     return this.find(taskName)?.step.size ?? NO_RESOURCES
   }
 
-  /** Whether the caller of each job knows whether it was accepted. */
+  /** Whether all callers have their answers. */
   hasAnswers (): boolean {
-    return [...this.#jobs.values()].every(({ outcome }) => outcome !== undefined)
+    return [...this.#jobs.values()].every(({ isAnswered }) => isAnswered)
   }
 
   /** Lists the accepted and uncancelled jobs. */
