--- a/packages/jobs/tests/fault-scenario.ts
+++ b/packages/jobs/tests/fault-scenario.ts
@@ -10,8 +10,8 @@
 /** Size of the tasks that last, of which all that are submitted leave room for the others. */
 const LASTING_CPU_MILLIS = 50
 
-/** How the tasks of a job run: each by itself, only together, or until the job is cancelled. */
-export type JobKind = 'single' | 'gang' | 'lasting'
+/** How the tasks of a job run: each by itself, in two steps, only together, or until the job is cancelled. */
+export type JobKind = 'single' | 'chain' | 'gang' | 'lasting'
 
 /** A job that is submitted at a time of the scenario. */
 export interface JobPlan {
@@ -56,7 +56,7 @@
 const jobArbitrary: fc.Arbitrary<JobPlan> = fc.record({
   atMs,
   kind: fc.oneof(
-    { weight: 6, arbitrary: fc.constant<JobKind>('single') }, { weight: 2, arbitrary: fc.constantFrom<JobKind>('gang', 'lasting') }
+    { weight: 6, arbitrary: fc.constant<JobKind>('single') }, { weight: 2, arbitrary: fc.constantFrom<JobKind>('chain', 'gang', 'lasting') }
   ),
   taskCount: fc.integer({ min: 1, max: 4 }),
   durationMs: fc.oneof({ weight: 2, arbitrary: fc.integer({ min: 20, max: 200 }) }, { weight: 1, arbitrary: fc.constant(3_000) }),
@@ -133,6 +133,7 @@
   lateOrdersAndRestarts: createScenarioArbitrary(lateOrders, targetCut, plainRestart),
   ownerChanges: createScenarioArbitrary(noFaults, ownerFault),
   ownerChangesAndLateOrders: createScenarioArbitrary(lateOrders, ownerFault),
+  ownerChangesAndRestarts: createScenarioArbitrary(delays, ownerFault, plainRestart, oddRestart),
   everything: createScenarioArbitrary(fc.oneof(delays, losses, lateOrders), plainRestart, oddRestart, targetCut, ownerFault)
 } as const
 export type ScenarioFamily = keyof typeof SCENARIO_FAMILIES
--- a/packages/jobs/tests/run-checker.ts
+++ b/packages/jobs/tests/run-checker.ts
@@ -1,6 +1,6 @@
 import { parseTaskName } from '../src/task-run.js'
 import type { RunHistory, RunRecord } from './run-history.js'
-import type { ScenarioJobs } from './scenario-jobs.js'
+import { listTaskNames, type ScenarioJobs } from './scenario-jobs.js'
 
 /** No task of a cancelled job starts later than this after its cancellation was acknowledged. */
 const CANCEL_BOUND_MS = 5_000
@@ -12,7 +12,7 @@
    * `startAfterLateDone`: the end was acknowledged only by a poll that was carried out late.
    */
   readonly kind: 'doubleRun' | 'doubleRunBesideLate' | 'lateDoubleRun' | 'startAfterDone' | 'startAfterLateDone' | 'lateStartAfterDone' |
-    'startAfterCancel' | 'startOfRefused' | 'overCapacity' | 'overCapacityBesideLate' | 'lateOverCapacity' | 'notCompleted' | 'neverStopped' |
+    'startBeforeEarlierStep' | 'startAfterCancel' | 'startOfRefused' | 'overCapacity' | 'overCapacityBesideLate' | 'lateOverCapacity' | 'notCompleted' | 'neverStopped' |
     'wrongState'
   readonly detail: string
 }
@@ -26,6 +26,7 @@
     ...byTask.flatMap(findDoubleRuns),
     ...byUnit.flatMap(findStartsAfterDone),
     ...history.runs.flatMap((record) => findUnwantedStart(record, jobs)),
+    ...history.runs.flatMap((record) => findEarlyStart(record, history, jobs)),
     ...history.overloads
   ]
 }
@@ -65,6 +66,17 @@
   return [{ kind: 'startAfterCancel', detail: `${formatRecord(record)} starts after the cancelling at ${cancelledAtMs}` }]
 }
 
+/** Finds the start of a task whose step comes after one that wasn't complete. */
+function findEarlyStart (record: RunRecord, { runs }: RunHistory, jobs: ScenarioJobs): BrokenGuarantee[] {
+  const key = parseTaskName(record.taskName)
+  const job = jobs.find(record.taskName)?.job
+  if (key === undefined || job === undefined || key.step === 0) return []
+  const done = new Set(runs.filter(({ outcome, endedAtMs = Number.POSITIVE_INFINITY }) => outcome === 'done' && endedAtMs <= record.startedAtMs)
+    .map(({ taskName }) => taskName))
+  if (listTaskNames(job, key.step - 1).every((name) => done.has(name))) return []
+  return [{ kind: 'startBeforeEarlierStep', detail: formatRecord(record) }]
+}
+
 /** Formats a run with the times of its start, its end and the acknowledgement of its end. */
 export function formatRecord ({ taskName, run, targetId, isLate, startedAtMs, endedAtMs, outcome, acknowledgedAtMs }: RunRecord): string {
   const times = [startedAtMs, endedAtMs, acknowledgedAtMs].map((timeMs) => timeMs === undefined ? '-' : Math.round(timeMs)).join('/')
--- a/packages/jobs/tests/scenario-jobs.ts
+++ b/packages/jobs/tests/scenario-jobs.ts
@@ -9,6 +9,7 @@
 /** A job of a scenario, and what its caller was told. */
 export interface SubmittedJob {
   readonly job: Job
+  /** The first step; a second one differs only in that it comes after the first. */
   readonly step: JobStep
   /** Last outcome of the submission; undefined while it is not known. */
   outcome: string | undefined
@@ -32,7 +33,7 @@
       isLongRunning: kind === 'lasting'
     })
     const submitted: SubmittedJob = {
-      job: createJob(id, [step]), step, outcome: undefined, isAnswered: false, isCancelRequested: false, cancelledAtMs: undefined
+      job: createJob(id, kind === 'chain' ? [step, { ...step, after: [0] }] : [step]), step, outcome: undefined, isAnswered: false, isCancelRequested: false, cancelledAtMs: undefined
     }
     this.#jobs.set(id, submitted)
     return submitted
@@ -62,7 +63,7 @@
     const done = new Set(history.runs.filter(({ outcome }) => outcome === 'done').map(({ taskName }) => taskName))
     const running = new Set(history.runs.filter(({ outcome }) => outcome === undefined).map(({ taskName }) => taskName))
     return this.listWanted().filter(({ job, step }) => {
-      const names = Array.from({ length: step.taskCount }, (_, index) => formatTaskName({ jobId: job.id, occurrence: 0, step: 0, index }))
+      const names = job.steps.flatMap((_, index) => listTaskNames(job, index))
       if (step.isLongRunning) return !names.every((name) => running.has(name))
       return step.isGang ? !names.some((name) => done.has(name)) : !names.every((name) => done.has(name))
     })
@@ -76,3 +77,8 @@
     })
   }
 }
+
+/** Lists the names of a step's tasks. */
+export function listTaskNames ({ id, steps }: Job, step: number): string[] {
+  return Array.from({ length: steps[step]?.taskCount ?? 0 }, (_, index) => formatTaskName({ jobId: id, occurrence: 0, step, index }))
+}
