--- a/packages/jobs/tests/fault-scenario.ts
+++ b/packages/jobs/tests/fault-scenario.ts
@@ -126,6 +126,7 @@
   withoutFaults: createScenarioArbitrary(noFaults),
   delays: createScenarioArbitrary(delays),
   restarts: createScenarioArbitrary(noFaults, plainRestart),
+  restartsAndCuts: createScenarioArbitrary(delays, plainRestart, targetCut, targetCut),
   restartsAndDelays: createScenarioArbitrary(delays, plainRestart),
   oddRestarts: createScenarioArbitrary(delays, oddRestart),
   losses: createScenarioArbitrary(losses, targetCut),
