--- a/packages/jobs/tests/scenario-jobs.ts
+++ b/packages/jobs/tests/scenario-jobs.ts
@@ -9,9 +9,12 @@
 /** A job of a scenario, and what its caller was told. */
 export interface SubmittedJob {
   readonly job: Job
+  /** The first step; a second one differs only in that it comes after the first. */
   readonly step: JobStep
   /** Last outcome of the submission; undefined while it is not known. */
   outcome: string | undefined
+  /** Whether the submission, and the cancellation if one is planned, have been answered. */
+  isAnswered: boolean
   isCancelRequested: boolean
   /** Time at which the cancellation was acknowledged. */
   cancelledAtMs: number | undefined
@@ -30,7 +33,7 @@
       isLongRunning: kind === 'lasting'
     })
     const submitted: SubmittedJob = {
-      job: createJob(id, [step]), step, outcome: undefined, isCancelRequested: false, cancelledAtMs: undefined
+      job: createJob(id, kind === 'chain' ? [step, { ...step, after: [0] }] : [step]), step, outcome: undefined, isAnswered: false, isCancelRequested: false, cancelledAtMs: undefined
     }
     this.#jobs.set(id, submitted)
     return submitted
@@ -45,9 +48,9 @@
     return this.find(taskName)?.step.size ?? NO_RESOURCES
   }
 
-  /** Whether the caller of each job knows whether it was accepted. */
+  /** Whether all callers have their answers. */
   hasAnswers (): boolean {
-    return [...this.#jobs.values()].every(({ outcome }) => outcome !== undefined)
+    return [...this.#jobs.values()].every(({ isAnswered }) => isAnswered)
   }
 
   /** Lists the accepted and uncancelled jobs. */
@@ -60,7 +63,7 @@
     const done = new Set(history.runs.filter(({ outcome }) => outcome === 'done').map(({ taskName }) => taskName))
     const running = new Set(history.runs.filter(({ outcome }) => outcome === undefined).map(({ taskName }) => taskName))
     return this.listWanted().filter(({ job, step }) => {
-      const names = Array.from({ length: step.taskCount }, (_, index) => formatTaskName({ jobId: job.id, occurrence: 0, step: 0, index }))
+      const names = job.steps.flatMap((_, index) => listTaskNames(job, index))
       if (step.isLongRunning) return !names.every((name) => running.has(name))
       return step.isGang ? !names.some((name) => done.has(name)) : !names.every((name) => done.has(name))
     })
@@ -74,3 +77,8 @@
     })
   }
 }
+
+/** Lists the names of a step's tasks. */
+export function listTaskNames ({ id, steps }: Job, step: number): string[] {
+  return Array.from({ length: steps[step]?.taskCount ?? 0 }, (_, index) => formatTaskName({ jobId: id, occurrence: 0, step, index }))
+}
