--- a/packages/jobs/src/session-runs.ts
+++ b/packages/jobs/src/session-runs.ts
@@ -1,7 +1,6 @@
 import type { Resources } from './job.js'
 import { CapacityTracker } from './capacity-tracker.js'
-import type { RUN_PHASES, TaskRun } from './task-run.js'
-import { formatRunKey } from './task-run.js'
+import { formatRunKey, type RUN_PHASES, type TaskRun } from './task-run.js'
 
 /** The runs that a session tracks on its target, and the capacity that they reserve there. */
 export class SessionRuns {
