--- a/packages/jobs/tests/stray-runs.test.ts
+++ b/packages/jobs/tests/stray-runs.test.ts
@@ -9,7 +9,7 @@
 import { TaskSupervisor } from '../src/task-supervisor.js'
 import { createJob, createRun } from './job-fixtures.js'
 import { createReport } from './scripted-target-gateway.js'
-import { createSessionFixture, EARLIER, listAsDone, listAsRunning } from './session-fixture.js'
+import { createSessionFixture, EARLIER, listAsDone, listAsRunning, type SessionFixture } from './session-fixture.js'
 
 const ORDER_TIMEOUT_MS = 500
 const POLL_RETRY_MS = 250
@@ -49,6 +49,20 @@
   return { supervisor, step, stopped, run }
 }
 
+/** Creates a session that has given up its first run, since two reports didn't list it. A poll is pending afterwards. */
+async function createFixtureWithGivenUpRun (): Promise<SessionFixture & { readonly run: TaskRun }> {
+  const fixture = await createSessionFixture()
+  const { clock, gateway, start } = fixture
+  const run = start(1)
+  await gateway.starts[0]?.answer({ targetClockMs: EARLIER.targetClockMs + 50 })
+  await clock.advanceBy(ORDER_TIMEOUT_MS)
+  for (const targetClockMs of [600, 700]) {
+    await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + targetClockMs }))
+    await clock.advanceBy(1)
+  }
+  return { ...fixture, run }
+}
+
 // Guards against two runs of a task at once: the task of a run that is being stopped was placed again when another run of it ended.
 test('a task is not pending while a target still has any run of it', (t) => {
   const { supervisor, step, run } = createFixture()
@@ -76,15 +90,8 @@
 })
 
 test('a session passes on the end of a run that it had given up', async (t) => {
-  const { clock, gateway, outcomes, start } = await createSessionFixture()
-  const run = start(1)
-  await gateway.starts[0]?.answer({ targetClockMs: EARLIER.targetClockMs + 50 })
-  await clock.advanceBy(ORDER_TIMEOUT_MS)
-  await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 600 }))
-  await clock.advanceBy(1)
-  await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 700 }))
+  const { gateway, outcomes, run } = await createFixtureWithGivenUpRun()
   t.is(outcomes.get(1), 'lapsed')
-  await clock.advanceBy(1)
   const ended = [listAsDone(run, 1)]
   await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 800, ended }))
   t.is(outcomes.get(1), 'done')
@@ -92,15 +99,8 @@
 
 // Guards against a run that is never stopped because it was counted as over once.
 test('a session asks for a run that it had given up when the target lists it', async (t) => {
-  const { clock, gateway, outcomes, unknownRuns, start } = await createSessionFixture()
-  const run = start(1)
-  await gateway.starts[0]?.answer({ targetClockMs: EARLIER.targetClockMs + 50 })
-  await clock.advanceBy(ORDER_TIMEOUT_MS)
-  await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 600 }))
-  await clock.advanceBy(1)
-  await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 700 }))
+  const { gateway, outcomes, unknownRuns, run } = await createFixtureWithGivenUpRun()
   t.is(outcomes.get(1), 'lapsed')
-  await clock.advanceBy(1)
   await gateway.polls[0]?.answer(createReport({ ...EARLIER, targetClockMs: EARLIER.targetClockMs + 800, running: [listAsRunning(run)] }))
   t.deepEqual(unknownRuns, [listAsRunning(run)])
 })
