Show that late orders repeat work on an executor's next life

Cause: an acknowledgement or a start order without an answer may reach the next life of an executor under its id; only late starts are provided for, and only once that life has reported.

--- a/review/10/run.mjs
+++ b/review/10/run.mjs
@@ -1,70 +1,92 @@
-// Executors crash and start again under their ids as another kind, while the store loses answers of writes.
-// ROUTE: a task is started on the new life of an executor, which hasn't the label that the task requires.
+// Workers leave orders unanswered and carry them out late, and executors crash and start again under their ids.
+// TWICE: an order of the time before the crash reaches the next life, and a task runs again although a run of it has ended `done`.
 import { findFolder, pause, runCase } from '../stand-ins-2/cell.mjs'
 
 const EXECUTORS = 15
 /** Two of fifteen executors crash at a time. */
 const CRASHES_AT_ONCE = 2
-const DOWN_MS = 250
-const CRASH_PERIOD_MS = 1_500
-/** The store loses answers to writes in spells of this length, with calm between them. */
-const LOSS_MS = 4_500
-const CALM_MS = 1_500
-const LOST_SHARE = 0.35
-const SPELLS = 12
+const DOWN_MS = 700
+const CRASH_PERIOD_MS = 1_000
+/** Spells in which a share of the orders is carried out late, with pauses between them. */
+const LATE_MS = 5_500
+const PAUSE_MS = 500
+const LATE_SHARE = 0.055
+const SPELLS = 11
 const JOB_PERIOD_MS = 60
+const FINISH_MS = 14_000
 
-const executors = Array.from({ length: EXECUTORS }, (_, index) => ({ id: `e${index}`, labels: [index % 2 === 0 ? 'a' : 'b', 'r1-1'] }))
+const executors = Array.from({ length: EXECUTORS }, (_, index) => ({ id: `e${index}`, labels: ['a', 'r1-1'] }))
 const route = { priority: 0, maxAttempts: 4, stretch: 4, targetDurationMs: 250 }
-const job = { specification: JSON.stringify({ ms: 300 }), steps: [{ count: 2, cpu: 2_000, taskMemoryMb: 256, estimatedMs: 300, requirements: 'a' }] }
+const job = { specification: JSON.stringify({ ms: 400 }), steps: [{ count: 2, cpu: 4_000, taskMemoryMb: 256, estimatedMs: 400 }] }
 
 await runCase({ folder: findFolder(import.meta.url), machines: 3, executors, route }, async (cell, hasTrouble) => {
-  const endMs = performance.now() + SPELLS * (LOSS_MS + CALM_MS)
-  const findBroken = () => cell.starts.find(({ labels }) => !labels.includes('a'))
-  const counts = { lost: 0, writes: 0, crashes: 0 }
   const startMs = performance.now()
+  const endMs = startMs + SPELLS * (LATE_MS + PAUSE_MS)
+  const counts = { late: 0, orders: 0, crashes: 0 }
   if (hasTrouble) {
-    cell.store.decideFault = ({ call }) => {
-      if (call !== 'kv-txn' || (performance.now() - startMs) % (LOSS_MS + CALM_MS) >= LOSS_MS) return undefined
-      counts.writes++
-      // Never more than the share.
-      if (counts.lost + 1 > counts.writes * LOST_SHARE) return undefined
-      counts.lost++
-      return 'lose'
+    for (const executor of cell.executors) {
+      executor.decideLateness = () => {
+        const nowMs = performance.now()
+        if (nowMs > endMs || (nowMs - startMs) % (LATE_MS + PAUSE_MS) >= LATE_MS) return undefined
+        counts.orders++
+        // Never more than the share.
+        if (Math.random() >= LATE_SHARE || counts.late + 1 > counts.orders * LATE_SHARE) return undefined
+        counts.late++
+        return 2_000 + Math.random() * 10_000
+      }
     }
   }
-  const crashing = hasTrouble ? crashInTurn(cell, counts, () => performance.now() < endMs && findBroken() === undefined) : undefined
+  const crashing = hasTrouble ? crashInTurn(cell, counts, endMs) : undefined
   const submissions = []
-  for (let number = 0; performance.now() < endMs && findBroken() === undefined; number++) {
+  for (let number = 0; performance.now() < endMs; number++) {
     submissions.push(cell.submit(number.toString(16).padStart(16, '0'), job))
     await pause(JOB_PERIOD_MS)
   }
   await crashing
-  cell.write(`store: ${counts.lost} of ${counts.writes} answers to writes lost; ${counts.crashes} crashes; ${submissions.length} jobs`)
-  const broken = findBroken()
-  if (broken === undefined) return undefined
-  return `ROUTE: ${broken.task} requires label a and was started on ${broken.executor}, which has the labels ${broken.labels.join(', ')}`
+  await pause(FINISH_MS)
+  cell.write(`executors: ${counts.late} of ${counts.orders} orders were carried out late; ${counts.crashes} crashes; ${submissions.length} jobs`)
+  const broken = findRepeated(cell)
+  return broken.length === 0 ? undefined : `TWICE: ${broken.length} tasks: ${broken.slice(0, 4).join('; ')}`
 })
 
-/** Lets two executors at a time crash and start again as the other kind: one of kind a, and one that changes back to it. */
-async function crashInTurn (cell, counts, isGoingOn) {
-  while (isGoingOn()) {
+/** Lists the tasks of which two runs overlap, or a run starts after one has ended `done`, if that end is taken note of and stands. */
+function findRepeated (cell) {
+  const found = new Set()
+  for (const [task, runs] of groupByTask(cell.starts)) {
+    for (const [index, run] of runs.entries()) {
+      for (const earlier of runs.slice(0, index)) {
+        const ended = cell.ends.find((end) => end.executor === earlier.executor && end.task === task && end.run === earlier.run && end.atMs >= earlier.atMs)
+        const key = `${earlier.executor} ${task} ${earlier.run}`
+        if (ended === undefined || ended.atMs > run.atMs) found.add(`${task} run ${earlier.run} on ${earlier.executor} and run ${run.run} on ${run.executor} overlap`)
+        else if (ended.how === 'done' && cell.notes.has(key) && !(cell.notes.get(key) >= ended.atMs)) {
+          found.add(`${task} run ${run.run} starts on ${run.executor} ${Math.round(run.atMs - ended.atMs)} ms after run ${earlier.run} has ended done on ${earlier.executor}`)
+        }
+      }
+    }
+  }
+  return [...found]
+}
+
+function groupByTask (starts) {
+  const groups = new Map()
+  for (const start of starts) groups.set(start.task, [...groups.get(start.task) ?? [], start])
+  return groups
+}
+
+/** Lets two executors at a time crash and start again under their ids. */
+async function crashInTurn (cell, counts, endMs) {
+  while (performance.now() < endMs) {
     await pause(CRASH_PERIOD_MS)
-    const chosen = ['a', 'b'].map((kind) => chooseRandom(cell.executors.filter(({ labels, isUp }) => isUp && labels.includes(kind)))).slice(0, CRASHES_AT_ONCE)
-    counts.crashes += chosen.length
-    for (const executor of chosen) {
-      cell.write(`executor ${executor.id} (${executor.labels.join(', ')}) crashes`)
+    const up = cell.executors.filter(({ isUp }) => isUp).sort(() => Math.random() - 0.5).slice(0, CRASHES_AT_ONCE)
+    counts.crashes += up.length
+    for (const executor of up) {
+      cell.write(`executor ${executor.id} crashes`)
       executor.crash()
     }
     await pause(DOWN_MS)
-    for (const executor of chosen) {
-      executor.change({ labels: [executor.labels.includes('a') ? 'b' : 'a', 'r1-1'] })
+    for (const executor of up) {
       await executor.start()
-      cell.write(`executor ${executor.id} has started again under its id as another kind (${executor.labels.join(', ')})`)
+      cell.write(`executor ${executor.id} has started again under its id`)
     }
   }
 }
-
-function chooseRandom (list) {
-  return list[Math.floor(Math.random() * list.length)]
-}
--- a/review/stand-ins-2/cell.mjs
+++ b/review/stand-ins-2/cell.mjs
@@ -31,6 +31,8 @@
   /** Starts and ends of runs as the executors saw them. */
   starts = []
   ends = []
+  /** For each end that was taken note of, the time of the last lapse of the executor's lease. */
+  notes = new Map()
   #options
   #directory = mkdtempSync(join(tmpdir(), 'review-'))
   #lines
@@ -136,6 +138,12 @@
     this.starts.push({ executor: executor.id, labels: executor.labels, born: executor.born, task, run, atMs: performance.now() })
   }
 
+  /** Records that `lastSeen` has reached an end, and when the executor's lease lapsed last before. */
+  recordNoted (executor, task, run, lapsedMs) {
+    this.write(`executor ${executor}: the end of ${task} run ${run} is taken note of`)
+    this.notes.set(`${executor} ${task} ${run}`, lapsedMs)
+  }
+
   recordEnd (executor, task, run, how) {
     this.write(`executor ${executor}: ${task} run ${run} ended ${how}`)
     this.ends.push({ executor, task, run, how, atMs: performance.now() })
--- a/review/stand-ins-2/executor.mjs
+++ b/review/stand-ins-2/executor.mjs
@@ -13,6 +13,8 @@
 const startedTasks = new Set()
 
 export class Executor {
+  /** Returns the milliseconds after which an order is carried out without an answer, by the life of that time; undefined for no fault. */
+  decideLateness = () => undefined
   /** Whether the executor fails all that it starts, while it reports itself as sound. */
   failsStarts = false
   #options
@@ -40,7 +42,7 @@
   async start () {
     this.#server = await serveJson(async (request) => await this.#serve(request), this.#port)
     this.#port = this.#server.port
-    this.#life = { born: Date.now(), startedMs: performance.now(), fence: 0, runs: new Map(), closed: new Map(), ends: [], endCount: 0, untilMs: 0, waiting: new Set() }
+    this.#life = { born: Date.now(), startedMs: performance.now(), fence: 0, runs: new Map(), closed: new Map(), ends: [], endCount: 0, untilMs: 0, lapsedMs: Number.NEGATIVE_INFINITY, waiting: new Set() }
     this.#sequence = 0
     this.#register()
     this.#timer = setInterval(() => this.#register(), HEARTBEAT_MS)
@@ -96,8 +98,17 @@
     })
   }
 
-  async #serve ({ path, headers, body }) {
-    const life = this.#life
+  async #serve (request) {
+    const lateMs = this.decideLateness(request)
+    if (lateMs === undefined) return await this.#carryOut(this.#life, request)
+    setTimeout(() => {
+      // Nobody waits for the answer any more.
+      if (this.#life !== undefined) this.#carryOut(this.#life, { ...request, body: { ...request.body, waitMs: 0 } }).catch(() => {})
+    }, lateMs).unref()
+    return 'hang'
+  }
+
+  async #carryOut (life, { path, headers, body }) {
     if (headers['hibiscusledge-expected-instance'] !== this.id) return { status: 421, body: {} }
     if ((body.fencingToken ?? 0) < life.fence) return this.#refuse(life, 'fence')
     life.fence = Math.max(life.fence, body.fencingToken ?? 0)
@@ -137,6 +148,7 @@
 
   async #hold (life, { lastSeen = 0, untilMs, waitMs = 0 }) {
     if (untilMs !== undefined) this.#extend(life, untilMs)
+    for (const [number, task, run] of life.ends) if (number <= lastSeen) this.#record.recordNoted(this.id, task, run, life.lapsedMs)
     life.ends = life.ends.filter(([number]) => number > lastSeen)
     if (life.ends.length === 0 && waitMs > 0) {
       await new Promise((resolve) => {
@@ -165,6 +177,7 @@
   }
 
   #lapse (life) {
+    life.lapsedMs = performance.now()
     for (const run of [...life.runs.values()]) this.#end(life, run, 'lapsed')
   }
 
