Let a task wait for its lost start order in a spell of restarts

A start order without an answer was the first order that reached its target's next incarnation, before any order with a higher token. The task had been started elsewhere meanwhile.

Cause: a run was given up as soon as the present incarnation surely refused its start. No order can be made to fail in an incarnation that has seen none, and none can name one.

Weighed: to send the same run to the same target again closes this only while the run works; after its end the late order starts it once more. To poll a target that is down every few milliseconds shortens the time, and costs connections. To wait until the order is surely not carried out (13 s) closes it, and delays the task. Waiting after each lost answer costs more than it closes, since targets rarely return under their ids.

Change: LateStartPolicy lets a task wait only in a spell of restarts: two or more within a minute, of this target or of a tenth of all. The run reserves no capacity meanwhile, holds back no acknowledgement, and is taken up if a later incarnation lists it. Gangs and tasks that last don't wait: the one would end its members, the other would be down for seconds. The ends of runs move from TargetSession to RunCloser, and the gauges out of JobOwner.

--- a/packages/jobs/src/job-events.ts
+++ b/packages/jobs/src/job-events.ts
@@ -9,6 +9,7 @@
   recordRejected: 'job.recordRejected',
   taskPlaced: 'task.placed',
   startUnanswered: 'task.startUnanswered',
+  startDelayed: 'task.startDelayed',
   startRefused: 'task.startRefused',
   taskEnded: 'task.ended',
   taskMoved: 'task.moved',
--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -6,6 +6,7 @@
 import { AdviceDispatcher } from './advice-dispatcher.js'
 import { JOB_EVENTS } from './job-events.js'
 import { formatWriteSequenceKey } from './job-keys.js'
+import { LateStartPolicy } from './late-start-policy.js'
 import { LossPoller } from './loss-poller.js'
 import { FinishedCleaner } from './finished-cleaner.js'
 import { JOB_STATES, type JobState } from './job.js'
@@ -13,6 +14,7 @@
 import { JOB_METRICS } from './job-metrics.js'
 import { JobTable } from './job-table.js'
 import type { OwnerElection, Ownership } from './owner-election.js'
+import { publishOwnerGauges } from './owner-gauges.js'
 import type { OwnerTimings } from './owner-timings.js'
 import { createPlaceholderDescription } from './placeholder-target.js'
 import { PlacementPlanner } from './placement-planner.js'
@@ -55,6 +57,7 @@
   readonly #options: JobOwnerOptions
   readonly #table = new JobTable()
   readonly #sessions = new Map<string, TargetSession>()
+  readonly #lateStarts: LateStartPolicy
   readonly #lossPoller: LossPoller
   readonly #writer: ProgressWriterPool
   readonly #supervisor: TaskSupervisor
@@ -116,6 +119,12 @@
       runWhenJobStored,
       requestRound
     })
+    this.#lateStarts = new LateStartPolicy({
+      clock,
+      lateOrderMs: timings.lateOrderMs,
+      countTargets: () => this.#sessions.size,
+      isDelayable: (run) => this.#supervisor.isDelayable(run)
+    })
     this.#lossPoller = new LossPoller(clock, this.#sessions)
     this.#sessionContext = this.#createSessionContext()
     this.#workWatcher = new WorkWatcher(clock, logger, store, {
@@ -226,6 +235,8 @@
       fencingTokens: this.#writer,
       isAuthorized: () => election.isAuthorized(),
       isStoreHealthy: () => election.isStoreHealthy(),
+      shouldAwaitLateStart: (run) => this.#lateStarts.shouldAwait(run),
+      onTargetRestarted: (targetId) => this.#lateStarts.recordRestart(targetId),
       onRunEnded: (run, end) => this.#supervisor.onRunEnded(run, end),
       onRunStarted: (run) => this.#supervisor.onRunStarted(run),
       onCheckpoint: (run, checkpoint) => this.#supervisor.onCheckpoint(run, checkpoint),
@@ -257,7 +268,7 @@
     }
     this.#lossPoller.pollDueTargets()
     this.#supervisor.addDueOccurrences()
-    this.#publishGauges()
+    publishOwnerGauges(this.#options.metrics, this.#table, this.#sessions.values())
     this.#rounds.request()
   }
 
@@ -267,15 +278,6 @@
     if (election.isAuthorized()) void this.#cleaner.removeExpired()
   }
 
-  #publishGauges (): void {
-    const { metrics } = this.#options
-    let runs = 0
-    for (const session of this.#sessions.values()) runs += session.countRuns()
-    metrics.setGauge(JOB_METRICS.activeJobs, this.#table.countActive())
-    metrics.setGauge(JOB_METRICS.knownTargets, this.#sessions.size)
-    metrics.setGauge(JOB_METRICS.activeRuns, runs)
-  }
-
   #applyTargets (targets: readonly TargetDescription[]): void {
     if (this.#isStopped) return
     const listed = new Set(targets.map((target) => target.id))
--- a/packages/jobs/src/report-applier.ts
+++ b/packages/jobs/src/report-applier.ts
@@ -1,4 +1,5 @@
 import type { MessagePosition } from './message-order.js'
+import type { RunCloser } from './run-closer.js'
 import type { RunOrderSender } from './run-order-sender.js'
 import type { SessionContext } from './session-context.js'
 import type { SessionRuns } from './session-runs.js'
@@ -6,6 +7,9 @@
 import type { ReportedEnd, ReportedRun, TargetReport } from './target-gateway.js'
 import { formatReportedRunKey, formatRunKey, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
 
+/** End of a run whose start order the target has not carried out. */
+const NOT_STARTED: RunEnd = { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.unlisted }
+
 /** A poll, as its sender remembers it until the report comes. */
 export interface SentPoll {
   readonly sentAt: MessagePosition
@@ -19,7 +23,7 @@
   readonly targetId: string
   readonly runs: SessionRuns
   readonly orders: RunOrderSender
-  endRun (run: TaskRun, end: RunEnd): void
+  readonly closer: RunCloser
 }
 
 /** Concludes from a target's report what became of the runs. Nothing is concluded from the absence of a run that the poll preceded. */
@@ -82,7 +86,7 @@
       return
     }
     if (hasRun) orders.markRunning(run)
-    this.#session.endRun(run, end)
+    this.#session.closer.endRun(run, end)
   }
 
   /** Ends or stops a run that the newest report lists neither as running nor as ended. */
@@ -92,13 +96,14 @@
       const isYoung = poll.sentAtMs - run.sentAtMs <= this.#context.timings.orderTimeoutMs
       if (isYoung || !isBefore(run.confirmedAt, poll)) return
       const basis = isBefore(run.confirmedAt, { sentAt: incarnation.recognizedAt }) ? RUN_END_BASES.restarted : RUN_END_BASES.unlisted
-      return this.#session.endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis })
+      return this.#session.closer.endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis })
     }
+    if (run.phase === RUN_PHASES.delayed) return this.#session.closer.dropRun(run, NOT_STARTED)
     if (run.phase !== RUN_PHASES.unsettled || run.sentAtMs >= poll.sentAtMs) return
     const isFromEarlierOwner = run.sentAtMs === Number.NEGATIVE_INFINITY
     // The target has seen this owner's fencing token, so it refuses an order of an earlier owner that is still in transit.
     if (!isFromEarlierOwner && !isBefore(run.stopAcknowledgedAt, poll)) return this.#session.orders.requestStop(run)
-    this.#session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.unlisted })
+    this.#session.closer.dropRun(run, NOT_STARTED)
   }
 }
 
--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -109,7 +109,7 @@
 
   /** Sends the stop orders again that an earlier incarnation of the target has received, since the present one doesn't know them. */
   sendStopsAgain (): void {
-    for (const run of this.#session.runs.list()) {
+    for (const run of this.#session.runs.copy()) {
       if (run.stopAcknowledgedAt === undefined) continue
       run.stopAcknowledgedAt = undefined
       void this.sendStop(run)
@@ -119,6 +119,7 @@
   /** Records that the run is on the target. */
   markRunning (run: TaskRun): void {
     if (run.phase === RUN_PHASES.running) return
+    this.#session.runs.resume(run)
     run.phase = RUN_PHASES.running
     run.confirmedAt = this.#session.messages.advance()
     this.#context.onRunStarted(run)
--- a/packages/jobs/src/session-context.ts
+++ b/packages/jobs/src/session-context.ts
@@ -16,6 +16,10 @@
   isAuthorized (): boolean
   /** Whether the store answers. While it doesn't, sessions extend leases to the maximum. */
   isStoreHealthy (): boolean
+  /** Whether the task of a run whose start order got no answer waits, since the order may still be carried out. */
+  shouldAwaitLateStart (run: TaskRun): boolean
+  /** A target has started again under its id. */
+  onTargetRestarted (targetId: string): void
   onRunEnded (run: TaskRun, end: RunEnd): void
   onRunStarted (run: TaskRun): void
   onCheckpoint (run: TaskRun, checkpoint: string): void
--- a/packages/jobs/src/session-runs.ts
+++ b/packages/jobs/src/session-runs.ts
@@ -1,11 +1,13 @@
 import type { Resources } from './job.js'
 import { CapacityTracker } from './capacity-tracker.js'
-import { formatRunKey, type RUN_PHASES, type TaskRun } from './task-run.js'
+import { formatRunKey, RUN_PHASES, type TaskRun } from './task-run.js'
 
 /** The runs that a session tracks on its target, and the capacity that they reserve there. */
 export class SessionRuns {
   readonly capacity: CapacityTracker
   readonly #runs = new Map<string, TaskRun>()
+  /** Runs without reserved capacity that a later incarnation of the target may still start. */
+  readonly #delayed = new Map<string, TaskRun>()
   /** Runs that were counted as over without the target's word, oldest first. */
   readonly #givenUp = new Map<string, TaskRun>()
   readonly #maximumGivenUp: number
@@ -23,11 +25,24 @@
   /** Returns whether the run was tracked. */
   remove (run: TaskRun): boolean {
     if (!this.has(run)) return false
-    this.#runs.delete(formatRunKey(run))
-    this.capacity.release(run.size)
+    const key = formatRunKey(run)
+    if (!this.#delayed.delete(key) && this.#runs.delete(key)) this.capacity.release(run.size)
     return true
   }
 
+  /** Releases the capacity of a run that only a later incarnation of the target may still start. */
+  suspend (run: TaskRun): void {
+    if (!this.#runs.delete(formatRunKey(run))) return
+    run.phase = RUN_PHASES.delayed
+    this.#delayed.set(formatRunKey(run), run)
+    this.capacity.release(run.size)
+  }
+
+  /** Reserves capacity again for a delayed run that a later incarnation of the target has started. */
+  resume (run: TaskRun): void {
+    if (this.#delayed.delete(formatRunKey(run))) this.add(run)
+  }
+
   /** Remembers a run that was removed without the target's word, in case the target reports its end later. */
   rememberGivenUp (run: TaskRun): void {
     this.#givenUp.set(formatRunKey(run), run)
@@ -44,15 +59,15 @@
   }
 
   has (run: TaskRun): boolean {
-    return this.#runs.get(formatRunKey(run)) === run
+    return this.find(formatRunKey(run)) === run
   }
 
   find (key: string): TaskRun | undefined {
-    return this.#runs.get(key)
+    return this.#runs.get(key) ?? this.#delayed.get(key)
   }
 
   count (): number {
-    return this.#runs.size
+    return this.#runs.size + this.#delayed.size
   }
 
   /** Whether a start order of this owner is unanswered in this phase, so that a run may be there that no report shows. */
@@ -61,12 +76,13 @@
     return false
   }
 
+  /** Lists the runs that reserve capacity. */
   list (): Iterable<TaskRun> {
     return this.#runs.values()
   }
 
-  /** Returns a copy, so that runs can be removed during an iteration. */
+  /** Returns a copy of all runs, so that they can be removed during an iteration. */
   copy (): readonly TaskRun[] {
-    return [...this.#runs.values()]
+    return [...this.#runs.values(), ...this.#delayed.values()]
   }
 }
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -5,6 +5,7 @@
 import { JOB_EVENTS } from './job-events.js'
 import { PollTimer } from './poll-timer.js'
 import { ReportApplier, type SentPoll } from './report-applier.js'
+import { RunCloser } from './run-closer.js'
 import { RunOrderSender, type StartParameters } from './run-order-sender.js'
 import type { SessionContext } from './session-context.js'
 import { SessionRuns } from './session-runs.js'
@@ -15,7 +16,7 @@
 import { TargetLease } from './target-lease.js'
 import { TargetListing } from './target-listing.js'
 import type { CapacityTracker } from './capacity-tracker.js'
-import { isGivenUp, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
+import type { TaskRun } from './task-run.js'
 
 /** The owner's session with one target: sends orders and polls, extends the lease, and tracks the runs and their capacity. */
 export class TargetSession {
@@ -24,6 +25,7 @@
   readonly #context: SessionContext
   readonly #runs: SessionRuns
   readonly #orders: RunOrderSender
+  readonly #closer: RunCloser
   readonly #reports: ReportApplier
   readonly #messages = new MessageOrder()
   readonly #fence: TargetFence
@@ -57,9 +59,12 @@
       isStopped: () => this.#isStopped,
       extendLease: (nowMs, leaseMs) => this.#lease.extend(nowMs, leaseMs),
       pollNow: () => this.pollNow(),
-      endRun: (run, end) => this.#endRun(run, end)
+      endRun: (run, end) => this.#closer.endRun(run, end)
     })
     this.#abandonedOrders = new AbandonedOrders(context, this.#fence)
+    this.#closer = new RunCloser(context, {
+      targetId: description.id, runs: this.#runs, health: this.health, abandonedOrders: this.#abandonedOrders
+    })
     this.#acknowledger = new EndAcknowledger({
       clock: context.clock, incarnations: this.#incarnations, listing: this.#listing, runs: this.#runs
     })
@@ -67,7 +72,7 @@
       targetId: description.id,
       runs: this.#runs,
       orders: this.#orders,
-      endRun: (run, end) => this.#endRun(run, end)
+      closer: this.#closer
     })
     this.#pollTimer = new PollTimer(context.clock, async () => await this.#runScheduledPoll())
     const nowMs = context.clock.readMonotonicMs()
@@ -149,10 +154,11 @@
     const nowMs = this.#context.clock.readMonotonicMs()
     this.#abandonedOrders.prune()
     if (this.#runs.count() === 0 || !this.#lease.hasExpired(nowMs)) return
-    const silentMs = Math.round(nowMs - this.#lastAnswerMs)
-    this.#context.logger.logWarning(JOB_EVENTS.targetLeaseLapsed, { target: this.id, runs: this.#runs.count(), silentMs })
+    const runs = this.#closer.dropAll()
+    if (runs === 0) return
     this.#hasReported = false
-    for (const run of this.#runs.copy()) this.#endRun(run, { outcome: RUN_OUTCOMES.lapsed, basis: RUN_END_BASES.leaseExpired })
+    const silentMs = Math.round(nowMs - this.#lastAnswerMs)
+    this.#context.logger.logWarning(JOB_EVENTS.targetLeaseLapsed, { target: this.id, runs, silentMs })
   }
 
   /** Polls the target at once; it answers without waiting for a run to end. */
@@ -160,20 +166,6 @@
     void this.#poll(0, NO_ENDS)
   }
 
-  #endRun (run: TaskRun, end: RunEnd): void {
-    if (!this.#runs.remove(run)) return
-    const { outcome } = end
-    const nowMs = this.#context.clock.readMonotonicMs()
-    if (isGivenUp(end)) this.#runs.rememberGivenUp(run)
-    if (isGivenUp(end) && run.phase === RUN_PHASES.unsettled) this.#abandonedOrders.add(run, outcome === RUN_OUTCOMES.notStarted)
-    if (outcome === RUN_OUTCOMES.done || outcome === RUN_OUTCOMES.failed) {
-      const isNowSuspected = this.health.recordEnd(nowMs, run.task.jobId, outcome === RUN_OUTCOMES.failed)
-      if (isNowSuspected) this.#context.logger.logWarning(JOB_EVENTS.targetSuspected, { target: this.id })
-    }
-    this.#context.onRunEnded(run, end)
-    this.#context.onCapacityChanged()
-  }
-
   async #runScheduledPoll (): Promise<void> {
     const { clock, timings, runWhenStored } = this.#context
     const hadEnds = await this.#poll(this.#choosePollWaitMs(), this.#acknowledger.findDroppableEnd())
@@ -264,6 +256,7 @@
       startedAtMs,
       targetClockMs: Math.round(targetClockMs)
     })
+    this.#context.onTargetRestarted(this.id)
     this.#lease.extendToMaximum(this.#context.clock.readMonotonicMs())
     this.#fence.advanceBeyond(this.#fence.readToken())
     this.#abandonedOrders.onTargetRestarted()
--- a/packages/jobs/src/task-run.ts
+++ b/packages/jobs/src/task-run.ts
@@ -8,6 +8,11 @@
   sent: 'sent',
   /** The answer to the start order was lost, or an earlier owner sent the order. Only the target knows whether the run has started. */
   unsettled: 'unsettled',
+  /**
+   * The target has refused the start order, or would refuse it, but a later incarnation may still carry it out. The run reserves no
+   * capacity, since a target gets no tasks between its restart and the refusal.
+   */
+  delayed: 'delayed',
   running: 'running'
 } as const
 export type RunPhase = typeof RUN_PHASES[keyof typeof RUN_PHASES]
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -132,6 +132,17 @@
     this.#options.onStepsDropped(progress.dropCompleted(run.task.occurrence))
   }
 
+  /**
+   * Whether a run's task can wait until its start order is surely not carried out any more. A gang can't, since its other members would
+   * wait as well, nor can a task that lasts, which is to be at work soon. Of a task that allows copies, another run does no harm.
+   */
+  isDelayable ({ task: { jobId, occurrence, step: index, index: taskIndex } }: TaskRun): boolean {
+    const progress = this.#options.table.find(jobId)
+    const step = progress?.findStep(occurrence, index)
+    if (progress === undefined || step === undefined || progress.isFinal() || step.tasks[taskIndex]?.isDone === true) return false
+    return !step.step.isGang && !step.step.isLongRunning && !step.step.allowsCopies
+  }
+
   /** Creates the run for one that a target reports and this owner doesn't know. It is to be stopped, and its task waits for its end. */
   createUnknownRun (reported: ReportedRun, targetId: string): TaskRun | undefined {
     const key = parseTaskName(reported.taskName)
--- a/packages/jobs/tests/owner-faults.test.ts
+++ b/packages/jobs/tests/owner-faults.test.ts
@@ -13,7 +13,8 @@
 /** Seeds of a family that have shown a fault before. */
 const KNOWN_SEEDS: Partial<Record<ScenarioFamily, readonly number[]>> = {
   restartsAndDelays: [233],
-  lateOrdersAndRestarts: [88]
+  lateOrdersAndRestarts: [88],
+  lateOrdersAndCrashLoops: [51, 107, 128, 139, 184]
 }
 const GIVEN_SCENARIO = process.env['HIBISCUSLEDGE_SCENARIO']
 
--- a/packages/jobs/tests/session-fixture.ts
+++ b/packages/jobs/tests/session-fixture.ts
@@ -25,6 +25,9 @@
   }
 }
 
+/** Time at which a start order without an answer can't be carried out any more, if tasks wait for that. */
+export const LATE_STARTS_END_MS = 10_000
+
 /** A session of which the test writes every answer of the target. */
 export interface SessionFixture {
   readonly clock: FakeClock
@@ -43,8 +46,13 @@
   isFenced: () => boolean
 }
 
-/** Creates a session whose target has sent its first report, by default of the earlier incarnation. A poll is pending afterwards. */
-export async function createSessionFixture (firstReport: Partial<TargetReport> = EARLIER): Promise<SessionFixture> {
+/**
+ * Creates a session whose target has sent its first report, by default of the earlier incarnation. A poll is pending afterwards.
+ * `awaitsLateStarts` tells whether tasks wait while their start orders may still be carried out.
+ */
+export async function createSessionFixture (
+  firstReport: Partial<TargetReport> = EARLIER, awaitsLateStarts = false
+): Promise<SessionFixture> {
   const clock = new FakeClock()
   const gateway = new ScriptedTargetGateway(async () => { await clock.advanceBy(1) })
   const outcomes = new Map<number, RunOutcome>()
@@ -61,6 +69,8 @@
     isAuthorized: () => true,
     isStoreHealthy: () => true,
     onRunEnded: (run, { outcome }) => { outcomes.set(run.number, outcome) },
+    shouldAwaitLateStart: () => awaitsLateStarts && clock.readMonotonicMs() < LATE_STARTS_END_MS,
+    onTargetRestarted: () => {},
     onRunStarted: () => {},
     onCheckpoint: () => {},
     onUnknownRun: (reported) => {
--- a/packages/jobs/tests/target-session.test.ts
+++ b/packages/jobs/tests/target-session.test.ts
@@ -53,6 +53,8 @@
       noticedAtMs.set(run.task.jobId, clock.readMonotonicMs())
       outcomes.set(run.task.jobId, outcome)
     },
+    shouldAwaitLateStart: () => false,
+    onTargetRestarted: () => {},
     onRunStarted: () => {},
     onCheckpoint: () => {},
     onUnknownRun: () => undefined,
