Refuse no job while a relay of it is open

Cause: a job that waits for the store is relayed to a peer each time it is parked. While the first relay was open, its write carried out without an answer, a second one was refused at once, and the job was settled as not stored: that place looked at outcomes that were unknown, not at calls in flight. Of the four places that settle a job so, two didn't look at calls in flight.

Change: all four go through one function.

The new test of job-acceptor.test.ts failed before ('notStored' while the relay was open).

--- a/packages/jobs/src/job-acceptor.ts
+++ b/packages/jobs/src/job-acceptor.ts
@@ -166,9 +166,8 @@
     this.#options.logger.logWarning(JOB_EVENTS.writeFailed, { code: error.code, jobs: batch.length, isEffectUnknown: false })
     const [only] = batch
     if (batch.length === 1 && only !== undefined) {
-      const mayBeStored = only.mayBeStored || only.openCalls > 0
-      const outcome = mayBeStored ? ACCEPTANCE_OUTCOMES.unknown : ACCEPTANCE_OUTCOMES.notStored
-      return this.#settle(only, outcome, REFUSAL_REASONS.rejected)
+      if (!this.#tryRefuse(only, REFUSAL_REASONS.rejected)) this.#settle(only, ACCEPTANCE_OUTCOMES.unknown, REFUSAL_REASONS.rejected)
+      return
     }
     for (const pending of batch) pending.isIsolated = true
     this.#queue.push(...batch)
@@ -201,7 +200,7 @@
   /** Keeps a job until the store answers again, and relays it if it may be relayed. */
   #park (pending: PendingJob): void {
     if (pending.isSettled) return
-    if (pending.isRelayed && !pending.mayBeStored) return this.#settle(pending, ACCEPTANCE_OUTCOMES.notStored)
+    if (pending.isRelayed && this.#tryRefuse(pending)) return
     this.#parked.add(pending)
     if (pending.isRelayed) return
     const nowMs = this.#options.clock.readMonotonicMs()
@@ -211,8 +210,14 @@
 
   #refuseInLongOutage (pending: PendingJob): void {
     const outageMs = this.#options.clock.readMonotonicMs() - (this.#outageSinceMs ?? Infinity)
-    if (outageMs < FAIL_FAST_AFTER_MS || pending.mayBeStored || !this.#parked.has(pending)) return
-    this.#settle(pending, ACCEPTANCE_OUTCOMES.notStored)
+    if (outageMs >= FAIL_FAST_AFTER_MS && this.#parked.has(pending)) this.#tryRefuse(pending)
+  }
+
+  /** Settles a job as not stored, unless a call has had an unknown outcome or is still in flight. Returns whether it is settled. */
+  #tryRefuse (pending: PendingJob, reason?: string): boolean {
+    if (pending.mayBeStored || pending.openCalls > 0) return false
+    this.#settle(pending, ACCEPTANCE_OUTCOMES.notStored, reason)
+    return true
   }
 
   async #relay (pending: PendingJob): Promise<void> {
@@ -242,10 +247,9 @@
   }
 
   #expire (pending: PendingJob): void {
-    const mayBeStored = pending.mayBeStored || pending.openCalls > 0
-    if (!mayBeStored) {
+    if (this.#tryRefuse(pending)) {
       this.#queue = this.#queue.filter((other) => other !== pending)
-      return this.#settle(pending, ACCEPTANCE_OUTCOMES.notStored)
+      return
     }
     if (this.#options.clock.readMonotonicMs() >= pending.deadlines.giveUpAtMs) return this.#settle(pending, ACCEPTANCE_OUTCOMES.unknown)
     this.#startTimer(pending, pending.deadlines.giveUpAtMs)
--- a/packages/jobs/tests/job-acceptor.test.ts
+++ b/packages/jobs/tests/job-acceptor.test.ts
@@ -1,5 +1,6 @@
 import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { Err } from '@hibiscusledge/runtime/result.js'
 import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
 import test from 'ava'
 import { JobAcceptor, type AcceptanceOutcome } from '../src/job-acceptor.js'
@@ -98,6 +99,30 @@
   t.is(outcomes.get('first'), 'stored')
 })
 
+// Guards against a job that runs although its only submission was refused (review/9): while one relay of it was open, another instance
+// refused a second one at once, and the job counted as not stored.
+test('a job is not refused while an earlier relay of it is open', async (t) => {
+  const relayMs = [1_500, 450]
+  const { clock, store, outcomes, accept } = createAcceptor((fakeClock) => async () => {
+    const durationMs = relayMs.shift() ?? 0
+    await new Promise<void>((resolve) => { fakeClock.startTimer(durationMs, resolve) })
+    return durationMs === 1_500 ? 'stored' : 'notStored'
+  })
+  store.faults.delayMs = 30
+  store.commitTransaction = async () => {
+    await new Promise<void>((resolve) => { clock.startTimer(store.faults.delayMs, resolve) })
+    return Err({ code: 'rateLimited', message: 'rate limit exceeded', isEffectUnknown: false })
+  }
+  accept('first')
+  await clock.advanceBy(100)
+  t.is(relayMs.length, 0)
+  store.setDown(true)
+  await clock.advanceBy(REFUSE_MS)
+  t.is(outcomes.get('first'), undefined)
+  await clock.advanceBy(GIVE_UP_MS)
+  t.is(outcomes.get('first'), 'stored')
+})
+
 test('in a long outage of the store a job is refused at once', async (t) => {
   const { clock, store, outcomes, accept } = createAcceptor()
   store.setDown(true)
