Create the supervisors of three test files by one function

Change: supervisor-fixture.ts builds it, and a test names only what it handles. No check has changed; the three files pass.

--- a/packages/jobs/tests/delayed-runs.test.ts
+++ b/packages/jobs/tests/delayed-runs.test.ts
@@ -1,14 +1,10 @@
-import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
-import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
-import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import test from 'ava'
 import type { JobStep } from '../src/job.js'
-import { JobTable } from '../src/job-table.js'
 import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
-import { TaskSupervisor } from '../src/task-supervisor.js'
 import { createJob, createRun } from './job-fixtures.js'
 import { createReport } from './scripted-target-gateway.js'
 import { createSessionFixture, EARLIER, LATE_STARTS_END_MS, LATER, listAsDone, listAsRunning, type SessionFixture } from './session-fixture.js'
+import { createSupervisor } from './supervisor-fixture.js'
 
 const POLL_RETRY_MS = 250
 const REPORT_PERIOD_MS = 1_000
@@ -94,19 +90,7 @@
 // Guards against tasks that stay down for seconds, and gangs whose other members end because one is awaited.
 test('only a task that ends by itself and runs by itself waits', (t) => {
   const isDelayable = (values: Partial<JobStep>): boolean => {
-    const supervisor = new TaskSupervisor({
-      clock: new FakeClock(),
-      logger: new SilentEventLogger(),
-      metrics: new SilentMetricSink(),
-      table: new JobTable(),
-      markChanged: () => {},
-      runWhenJobStored: () => {},
-      requestStop: () => {},
-      requestRound: () => {},
-      onFinished: () => {},
-      onStepsDropped: () => {},
-      onStalled: () => {}
-    })
+    const supervisor = createSupervisor()
     const job = createJob('aa')
     supervisor.adoptJob({ ...job, steps: job.steps.map((step) => ({ ...step, ...values })) }, 0)
     return supervisor.isDelayable(createRun())
--- a/packages/jobs/tests/recover-jobs.test.ts
+++ b/packages/jobs/tests/recover-jobs.test.ts
@@ -1,6 +1,5 @@
 import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
 import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
-import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import { InMemoryStore } from '@hibiscusledge/store/in-memory-store.js'
 import test from 'ava'
 import { formatJobKey, formatProgressKey } from '../src/job-keys.js'
@@ -11,8 +10,8 @@
 import { encodeProgress } from '../src/progress-record.js'
 import { recoverJobs } from '../src/recover-jobs.js'
 import type { TaskRun } from '../src/task-run.js'
-import { TaskSupervisor } from '../src/task-supervisor.js'
 import { createJob, createRun, createStep } from './job-fixtures.js'
+import { createSupervisor } from './supervisor-fixture.js'
 
 const BACKLOG_JOBS = 400
 
@@ -42,7 +41,7 @@
     logger,
     store,
     table,
-    supervisor: createSupervisor(clock, table, stopped),
+    supervisor: createSupervisor({ clock, table, requestStop: (run) => { stopped.push(run) } }),
     adoptRun: (run) => { adopted.push(run) },
     requestStop: (run) => { stopped.push(run) }
   })
@@ -51,22 +50,6 @@
   return { table, adopted, stopped }
 }
 
-function createSupervisor (clock: FakeClock, table: JobTable, stopped: TaskRun[]): TaskSupervisor {
-  return new TaskSupervisor({
-    clock,
-    logger: new SilentEventLogger(),
-    metrics: new SilentMetricSink(),
-    table,
-    markChanged: () => {},
-    runWhenJobStored: () => {},
-    requestStop: (run) => { stopped.push(run) },
-    requestRound: () => {},
-    onFinished: () => {},
-    onStepsDropped: () => {},
-    onStalled: () => {}
-  })
-}
-
 function createGangRun (index: number, step: number): TaskRun {
   return createRun({ task: { jobId: 'aa', occurrence: 0, step, index }, number: 1_001 })
 }
@@ -149,7 +132,7 @@
     logger: new SilentEventLogger(),
     store,
     table,
-    supervisor: createSupervisor(clock, table, []),
+    supervisor: createSupervisor({ clock, table }),
     adoptRun: () => {},
     requestStop: () => {}
   })
--- a/packages/jobs/tests/stray-runs.test.ts
+++ b/packages/jobs/tests/stray-runs.test.ts
@@ -1,15 +1,13 @@
-import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
-import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
-import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import test from 'ava'
 import { JobTable } from '../src/job-table.js'
 import { addRun, StepProgress } from '../src/step-progress.js'
 import { buildStepRecord } from '../src/step-record.js'
 import { RUN_END_BASES, RUN_PHASES, type TaskRun } from '../src/task-run.js'
-import { TaskSupervisor } from '../src/task-supervisor.js'
+import type { TaskSupervisor } from '../src/task-supervisor.js'
 import { createJob, createRun } from './job-fixtures.js'
 import { createReport } from './scripted-target-gateway.js'
 import { createSessionFixture, EARLIER, listAsDone, listAsRunning, type SessionFixture } from './session-fixture.js'
+import { createSupervisor } from './supervisor-fixture.js'
 
 const ORDER_TIMEOUT_MS = 500
 const POLL_RETRY_MS = 250
@@ -28,19 +26,7 @@
 function createFixture (values: Partial<TaskRun> = {}): Fixture {
   const table = new JobTable()
   const stopped: TaskRun[] = []
-  const supervisor = new TaskSupervisor({
-    clock: new FakeClock(),
-    logger: new SilentEventLogger(),
-    metrics: new SilentMetricSink(),
-    table,
-    markChanged: () => {},
-    runWhenJobStored: () => {},
-    requestStop: (run) => { stopped.push(run) },
-    requestRound: () => {},
-    onFinished: () => {},
-    onStepsDropped: () => {},
-    onStalled: () => {}
-  })
+  const supervisor = createSupervisor({ table, requestStop: (run) => { stopped.push(run) } })
   const step = supervisor.adoptJob(createJob('aa'), 0).findStep(0, 0)
   const [task] = step?.tasks ?? []
   if (step === undefined || task === undefined) throw new Error('the job has no task')
--- /dev/null
+++ b/packages/jobs/tests/supervisor-fixture.ts
@@ -0,0 +1,23 @@
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
+import { JobTable } from '../src/job-table.js'
+import { TaskSupervisor, type TaskSupervisorOptions } from '../src/task-supervisor.js'
+
+/** Creates a supervisor of which the test handles only what `options` name. */
+export function createSupervisor (options: Partial<TaskSupervisorOptions> = {}): TaskSupervisor {
+  return new TaskSupervisor({
+    clock: new FakeClock(),
+    logger: new SilentEventLogger(),
+    metrics: new SilentMetricSink(),
+    table: new JobTable(),
+    markChanged: () => {},
+    runWhenJobStored: () => {},
+    requestStop: () => {},
+    requestRound: () => {},
+    onFinished: () => {},
+    onStepsDropped: () => {},
+    onStalled: () => {},
+    ...options
+  })
+}
