--- a/packages/jobs/src/owner-election.ts
+++ b/packages/jobs/src/owner-election.ts
@@ -26,7 +26,7 @@
 
 /** An ownership that this instance has acquired. */
 export interface Ownership {
-  /** Increases with each change of the owner. */
+  /** First fencing token of this owner. It is higher than all of the earlier owners. */
   readonly fencingToken: number
   /** Number of owners before this one. */
   readonly term: number
--- a/packages/jobs/src/task-run.ts
+++ b/packages/jobs/src/task-run.ts
@@ -9,8 +9,8 @@
   /** The answer to the start order was lost, or an earlier owner sent the order. Only the target knows whether the run has started. */
   unsettled: 'unsettled',
   /**
-   * The target has refused the start order, or would refuse it, but a later incarnation may still carry it out. The run reserves no
-   * capacity, since a target gets no tasks between its restart and the refusal.
+   * The target's present incarnation surely doesn't start the run, but a later one may still carry the order out. The run reserves no
+   * capacity, since a later incarnation gets no tasks before its first report, which lists the run.
    */
   delayed: 'delayed',
   running: 'running'
