Show that a late order starts a member of a gang again

Cause: the wait for late start orders leaves gangs out, so an order without an answer can reach its executor's next life after the gang has been done.

--- /dev/null
+++ b/review/left-out-gang/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/run.mjs"
