--- a/review/left-out-gang/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec node "$(dirname "$0")/run.mjs"
