Measure how long each part of the owner's work blocks the event loop

TurnMeter times each part (round, recovery, report, load report, relay, update, write) as owner_turn_ms and logs owner.turnBlocked from 100 ms on, with the work counted in the turn and what is held. Gauges job_steps_held and job_tasks_held show the latter at any time.

--- a/packages/jobs/src/admission/load-reporter.ts
+++ b/packages/jobs/src/admission/load-reporter.ts
@@ -9,6 +9,7 @@
 import type { StepProgress } from '../step-progress.js'
 import type { TargetInventory } from '../target-inventory.js'
 import type { RunOutcome, TaskRun } from '../task-run.js'
+import { TURN_PARTS, type TurnMeter } from '../turns/turn-meter.js'
 import { DrainMeter } from './drain-meter.js'
 import { buildServiceLoads, type LoadReport } from './load-report.js'
 import type { ShareClassifier } from './share-classifier.js'
@@ -18,6 +19,7 @@
 
 export interface LoadReporterOptions {
   readonly clock: Clock
+  readonly turns: TurnMeter
   readonly network: PeerNetwork
   readonly table: JobTable
   readonly inventory: TargetInventory
@@ -42,7 +44,8 @@
   }
 
   start (): void {
-    this.#timer = this.#options.clock.startInterval(REPORT_PERIOD_MS, () => this.#report())
+    const { clock, turns } = this.#options
+    this.#timer = clock.startInterval(REPORT_PERIOD_MS, () => turns.measure(TURN_PARTS.loadReport, () => this.#report()))
   }
 
   stop (): void {
--- a/packages/jobs/src/job-events.ts
+++ b/packages/jobs/src/job-events.ts
@@ -38,6 +38,7 @@
   ownerEnded: 'ownership.ownerEnded',
   recovered: 'ownership.recovered',
   recoveryFailed: 'ownership.recoveryFailed',
+  turnBlocked: 'owner.turnBlocked',
   writeFailed: 'progress.writeFailed',
   writeSuperseded: 'progress.writeSuperseded',
   watchClosed: 'store.watchClosed'
--- a/packages/jobs/src/job-metrics.ts
+++ b/packages/jobs/src/job-metrics.ts
@@ -24,8 +24,14 @@
   ownershipChanges: 'ownership_changes',
   /** Timing: one transaction that writes progress. */
   progressWrite: 'progress_write',
+  /** Timing, by part: for how long one part of the owner's work blocked the event loop. */
+  ownerTurn: 'owner_turn',
   /** Gauges of the owner. */
   activeJobs: 'jobs_active',
+  /** Steps of all open occurrences. */
+  heldSteps: 'job_steps_held',
+  /** Tasks with an entry of their own in memory. */
+  heldTasks: 'job_tasks_held',
   knownTargets: 'targets_known',
   activeRuns: 'task_runs_active',
   /** Gauge of the owner: jobs that overload control delays. */
--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -35,6 +35,8 @@
 import { RunTimeRecorder } from './targets/run-time-recorder.js'
 import { TargetSpeeds } from './targets/target-speeds.js'
 import { TaskSupervisor } from './task-supervisor.js'
+import { TURN_PARTS, TurnMeter } from './turns/turn-meter.js'
+import { WorkMeter } from './turns/work-meter.js'
 import { WorkWatcher } from './work-watcher.js'
 
 const UPDATE_PERIOD_MS = 100
@@ -66,6 +68,8 @@
 /** The owner of all targets. Only it places tasks and sends orders, until another instance takes over. */
 export class JobOwner {
   readonly #options: JobOwnerOptions
+  readonly #work = new WorkMeter()
+  readonly #turns: TurnMeter
   readonly #table = new JobTable()
   readonly #speeds = new TargetSpeeds()
   readonly #runTimes: RunTimeRecorder
@@ -90,6 +94,13 @@
 
   constructor (options: JobOwnerOptions) {
     this.#options = options
+    this.#turns = new TurnMeter({
+      clock: options.clock,
+      logger: options.logger,
+      metrics: options.metrics,
+      work: this.#work,
+      readHoldings: () => this.#table.measureHoldings()
+    })
     this.#runTimes = new RunTimeRecorder(options.clock, this.#table, this.#speeds)
     const { clock, random, logger, metrics, store, ownership, election, timings } = options
     this.#failures = new FailureAttribution(clock, logger, this.#table, this.#sessions)
@@ -97,6 +108,7 @@
       clock,
       logger,
       metrics,
+      turns: this.#turns,
       store,
       ownerRevision: ownership.ownerRevision,
       sequenceRevision: ownership.sequenceRevision,
@@ -109,7 +121,7 @@
     }, formatWriteSequenceKey)
     const markChanged = (jobId: string): void => this.#writer.markChanged(jobId)
     const runWhenJobStored = (jobId: string, callback: () => void): void => this.#writer.runWhenJobStored(jobId, callback)
-    this.#rounds = new RoundPacer(clock, () => this.#planner.runRound())
+    this.#rounds = new RoundPacer(clock, () => this.#turns.measure(TURN_PARTS.round, () => this.#planner.runRound()))
     const requestRound = (): void => this.#rounds.request()
     const shares = new AccountShares(options.readAccounts)
     this.#supervisor = new TaskSupervisor({
@@ -149,6 +161,7 @@
     })
     this.#loadReporter = new LoadReporter({
       clock,
+      turns: this.#turns,
       network: options.network,
       table: this.#table,
       inventory: new TargetInventory(this.#sessions, this.#speeds),
@@ -167,8 +180,8 @@
     this.#lossPoller = new LossPoller(clock, this.#sessions)
     this.#sessionContext = this.#createSessionContext()
     this.#workWatcher = new WorkWatcher(clock, logger, store, {
-      onJob: (id, record) => { if (!this.#table.has(id)) this.#adoptRecord(record) },
-      onCancel: (id) => this.#applyStoredCancellation(id)
+      onJob: (id, record) => { if (!this.#table.has(id)) this.#turns.measure(TURN_PARTS.relay, () => this.#adoptRecord(record)) },
+      onCancel: (id) => this.#turns.measure(TURN_PARTS.relay, () => this.#applyStoredCancellation(id))
     })
     this.#cleaner = new FinishedCleaner(clock, store, ownership.ownerRevision, options.retentionMs)
   }
@@ -180,6 +193,7 @@
     const recovery = await recoverJobs({
       clock,
       logger,
+      turns: this.#turns,
       store,
       table: this.#table,
       supervisor: this.#supervisor,
@@ -201,7 +215,7 @@
     this.#loadReporter.start()
     directory.subscribe({ onTargets: (targets) => this.#applyTargets(targets) })
     this.#timers = [
-      clock.startInterval(UPDATE_PERIOD_MS, () => this.#update()),
+      clock.startInterval(UPDATE_PERIOD_MS, () => this.#turns.measure(TURN_PARTS.update, () => this.#update())),
       clock.startInterval(CLEANUP_PERIOD_MS, () => this.#forgetFinished())
     ]
   }
@@ -221,11 +235,12 @@
 
   /** Adopts a job that was just stored. Jobs stored before the takeover are ignored: recovery has read them, or they have finished. */
   adoptAnnounced (text: string, revision: number): void {
-    if (this.#isReady && revision > this.#workRevision) this.#adoptRecord(text)
+    if (!this.#isReady || revision <= this.#workRevision) return
+    this.#turns.measure(TURN_PARTS.relay, () => this.#adoptRecord(text))
   }
 
   cancelJob (id: string): void {
-    if (this.#isReady) this.#supervisor.cancelJob(id)
+    if (this.#isReady) this.#turns.measure(TURN_PARTS.relay, () => this.#supervisor.cancelJob(id))
   }
 
   /** Returns the state that callers may see; undefined when the job isn't known here. A final state is visible once it is stored. */
@@ -276,6 +291,7 @@
     return {
       clock,
       logger,
+      turns: this.#turns,
       gateway,
       timings,
       fencingTokens: this.#writer,
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -78,6 +78,11 @@
     return this.#open.values()
   }
 
+  /** Returns the number of steps in the occurrences that weren't dropped. */
+  countOpenSteps (): number {
+    return this.#open.size * this.job.steps.length
+  }
+
   /** Returns the number of tasks in the occurrences that weren't dropped, whether they are done or not. */
   countOpenTasks (): number {
     return this.#open.size * this.#tasksPerOccurrence
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -1,6 +1,7 @@
 import type { Job, JobState } from './job.js'
 import { JobProgress } from './job-progress.js'
 import type { StepProgress } from './step-progress.js'
+import type { Holdings } from './turns/turn-meter.js'
 
 /** A step whose preceding steps are complete. */
 export interface ReadyStep {
@@ -48,6 +49,17 @@
     return this.#active.size
   }
 
+  /** Returns the sizes of what is held for the jobs. */
+  measureHoldings (): Holdings {
+    let steps = 0
+    let tasks = 0
+    for (const progress of this.#active.values()) {
+      steps += progress.countOpenSteps()
+      tasks += progress.countOpenTasks()
+    }
+    return { jobs: this.#active.size, steps, tasks }
+  }
+
   listReady (): Iterable<ReadyStep> {
     return this.#ready.values()
   }
--- a/packages/jobs/src/owner-gauges.ts
+++ b/packages/jobs/src/owner-gauges.ts
@@ -3,7 +3,7 @@
 import type { JobTable } from './job-table.js'
 import type { TargetSession } from './target-session.js'
 
-/** Publishes how many jobs, targets and runs the owner has at hand. */
+/** Publishes how many jobs, targets and runs the owner has at hand, and how much it holds for the jobs. */
 export function publishOwnerGauges (metrics: MetricSink, table: JobTable, sessions: Iterable<TargetSession>): void {
   let targets = 0
   let runs = 0
@@ -11,7 +11,10 @@
     targets++
     runs += session.countRuns()
   }
-  metrics.setGauge(JOB_METRICS.activeJobs, table.countActive())
+  const { jobs, steps, tasks } = table.measureHoldings()
+  metrics.setGauge(JOB_METRICS.activeJobs, jobs)
+  metrics.setGauge(JOB_METRICS.heldSteps, steps)
+  metrics.setGauge(JOB_METRICS.heldTasks, tasks)
   metrics.setGauge(JOB_METRICS.knownTargets, targets)
   metrics.setGauge(JOB_METRICS.activeRuns, runs)
 }
--- a/packages/jobs/src/progress-writer.ts
+++ b/packages/jobs/src/progress-writer.ts
@@ -6,6 +6,7 @@
 import { JOB_EVENTS } from './job-events.js'
 import { OWNER_KEY } from './job-keys.js'
 import { JOB_METRICS } from './job-metrics.js'
+import { TURN_PARTS, type TurnMeter } from './turns/turn-meter.js'
 
 /** Mutations of a transaction that the store accepts, less the two comparisons and the write sequence. */
 const MAXIMUM_MUTATIONS = 29
@@ -28,6 +29,7 @@
   readonly clock: Clock
   readonly logger: EventLogger
   readonly metrics: MetricSink
+  readonly turns: TurnMeter
   readonly store: KeyValueStore
   readonly ownerRevision: number
   /** Key that only this writer of the current owner writes. */
@@ -130,7 +132,7 @@
 
   async #write (): Promise<void> {
     if (!this.#options.isAuthorized()) return this.#retryLater()
-    const batch = this.#takeBatch()
+    const batch = this.#options.turns.measure(TURN_PARTS.write, () => this.#takeBatch())
     if (this.#inFlight.size === 0 && !this.#isCommitWanted) return this.#retryLater()
     this.#isWriting = true
     this.#lastWriteMs = this.#options.clock.readMonotonicMs()
--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -14,6 +14,7 @@
 import type { TaskSupervisor } from './task-supervisor.js'
 import { computeReservedResources } from './capacity-tracker.js'
 import { computeExpectedEndMs, RUN_PHASES, type TaskRun } from './task-run.js'
+import { TURN_PARTS, type TurnMeter } from './turns/turn-meter.js'
 import { splitWorkListing } from './work-listing.js'
 
 /** Jobs recovered before control returns to the event loop, so that lease renewals are sent in time however many jobs there are. */
@@ -24,6 +25,7 @@
 export interface RecoveryOptions {
   readonly clock: Clock
   readonly logger: EventLogger
+  readonly turns: TurnMeter
   readonly store: KeyValueStore
   readonly table: JobTable
   readonly supervisor: TaskSupervisor
@@ -58,22 +60,26 @@
   const records = new Map(progressListing.val.values.map((value) => [value.key.slice(PROGRESS_PREFIX.length), value.value]))
   const { jobs, cancelledIds } = splitWorkListing(workListing.val.values)
   const decoded: DecodedJob[] = []
-  for (const [index, { id, record }] of jobs.entries()) {
-    if ((index + 1) % JOBS_PER_BATCH === 0) await waitForNextTurn(options.clock)
-    decoded.push(...decodeRecords(options, id, record, records.get(id)))
-  }
+  await applyInTurns(options, jobs, ({ id, record }) => { decoded.push(...decodeRecords(options, id, record, records.get(id))) })
   // The jobs of an account take its tokens in the order in which they were accepted.
   if (decoded.some(({ job }) => job.account !== undefined)) decoded.sort((left, right) => left.job.acceptedAtMs - right.job.acceptedAtMs)
-  for (const [index, { job, record }] of decoded.entries()) {
-    if ((index + 1) % JOBS_PER_BATCH === 0) await waitForNextTurn(options.clock)
-    adoptDecoded(options, job, record)
-  }
+  await applyInTurns(options, decoded, ({ job, record }) => adoptDecoded(options, job, record))
   logger.logInfo(JOB_EVENTS.recovered, { records: records.size, work: workListing.val.values.length, revision: workListing.val.revision })
   const listedIds = new Set(jobs.map(({ id }) => id))
   const orphanedIds = cancelledIds.filter((id) => !listedIds.has(id))
   return Ok({ workRevision: workListing.val.revision, cancelledIds, orphanedIds })
 }
 
+/** Applies an action to each item, a batch in each turn of the event loop. */
+async function applyInTurns<Item> (
+  { clock, turns }: RecoveryOptions, items: readonly Item[], apply: (item: Item) => void
+): Promise<void> {
+  for (let first = 0; first < items.length; first += JOBS_PER_BATCH) {
+    if (first > 0) await waitForNextTurn(clock)
+    turns.measure(TURN_PARTS.recovery, () => { items.slice(first, first + JOBS_PER_BATCH).forEach(apply) })
+  }
+}
+
 async function waitForNextTurn (clock: Clock): Promise<void> {
   await new Promise<void>((resolve) => { clock.startTimer(0, resolve) })
 }
--- a/packages/jobs/src/session-context.ts
+++ b/packages/jobs/src/session-context.ts
@@ -5,11 +5,13 @@
 import type { OwnerTimings } from './owner-timings.js'
 import type { ReportedEnd, ReportedRun, TargetGateway } from './target-gateway.js'
 import type { RunEnd, TaskRun } from './task-run.js'
+import type { TurnMeter } from './turns/turn-meter.js'
 
 /** Dependencies and callbacks that the owner provides to its target sessions. */
 export interface SessionContext {
   readonly clock: Clock
   readonly logger: EventLogger
+  readonly turns: TurnMeter
   readonly gateway: TargetGateway
   readonly timings: OwnerTimings
   readonly fencingTokens: FencingTokenSource
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -17,6 +17,7 @@
 import { TargetListing } from './target-listing.js'
 import type { CapacityTracker } from './capacity-tracker.js'
 import type { TaskRun } from './task-run.js'
+import { TURN_PARTS } from './turns/turn-meter.js'
 
 /** The owner's session with one target: sends orders and polls, extends the lease, and tracks the runs and their capacity. */
 export class TargetSession {
@@ -190,7 +191,7 @@
 
   /** Polls the target. Returns whether the report listed ended runs that are not acknowledged yet. */
   async #poll (waitMs: number, acknowledgedEnd: number): Promise<boolean> {
-    const { clock, gateway, timings } = this.#context
+    const { clock, gateway, timings, turns } = this.#context
     const fencingToken = this.#fence.readToken()
     const sentAtMs = clock.readMonotonicMs()
     const sentAt = this.#messages.advance()
@@ -207,7 +208,10 @@
       waitMs
     })
     if (this.#isStopped) return false
-    if (result.ok) return this.#applyReport(result.val, { sentAt, sentAtMs, acknowledgedEnd })
+    if (result.ok) {
+      const { val: report } = result
+      return turns.measure(TURN_PARTS.report, () => this.#applyReport(report, { sentAt, sentAtMs, acknowledgedEnd }))
+    }
     this.#onPollFailed(result.val, { fencingToken, acknowledgedEnd })
     return false
   }
--- a/packages/jobs/tests/job-fixtures.ts
+++ b/packages/jobs/tests/job-fixtures.ts
@@ -1,8 +1,13 @@
+import { SilentEventLogger } from '@hibiscusledge/runtime/event-logger.js'
+import { FakeClock } from '@hibiscusledge/runtime/fake-clock.js'
+import { SilentMetricSink } from '@hibiscusledge/runtime/metric-sink.js'
 import type { AccountConfiguration } from '../src/accounts/account-table.js'
 import type { ShareClassifier } from '../src/admission/share-classifier.js'
 import type { Job, JobStep, QueuePolicy } from '../src/job.js'
 import type { WaitingStep } from '../src/placement-round.js'
 import { RUN_PHASES, type TaskRun } from '../src/task-run.js'
+import { TurnMeter, type TurnMeterOptions } from '../src/turns/turn-meter.js'
+import { WorkMeter } from '../src/turns/work-meter.js'
 
 export function createQueuePolicy (values: Partial<QueuePolicy> = {}): QueuePolicy {
   return {
@@ -31,6 +36,18 @@
   return { id, terms: createQueuePolicy(), specification: 'post dues', steps, acceptedAtMs: 1_700_000_000_000, ...values }
 }
 
+/** Creates a meter that records nothing but what `options` name. */
+export function createTurnMeter (options: Partial<TurnMeterOptions> = {}): TurnMeter {
+  return new TurnMeter({
+    clock: new FakeClock(),
+    logger: new SilentEventLogger(),
+    metrics: new SilentMetricSink(),
+    work: new WorkMeter(),
+    readHoldings: () => ({ jobs: 0, steps: 0, tasks: 0 }),
+    ...options
+  })
+}
+
 /** Treats all jobs as within their account's share. */
 export const NO_SHARES: ShareClassifier = { isBeyondShare: () => false }
 
--- a/packages/jobs/tests/progress-writer-pool.test.ts
+++ b/packages/jobs/tests/progress-writer-pool.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava'
 import { formatProgressKey, formatWriteSequenceKey, OWNER_KEY } from '../src/job-keys.js'
 import { PROGRESS_WRITER_COUNT, ProgressWriterPool } from '../src/progress-writer-pool.js'
+import { createTurnMeter } from './job-fixtures.js'
 
 interface Fixture {
   readonly clock: FakeClock
@@ -24,6 +25,7 @@
     clock,
     logger: new SilentEventLogger(),
     metrics: new SilentMetricSink(),
+    turns: createTurnMeter(),
     store,
     ownerRevision: revision,
     sequenceRevision: revision,
--- a/packages/jobs/tests/progress-writer.test.ts
+++ b/packages/jobs/tests/progress-writer.test.ts
@@ -5,6 +5,7 @@
 import test from 'ava'
 import { formatProgressKey, formatWriteSequenceKey, OWNER_KEY } from '../src/job-keys.js'
 import { ProgressWriter } from '../src/progress-writer.js'
+import { createTurnMeter } from './job-fixtures.js'
 
 const SEQUENCE_KEY = formatWriteSequenceKey(0)
 
@@ -33,6 +34,7 @@
     clock,
     logger: new SilentEventLogger(),
     metrics: new SilentMetricSink(),
+    turns: createTurnMeter(),
     store,
     ownerRevision: revision,
     sequenceKey: SEQUENCE_KEY,
--- a/packages/jobs/tests/recover-jobs.test.ts
+++ b/packages/jobs/tests/recover-jobs.test.ts
@@ -12,7 +12,7 @@
 import { encodeProgress } from '../src/progress-record.js'
 import { recoverJobs } from '../src/recover-jobs.js'
 import type { TaskRun } from '../src/task-run.js'
-import { createAccount, createJob, createRun, createStep } from './job-fixtures.js'
+import { createAccount, createJob, createRun, createStep, createTurnMeter } from './job-fixtures.js'
 import { createSupervisor } from './supervisor-fixture.js'
 
 const BACKLOG_JOBS = 400
@@ -41,6 +41,7 @@
   const recovery = recoverJobs({
     clock,
     logger,
+    turns: createTurnMeter({ clock }),
     store,
     table,
     supervisor: createSupervisor({ clock, table, requestStop: (run) => { stopped.push(run) } }),
@@ -132,6 +133,7 @@
   const recovery = recoverJobs({
     clock,
     logger: new SilentEventLogger(),
+    turns: createTurnMeter({ clock }),
     store,
     table,
     supervisor: createSupervisor({ clock, table }),
@@ -158,6 +160,7 @@
   const recovery = recoverJobs({
     clock,
     logger: new SilentEventLogger(),
+    turns: createTurnMeter({ clock }),
     store,
     table,
     supervisor: createSupervisor({ clock, table, shares }),
--- a/packages/jobs/tests/session-fixture.ts
+++ b/packages/jobs/tests/session-fixture.ts
@@ -6,7 +6,7 @@
 import { TargetSession } from '../src/target-session.js'
 import { formatTaskName, RUN_PHASES, type RunOutcome, type TaskRun } from '../src/task-run.js'
 import { FakeFencingTokens } from './fake-fencing-tokens.js'
-import { createRun } from './job-fixtures.js'
+import { createRun, createTurnMeter } from './job-fixtures.js'
 import { createReport, ScriptedTargetGateway } from './scripted-target-gateway.js'
 
 /** Two incarnations of a target, as their reports describe them. */
@@ -64,6 +64,7 @@
   const session = new TargetSession(describeTarget(), {
     clock,
     logger: new SilentEventLogger(),
+    turns: createTurnMeter(),
     gateway,
     timings: createOwnerTimings(6_000),
     fencingTokens: tokens,
--- a/packages/jobs/tests/target-session.test.ts
+++ b/packages/jobs/tests/target-session.test.ts
@@ -8,7 +8,7 @@
 import { RUN_PHASES, type RunOutcome } from '../src/task-run.js'
 import { FakeFencingTokens } from './fake-fencing-tokens.js'
 import { FakeTargets } from './fake-targets.js'
-import { createRun } from './job-fixtures.js'
+import { createRun, createTurnMeter } from './job-fixtures.js'
 
 const SIZE: Resources = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 }
 
@@ -45,6 +45,7 @@
   const session = new TargetSession(targets.get('t0').describe(), {
     clock,
     logger: new SilentEventLogger(),
+    turns: createTurnMeter(),
     gateway,
     timings: createOwnerTimings(6_000),
     fencingTokens: new FakeFencingTokens(),
