Hold an entry only for tasks with a state of their own

A step now holds the ranges of its tasks that are done, and an entry only for tasks with runs, failures, checkpoints or a delay. The entry goes when that state does. Counts of pending, placed and active tasks are kept up to date by the step, so that none of them needs a pass over all tasks. The next tasks are listed up to the number that is wanted.

Tests that used the objects of a step's tasks name the tasks by their index now and compare the same as before.

--- a/packages/jobs/src/compact-progress-record.ts
+++ b/packages/jobs/src/compact-progress-record.ts
@@ -66,11 +66,11 @@
     steps: records.filter((record) => !isComplete(record)).map(buildStep)
   }]
 
-  function buildStep ({ step, done, runs, failures, gangFailures, checkpoints }: StepRecord): z.input<typeof stepSchema> {
-    const doneIndexes = done === true ? steps[step]?.tasks.map(({ key }) => key.index) ?? [] : done
+  function buildStep ({ step, runs, failures, gangFailures, checkpoints }: StepRecord): z.input<typeof stepSchema> {
+    const doneRanges = steps[step]?.readDone().listRanges() ?? []
     return {
       step,
-      ...(doneIndexes.length > 0 ? { done: groupIndexes(doneIndexes) } : {}),
+      ...(doneRanges.length > 0 ? { done: doneRanges } : {}),
       ...(runs.length > 0 ? { runs } : {}),
       ...(failures.length > 0 ? { failures } : {}),
       ...(gangFailures > 0 ? { gangFailures } : {}),
--- a/packages/jobs/src/failures/restart-backoff.ts
+++ b/packages/jobs/src/failures/restart-backoff.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { RandomSource } from '@hibiscusledge/runtime/random-source.js'
-import type { TaskProgress } from '../step-progress.js'
+import type { StepProgress, TaskProgress } from '../step-progress.js'
 import type { TaskRun } from '../task-run.js'
 
 const FIRST_DELAY_MS = 200
@@ -16,6 +16,9 @@
   return nowMs - sentAtMs >= STABLE_RUN_MS
 }
 
+/** Restart of a task of this step, which may be placed again from `untilMs` on, a monotonic time. */
+interface DelayedRestart { readonly step: StepProgress, readonly untilMs: number }
+
 /**
  * Delays the restart of long-running tasks that fail, each by itself: twice as long after each failure in a row. Without a delay, tasks
  * that always fail use the targets and the store's writes as fast as rounds follow each other.
@@ -23,8 +26,7 @@
 export class RestartBackoff {
   readonly #clock: Clock
   readonly #random: RandomSource
-  /** Delayed tasks, with the monotonic time at which they may be placed again. */
-  readonly #delayed = new Map<TaskProgress, number>()
+  readonly #delayed = new Map<TaskProgress, DelayedRestart>()
 
   constructor (clock: Clock, random: RandomSource) {
     this.#clock = clock
@@ -32,20 +34,21 @@
   }
 
   /** Delays a task whose run has failed. */
-  pauseTask (task: TaskProgress, run: TaskRun): void {
+  pauseTask (step: StepProgress, index: number, run: TaskRun): void {
     const nowMs = this.#clock.readMonotonicMs()
-    task.restarts = isStableRun(run, nowMs) ? 1 : (task.restarts ?? 0) + 1
+    const task = step.ensureTask(index)
+    task.restarts = isStableRun(run, nowMs) ? 1 : task.restarts + 1
     const delayMs = Math.min(MAXIMUM_DELAY_MS, FIRST_DELAY_MS * 2 ** (task.restarts - 1))
-    task.isDelayed = true
-    this.#delayed.set(task, nowMs + delayMs * (1 - JITTER_SHARE * this.#random.drawFraction()))
+    step.setDelayed(index, true)
+    this.#delayed.set(task, { step, untilMs: nowMs + delayMs * (1 - JITTER_SHARE * this.#random.drawFraction()) })
   }
 
   /** Makes the tasks pending again whose delay is over. */
   resumeTasks (): void {
     const nowMs = this.#clock.readMonotonicMs()
-    for (const [task, untilMs] of this.#delayed) {
+    for (const [task, { step, untilMs }] of this.#delayed) {
       if (nowMs < untilMs) continue
-      task.isDelayed = false
+      step.setDelayed(task.key.index, false)
       this.#delayed.delete(task)
     }
   }
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,7 +1,7 @@
 import { IndexSet, listIndexes, type IndexRange } from './index-ranges.js'
 import { computeCriticalPathMs, JOB_STATES, type Job, type JobState } from './job.js'
-import { StepProgress, type TaskProgress } from './step-progress.js'
-import type { TaskKey } from './task-run.js'
+import { listRuns, StepProgress, type RunTally } from './step-progress.js'
+import type { TaskRun } from './task-run.js'
 
 /** Occurrences that are due wait while a job has this many open tasks, since its progress record grows with them. */
 const MAXIMUM_OPEN_TASKS = 10_000
@@ -20,6 +20,7 @@
   readonly #open = new Map<number, readonly StepProgress[]>()
   readonly #completed = new IndexSet()
   readonly #tasksPerOccurrence: number
+  readonly #tally: RunTally = { placedTasks: 0, activeTasks: 0 }
   #addedCount = 0
   /** Monotonic time until which the job, once later than three objectives, comes after all others, since its tasks keep failing. */
   demotedUntilMs = Number.NEGATIVE_INFINITY
@@ -41,7 +42,7 @@
   /** Adds the next occurrence and returns its steps. */
   addOccurrence (): readonly StepProgress[] {
     const occurrence = this.#addedCount++
-    const steps = this.job.steps.map((step, index) => new StepProgress(this.job.id, occurrence, index, step))
+    const steps = this.job.steps.map((step, index) => new StepProgress(this.job.id, occurrence, index, step, this.#tally))
     this.#open.set(occurrence, steps)
     return steps
   }
@@ -93,12 +94,18 @@
     return nowMs < this.demotedUntilMs
   }
 
-  countRuns (): number {
+  /** Returns the number of tasks that have an entry of their own. */
+  countTaskEntries (): number {
     let count = 0
-    for (const { task } of this.listTasks()) if (task.run !== undefined) count++
+    for (const steps of this.#open.values()) for (const step of steps) count += step.countEntries()
     return count
   }
 
+  /** Returns the number of tasks with a run. */
+  countRuns (): number {
+    return this.#tally.placedTasks
+  }
+
   /** Whether the job's open tasks leave room for those of another occurrence. The first open occurrence may exceed the limit. */
   hasRoomForOccurrence (): boolean {
     return this.#open.size === 0 || this.countOpenTasks() + this.#tasksPerOccurrence <= MAXIMUM_OPEN_TASKS
@@ -122,7 +129,7 @@
 
   /** Marks all tasks of the open occurrences as done. */
   markAllDone (): void {
-    for (const { step, task } of this.listTasks()) step.markDone(task)
+    for (const steps of this.#open.values()) for (const step of steps) step.markAllDone()
   }
 
   /** Returns the steps of an occurrence; empty when it was dropped or not added yet. */
@@ -134,10 +141,6 @@
     return this.findSteps(occurrence)[step]
   }
 
-  findTask (key: TaskKey): TaskProgress | undefined {
-    return this.findStep(key.occurrence, key.step)?.tasks[key.index]
-  }
-
   /** Whether all steps that a step depends on are complete. */
   isReady (occurrence: number, step: StepProgress): boolean {
     const steps = this.findSteps(occurrence)
@@ -161,12 +164,14 @@
   }
 
   hasRuns (): boolean {
-    return [...this.#open.values()].some((steps) => steps.some((step) => step.hasRuns()))
+    return this.#tally.activeTasks > 0
   }
 
-  * listTasks (): Generator<{ step: StepProgress, task: TaskProgress }> {
+  /** Lists the runs of all tasks that a target has or may have. */
+  * listRuns (): Generator<TaskRun> {
+    if (!this.hasRuns()) return
     for (const steps of this.#open.values()) {
-      for (const step of steps) for (const task of step.tasks) yield { step, task }
+      for (const step of steps) for (const task of step.listTasks()) yield * listRuns(task)
     }
   }
 }
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -55,7 +55,7 @@
     let tasks = 0
     for (const progress of this.#active.values()) {
       steps += progress.countOpenSteps()
-      tasks += progress.countOpenTasks()
+      tasks += progress.countTaskEntries()
     }
     return { jobs: this.#active.size, steps, tasks }
   }
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -144,12 +144,12 @@
         createAdvisedStep(selected, terms.advice), this.#inventory.listCandidates(round, step.step, activeIds)
       )
     }
-    const pending = listPlaceable(progress, step).slice(0, selected.startableCount)
+    const pending = listPlaceable(progress, step, selected.startableCount)
     const waiting: WaitingStep = {
       stepName,
       service: terms.service,
       step: step.step,
-      pending: pending.map((task) => task.key.index),
+      pending,
       avoided: step.failedTargets,
       excluded: this.#listExcluded(round, selected, stepName, nowMs),
       countByTarget: countByTarget(step),
@@ -245,15 +245,15 @@
     const planned = placements.flatMap((placement, index): PlannedRun[] => {
       const ticket = tickets[index]
       if (policy !== undefined && ticket === undefined) return []
-      const task = step.tasks[placement.index]
       const session = this.#inventory.find(placement.targetId)
-      if (task === undefined || session === undefined) return []
+      if (session === undefined) return []
+      const task = step.ensureTask(placement.index)
       if (checkpoint !== undefined) task.checkpoint = checkpoint
       return [{ session, run: this.#createRun(ready, task, placement.targetId, nowMs), task, ticket }]
     })
     if (planned.length === 0) return
     for (const { session, run, task } of planned) {
-      task.run = run
+      step.addRun(task.key.index, run)
       session.addRun(run)
     }
     const waitedMs = nowMs - (step.readyAtMs ?? nowMs)
@@ -302,5 +302,5 @@
 
 /** Returns the checkpoint from which all members of a gang resume; empty when there is none. */
 function findGangCheckpoint (step: StepProgress): string {
-  return step.tasks.find((task) => task.checkpoint !== '')?.checkpoint ?? ''
+  return [...step.listTasks()].find((task) => task.checkpoint !== '')?.checkpoint ?? ''
 }
--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -11,6 +11,7 @@
 import type { JobProgress } from './job-progress.js'
 import type { JobTable } from './job-table.js'
 import { decodeProgress, type ProgressRecord } from './progress-record.js'
+import type { StepProgress } from './step-progress.js'
 import type { TaskSupervisor } from './task-supervisor.js'
 import { computeReservedResources } from './capacity-tracker.js'
 import { computeExpectedEndMs, RUN_PHASES, type TaskRun } from './task-run.js'
@@ -115,14 +116,14 @@
     const step = progress.findStep(stepRecord.occurrence, stepRecord.step)
     if (step === undefined) continue
     step.gangFailures = stepRecord.gangFailures
-    for (const task of step.tasks) if (stepRecord.done === true || stepRecord.done.includes(task.key.index)) step.markDone(task)
-    for (const [index, failures] of stepRecord.failures) updateTask(step.tasks[index], { failures })
-    for (const [index, checkpoint] of stepRecord.checkpoints) updateTask(step.tasks[index], { checkpoint })
+    if (stepRecord.done === true) step.markAllDone()
+    else for (const index of stepRecord.done) if (step.hasTask(index)) step.markDone(index)
+    for (const [index, failures] of stepRecord.failures) if (isRestorable(step, index)) step.ensureTask(index).failures = failures
+    for (const [index, checkpoint] of stepRecord.checkpoints) if (isRestorable(step, index)) step.ensureTask(index).checkpoint = checkpoint
     for (const [index, number, targetId] of stepRecord.runs) {
-      const task = step.tasks[index]
-      if (task === undefined) continue
+      if (!step.hasTask(index)) continue
       const run: TaskRun = {
-        task: task.key,
+        task: { ...step.key, index },
         number,
         targetId,
         size: computeReservedResources(step.step.size, step.step.usesIdleCapacity),
@@ -136,11 +137,8 @@
         percent: 0,
         percentChangedAtMs: clock.readMonotonicMs()
       }
-      if (task.run !== undefined) {
-        task.strayRuns = [...task.strayRuns ?? [], task.run]
-        requestStop(task.run)
-      }
-      task.run = run
+      const previous = step.replaceRun(index, run)
+      if (previous !== undefined) requestStop(previous)
       adoptRun(run)
     }
   }
@@ -156,6 +154,7 @@
   supervisor.closeIfFinal(progress)
 }
 
-function updateTask (task: { failures: number, checkpoint: string } | undefined, values: { failures?: number, checkpoint?: string }): void {
-  if (task !== undefined) Object.assign(task, values)
+/** Whether a recorded failure or checkpoint of a task still matters. */
+function isRestorable (step: StepProgress, index: number): boolean {
+  return step.hasTask(index) && !step.isDone(index)
 }
--- a/packages/jobs/src/step-progress.ts
+++ b/packages/jobs/src/step-progress.ts
@@ -1,107 +1,263 @@
 import { FailedTargets } from './failures/failed-targets.js'
+import { IndexSet } from './index-ranges.js'
 import type { JobStep } from './job.js'
 import type { TaskKey, TaskRun } from './task-run.js'
 
-/** Progress of one task. */
+/** Identifies a step in one occurrence of its job. */
+export type StepKey = Omit<TaskKey, 'index'>
+
+/** Progress of a task that has a state of its own. Only its step changes what decides whether the task is pending. */
 export interface TaskProgress {
   readonly key: TaskKey
-  isDone: boolean
   /** Failed runs, which count against the maximum attempts of the queue. */
   failures: number
   /** Last reported checkpoint; empty when there is none. */
   checkpoint: string
-  run: TaskRun | undefined
+  readonly run: TaskRun | undefined
   /** Other runs of the task that a target still has. They are being stopped, and the task isn't placed before they have ended. */
-  strayRuns?: TaskRun[] | undefined
+  readonly strayRuns: readonly TaskRun[]
   /** Failures in a row of a long-running task, by which its next restart is delayed. */
-  restarts?: number
+  restarts: number
   /** Whether the task waits for its restart and isn't placed yet. */
-  isDelayed?: boolean
+  readonly isDelayed: boolean
   /** Number of runs that this owner has placed. */
   runCount: number
 }
 
-/** Progress of one step in one occurrence of a job. */
+/** A task as only its step may change it. */
+type TaskState = { -readonly [Field in keyof TaskProgress]: TaskProgress[Field] }
+
+/** Counts over all steps of a job. */
+export interface RunTally {
+  /** Tasks with a run. */
+  placedTasks: number
+  /** Tasks of which a target has or may have any run. */
+  activeTasks: number
+}
+
+const NO_TASKS: ReadonlyMap<number, TaskState> = new Map()
+const NO_INDEXES = new IndexSet()
+
+/**
+ * Progress of one step in one occurrence of a job. The number of its tasks is the caller's choice and may be large, so that only tasks
+ * with a state of their own have an entry: those with runs, failures, checkpoints or a delay. The others are pending or done.
+ */
 export class StepProgress {
   readonly step: JobStep
-  readonly tasks: TaskProgress[]
+  readonly key: StepKey
   /** Monotonic time at which all earlier steps were complete. */
   readyAtMs: number | undefined
   /** Number of failed runs of the gang as a whole. */
   gangFailures = 0
   /** Highest run number whose failure is counted in `gangFailures`. */
   lastFailedRun = 0
-  /** Targets on which a task of the step has failed. Shared by all tasks, since they run the same work. */
-  readonly failedTargets = new FailedTargets()
   /** Monotonic time before which no task of the step is placed again, as a backoff after repeated failures. */
   notBeforeMs = Number.NEGATIVE_INFINITY
-  #doneCount = 0
+  readonly #tally: RunTally
+  #failedTargets: FailedTargets | undefined
+  #tasks: Map<number, TaskState> | undefined
+  #done: IndexSet | undefined
+  /** Tasks that are not done and can't be placed now. */
+  #blockedCount = 0
+  #activeCount = 0
 
-  constructor (jobId: string, occurrence: number, index: number, step: JobStep) {
+  constructor (jobId: string, occurrence: number, index: number, step: JobStep, tally: RunTally = { placedTasks: 0, activeTasks: 0 }) {
     this.step = step
-    this.tasks = Array.from({ length: step.taskCount }, (_, taskIndex) => ({
-      key: { jobId, occurrence, step: index, index: taskIndex },
-      isDone: false,
-      failures: 0,
-      checkpoint: '',
-      run: undefined,
-      runCount: 0
-    }))
+    this.key = { jobId, occurrence, step: index }
+    this.#tally = tally
+  }
+
+  /** Targets on which a task of the step has failed. Shared by all tasks, since they run the same work. */
+  get failedTargets (): FailedTargets {
+    this.#failedTargets ??= new FailedTargets()
+    return this.#failedTargets
   }
 
   isComplete (): boolean {
-    return this.#doneCount === this.tasks.length
+    return this.#readDone().count() === this.step.taskCount
+  }
+
+  hasTask (index: number): boolean {
+    return index >= 0 && index < this.step.taskCount
+  }
+
+  isDone (index: number): boolean {
+    return this.#readDone().has(index)
+  }
+
+  /** Lists the indexes of the tasks that are done. */
+  readDone (): IndexSet {
+    return this.#readDone()
+  }
+
+  /** Returns a task if it has a state of its own. */
+  findTask (index: number): TaskProgress | undefined {
+    return this.#tasks?.get(index)
+  }
+
+  /** Returns a task, with an entry that is kept for as long as the task has a state of its own. */
+  ensureTask (index: number): TaskProgress {
+    return this.#ensureState(index)
+  }
+
+  /** Lists the tasks that have a state of their own. */
+  listTasks (): Iterable<TaskProgress> {
+    return (this.#tasks ?? NO_TASKS).values()
+  }
+
+  /** Returns the number of tasks that have a state of their own. */
+  countEntries (): number {
+    return this.#tasks?.size ?? 0
   }
 
   /** Marks a task as done. In a gang, one member that is done completes all members. */
-  markDone (task: TaskProgress): void {
-    for (const member of this.step.isGang ? this.tasks : [task]) {
-      if (member.isDone) continue
-      member.isDone = true
-      this.#doneCount++
-    }
+  markDone (index: number): void {
+    if (this.step.isGang) this.markRangeDone(0, this.step.taskCount - 1)
+    else this.markRangeDone(index, index)
+  }
+
+  /** Marks consecutive tasks as done. */
+  markRangeDone (first: number, last: number): void {
+    const end = Math.min(last, this.step.taskCount - 1)
+    if (end < first) return
+    const entries = end - first < this.countEntries() ? this.#listEntriesBetween(first, end) : this.#listEntriesWithin(first, end)
+    for (const task of entries) if (!this.isDone(task.key.index) && isBlocked(task)) this.#blockedCount--
+    this.#done ??= new IndexSet()
+    this.#done.addRange(first, end)
+    for (const task of entries) this.#prune(task)
+  }
+
+  /** Marks all tasks as done. */
+  markAllDone (): void {
+    this.markRangeDone(0, this.step.taskCount - 1)
   }
 
   /**
-   * Lists tasks that are neither done nor on a target, and whose restart isn't delayed. The tasks of a gang are listed only when that
-   * holds for all members.
+   * Lists the indexes of tasks that are neither done nor on a target, and whose restart isn't delayed, up to a limit. The tasks of a
+   * gang are listed only when that holds for all members.
    */
-  listPending (): TaskProgress[] {
-    const pending = this.tasks.filter(isPending)
-    return this.step.isGang && pending.length < this.tasks.length ? [] : pending
+  listPending (limit = Number.POSITIVE_INFINITY): number[] {
+    const pending: number[] = []
+    if (this.countPending() === 0 || limit <= 0) return pending
+    for (const index of this.#readDone().listMissing(this.step.taskCount)) {
+      const task = this.#tasks?.get(index)
+      if (task !== undefined && isBlocked(task)) continue
+      pending.push(index)
+      if (pending.length >= limit) break
+    }
+    return pending
   }
 
-  /** Counts the tasks that {@link listPending} returns. */
+  /** Counts the tasks that {@link listPending} returns without a limit. */
   countPending (): number {
-    let count = 0
-    for (const task of this.tasks) if (isPending(task)) count++
-    return this.step.isGang && count < this.tasks.length ? 0 : count
+    const { taskCount, isGang } = this.step
+    const count = taskCount - this.#readDone().count() - this.#blockedCount
+    return isGang && count < taskCount ? 0 : count
   }
 
   hasRuns (): boolean {
-    return this.tasks.some((task) => task.run !== undefined || task.strayRuns !== undefined)
+    return this.#activeCount > 0
+  }
+
+  /** Attaches a run to its task: as the run, or as a stray one beside it. */
+  addRun (index: number, run: TaskRun): void {
+    this.#updateTask(index, (task) => {
+      if (task.run === undefined) task.run = run
+      else task.strayRuns = [...task.strayRuns, run]
+    })
+  }
+
+  /** Attaches a run to its task in place of the present one, which becomes a stray one. Returns the latter. */
+  replaceRun (index: number, run: TaskRun): TaskRun | undefined {
+    const previous = this.findTask(index)?.run
+    this.#updateTask(index, (task) => {
+      if (previous !== undefined) task.strayRuns = [...task.strayRuns, previous]
+      task.run = run
+    })
+    return previous
+  }
+
+  /** Detaches a run that has ended from its task. */
+  removeRun (index: number, run: TaskRun): void {
+    this.#updateTask(index, (task) => {
+      if (task.run === run) task.run = undefined
+      if (task.strayRuns.includes(run)) task.strayRuns = task.strayRuns.filter((stray) => stray !== run)
+    })
+  }
+
+  /** Delays the restart of a task, or allows it again. */
+  setDelayed (index: number, isDelayed: boolean): void {
+    this.#updateTask(index, (task) => { task.isDelayed = isDelayed })
+  }
+
+  /** Changes a task and keeps the counts up to date. */
+  #updateTask (index: number, apply: (task: TaskState) => void): void {
+    const task = this.#ensureState(index)
+    const isDone = this.isDone(index)
+    this.#count(task, isDone, -1)
+    apply(task)
+    this.#count(task, isDone, 1)
+    this.#prune(task)
+  }
+
+  #count (task: TaskState, isDone: boolean, by: 1 | -1): void {
+    if (!isDone && isBlocked(task)) this.#blockedCount += by
+    if (task.run !== undefined) this.#tally.placedTasks += by
+    if (!hasAnyRun(task)) return
+    this.#tally.activeTasks += by
+    this.#activeCount += by
   }
-}
 
-/** Whether the task is neither done nor on a target, and its restart isn't delayed. */
-function isPending ({ isDone, run, strayRuns, isDelayed }: TaskProgress): boolean {
-  return !isDone && run === undefined && strayRuns === undefined && isDelayed !== true
+  #ensureState (index: number): TaskState {
+    this.#tasks ??= new Map()
+    let task = this.#tasks.get(index)
+    if (task === undefined) {
+      const key = { ...this.key, index }
+      task = { key, failures: 0, checkpoint: '', run: undefined, strayRuns: [], restarts: 0, isDelayed: false, runCount: 0 }
+      this.#tasks.set(index, task)
+    }
+    return task
+  }
+
+  /** Drops the entry of a task that has no state of its own any more. */
+  #prune (task: TaskState): void {
+    if (!hasAnyRun(task) && (this.isDone(task.key.index) || isBlank(task))) this.#tasks?.delete(task.key.index)
+  }
+
+  #listEntriesBetween (first: number, last: number): TaskState[] {
+    const entries: TaskState[] = []
+    for (let index = first; index <= last; index++) {
+      const task = this.#tasks?.get(index)
+      if (task !== undefined) entries.push(task)
+    }
+    return entries
+  }
+
+  #listEntriesWithin (first: number, last: number): TaskState[] {
+    return [...(this.#tasks ?? NO_TASKS).values()].filter(({ key: { index } }) => index >= first && index <= last)
+  }
+
+  #readDone (): IndexSet {
+    return this.#done ?? NO_INDEXES
+  }
 }
 
 /** Lists all runs of a task that a target has or may have. */
-export function listRuns ({ run, strayRuns = [] }: TaskProgress): readonly TaskRun[] {
-  return run === undefined ? strayRuns : [...strayRuns, run]
+export function listRuns (task: TaskProgress | undefined): readonly TaskRun[] {
+  if (task === undefined) return []
+  return task.run === undefined ? task.strayRuns : [...task.strayRuns, task.run]
+}
+
+function hasAnyRun ({ run, strayRuns }: TaskProgress): boolean {
+  return run !== undefined || strayRuns.length > 0
 }
 
-/** Attaches a run to its task: as the run, or as a stray one beside it. */
-export function addRun (task: TaskProgress, run: TaskRun): void {
-  if (task.run === undefined) task.run = run
-  else task.strayRuns = [...task.strayRuns ?? [], run]
+/** Whether a task that isn't done can't be placed now. */
+function isBlocked (task: TaskProgress): boolean {
+  return hasAnyRun(task) || task.isDelayed
 }
 
-/** Detaches a run that has ended from its task. */
-export function removeRun (task: TaskProgress, run: TaskRun): void {
-  if (task.run === run) task.run = undefined
-  const left = task.strayRuns?.filter((stray) => stray !== run) ?? []
-  task.strayRuns = left.length === 0 ? undefined : left
+/** Whether an entry tells nothing that its absence wouldn't. */
+function isBlank ({ failures, checkpoint, restarts, isDelayed, runCount }: TaskProgress): boolean {
+  return failures === 0 && checkpoint === '' && restarts === 0 && !isDelayed && runCount === 0
 }
--- a/packages/jobs/src/step-record.ts
+++ b/packages/jobs/src/step-record.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { listIndexes } from './index-ranges.js'
 import { isFinalState, type JobState } from './job.js'
 import { listRuns, type StepProgress } from './step-progress.js'
 
@@ -26,20 +27,19 @@
 /** Builds the record of a step; undefined when there is nothing to store about it. */
 export function buildStepRecord (progress: StepProgress, state: JobState): StepRecord | undefined {
   const runs: StepRecord['runs'] = []
-  const done: number[] = []
+  const done = [...listIndexes(progress.readDone().listRanges())]
   const failures: StepRecord['failures'] = []
   const checkpoints: StepRecord['checkpoints'] = []
-  for (const task of progress.tasks) {
+  for (const task of [...progress.listTasks()].sort((left, right) => left.key.index - right.key.index)) {
     const { index } = task.key
     for (const run of listRuns(task)) runs.push([index, run.number, run.targetId])
-    if (task.isDone) done.push(index)
-    else if (task.failures > 0) failures.push([index, task.failures])
-    if (!task.isDone && task.checkpoint !== '') checkpoints.push([index, task.checkpoint])
+    if (progress.isDone(index)) continue
+    if (task.failures > 0) failures.push([index, task.failures])
+    if (task.checkpoint !== '') checkpoints.push([index, task.checkpoint])
   }
-  const key = progress.tasks[0]?.key
-  if (key === undefined || (isFinalState(state) && runs.length === 0)) return undefined
+  if (isFinalState(state) && runs.length === 0) return undefined
   if (done.length + runs.length + failures.length + checkpoints.length === 0) return undefined
-  const { occurrence, step } = key
+  const { occurrence, step } = progress.key
   return { occurrence, step, done: progress.isComplete() ? true : done, runs, failures, gangFailures: progress.gangFailures, checkpoints }
 }
 
--- a/packages/jobs/src/targets/run-time-recorder.ts
+++ b/packages/jobs/src/targets/run-time-recorder.ts
@@ -20,7 +20,7 @@
     if (outcome !== RUN_OUTCOMES.done || basis !== RUN_END_BASES.reported || !Number.isFinite(run.sentAtMs)) return
     const progress = this.#table.find(run.task.jobId)
     const step = progress?.findStep(run.task.occurrence, run.task.step)
-    const task = step?.tasks[run.task.index]
+    const task = step?.findTask(run.task.index)
     if (progress === undefined || step === undefined || task === undefined) return
     // The slowest member of a gang decides for all, and a task that was started before may have resumed from a checkpoint.
     if (step.step.isGang || step.step.isLongRunning || task.runCount > 1) return
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -11,7 +11,7 @@
 import type { JobTable } from './job-table.js'
 import { shouldEvictRun } from './eviction.js'
 import { RestartBackoff } from './failures/restart-backoff.js'
-import { addRun, listRuns, removeRun, type StepProgress, type TaskProgress } from './step-progress.js'
+import { listRuns, type StepProgress } from './step-progress.js'
 import type { ReportedEnd, ReportedRun } from './target-gateway.js'
 import { computeReservedResources } from './capacity-tracker.js'
 import {
@@ -117,8 +117,8 @@
   }
 
   onCheckpoint (run: TaskRun, checkpoint: string): void {
-    const task = this.#options.table.find(run.task.jobId)?.findTask(run.task)
-    if (task !== undefined && !task.isDone) task.checkpoint = checkpoint
+    const step = this.#findOpenStep(run.task)
+    if (step !== undefined) step.ensureTask(run.task.index).checkpoint = checkpoint
   }
 
   onRunEnded (run: TaskRun, { outcome, basis, checkpoint }: RunEnd): void {
@@ -135,13 +135,13 @@
     this.#options.metrics.incrementCounter(JOB_METRICS.runsEnded, 1, { outcome })
     const progress = table.find(run.task.jobId)
     const step = progress?.findStep(run.task.occurrence, run.task.step)
-    const task = step?.tasks[run.task.index]
-    if (progress === undefined || step === undefined || task === undefined) return
-    removeRun(task, run)
-    if (checkpoint !== undefined && checkpoint !== '' && !task.isDone) task.checkpoint = checkpoint
+    const { index } = run.task
+    if (progress === undefined || step?.hasTask(index) !== true) return
+    step.removeRun(index, run)
+    if (checkpoint !== undefined && checkpoint !== '' && !step.isDone(index)) step.ensureTask(index).checkpoint = checkpoint
     this.#options.markChanged(progress.job.id)
     if (progress.isClosed) return this.#finishIfDone(progress)
-    this.#applyOutcome(progress, step, task, run, outcome)
+    this.#applyOutcome(progress, step, run, outcome)
     this.#options.onStepsDropped(progress.dropCompleted(run.task.occurrence))
   }
 
@@ -152,7 +152,7 @@
   isDelayable ({ task: { jobId, occurrence, step: index, index: taskIndex } }: TaskRun): boolean {
     const progress = this.#options.table.find(jobId)
     const step = progress?.findStep(occurrence, index)
-    if (progress === undefined || step === undefined || progress.isFinal() || step.tasks[taskIndex]?.isDone === true) return false
+    if (progress === undefined || step === undefined || progress.isFinal() || step.isDone(taskIndex)) return false
     return !step.step.isGang && !step.step.isLongRunning && !step.step.allowsCopies
   }
 
@@ -161,11 +161,12 @@
     const key = parseTaskName(reported.taskName)
     if (key === undefined) return undefined
     const run = this.#buildUnknownRun(key, reported.run, targetId)
-    const task = this.#options.table.find(key.jobId)?.findTask(key)
-    if (task === undefined) return run
+    const step = this.#options.table.find(key.jobId)?.findStep(key.occurrence, key.step)
+    if (step?.hasTask(key.index) !== true) return run
+    const present = step.findTask(key.index)?.run
     // Its start order has not been sent yet, and isn't sent any more.
-    if (task.run?.phase === RUN_PHASES.reserved) this.#options.requestStop(task.run)
-    addRun(task, run)
+    if (present?.phase === RUN_PHASES.reserved) this.#options.requestStop(present)
+    step.addRun(key.index, run)
     this.#options.markChanged(key.jobId)
     return run
   }
@@ -174,11 +175,16 @@
   onUnknownEnd ({ taskName, run, outcome, checkpoint }: ReportedEnd, targetId: string): void {
     const key = parseTaskName(taskName)
     if (key === undefined || outcome !== RUN_OUTCOMES.done) return
-    const task = this.#options.table.find(key.jobId)?.findTask(key)
-    if (task === undefined || task.isDone) return
+    if (this.#findOpenStep(key) === undefined) return
     this.onRunEnded(this.#buildUnknownRun(key, run, targetId), { outcome, basis: RUN_END_BASES.reported, checkpoint })
   }
 
+  /** Returns the step of a task that is known and not done. */
+  #findOpenStep ({ jobId, occurrence, step: stepIndex, index }: TaskKey): StepProgress | undefined {
+    const step = this.#options.table.find(jobId)?.findStep(occurrence, stepIndex)
+    return step?.hasTask(index) === true && !step.isDone(index) ? step : undefined
+  }
+
   #buildUnknownRun (task: TaskKey, number: number, targetId: string): TaskRun {
     const nowMs = this.#options.clock.readMonotonicMs()
     // The occurrence may have been dropped as completed, but the run still uses its capacity.
@@ -247,25 +253,27 @@
     }
   }
 
-  #applyOutcome (progress: JobProgress, step: StepProgress, task: TaskProgress, run: TaskRun, outcome: RunOutcome): void {
+  #applyOutcome (progress: JobProgress, step: StepProgress, run: TaskRun, outcome: RunOutcome): void {
     const { isLongRunning, isGang } = step.step
+    const { index } = run.task
     if (outcome === RUN_OUTCOMES.done && !isLongRunning) {
-      step.markDone(task)
-      this.#stopOthers(step, task, run)
+      step.markDone(index)
+      this.#stopOthers(step, run)
       this.#options.table.updateReady(progress, run.task.occurrence, this.#options.clock.readMonotonicMs())
-    } else if (outcome === RUN_OUTCOMES.failed && !isLongRunning && !task.isDone) {
-      this.#countFailure(progress, step, task, run)
+    } else if (outcome === RUN_OUTCOMES.failed && !isLongRunning && !step.isDone(index)) {
+      this.#countFailure(progress, step, run)
     } else if (outcome === RUN_OUTCOMES.failed && isLongRunning) {
       step.failedTargets.record(run.targetId, this.#options.clock.readMonotonicMs())
-      this.#backoff.pauseTask(task, run)
+      this.#backoff.pauseTask(step, index, run)
     }
     if (isGang && outcome !== RUN_OUTCOMES.done && outcome !== RUN_OUTCOMES.failed) this.#stopGang(step, run)
     if (progress.isFinal()) this.#closeJob(progress)
     this.#options.requestRound()
   }
 
-  #countFailure (progress: JobProgress, step: StepProgress, task: TaskProgress, run: TaskRun): void {
+  #countFailure (progress: JobProgress, step: StepProgress, run: TaskRun): void {
     const nowMs = this.#options.clock.readMonotonicMs()
+    const task = step.ensureTask(run.task.index)
     task.failures++
     step.failedTargets.record(run.targetId, nowMs)
     if (step.step.isGang && run.number > step.lastFailedRun) {
@@ -278,15 +286,15 @@
   }
 
   /** Stops the runs of a done task, or of a done gang, that are no members of the run that did the work. */
-  #stopOthers (step: StepProgress, task: TaskProgress, done: TaskRun): void {
-    for (const member of step.step.isGang ? step.tasks : [task]) {
+  #stopOthers (step: StepProgress, done: TaskRun): void {
+    for (const member of step.step.isGang ? [...step.listTasks()] : [step.findTask(done.task.index)]) {
       for (const run of listRuns(member)) if (run.number !== done.number) this.#options.requestStop(run)
     }
   }
 
   /** Stops the other runs of a gang, which can't continue without a member. */
   #stopGang (step: StepProgress, ended: TaskRun): void {
-    for (const { run } of step.tasks) if (run !== undefined && run.number === ended.number) this.#options.requestStop(run)
+    for (const { run } of [...step.listTasks()]) if (run !== undefined && run.number === ended.number) this.#options.requestStop(run)
   }
 
   #closeJob (progress: JobProgress): void {
@@ -295,7 +303,7 @@
     const { id } = progress.job
     const state = progress.readState()
     this.#options.table.withdraw(progress)
-    if (state !== 'completed') for (const { task } of progress.listTasks()) for (const run of listRuns(task)) this.#options.requestStop(run)
+    if (state !== 'completed') for (const run of [...progress.listRuns()]) this.#options.requestStop(run)
     this.#options.markChanged(id)
     this.#options.runWhenJobStored(id, () => {
       progress.storedState = state
--- a/packages/jobs/tests/expected-capacity.test.ts
+++ b/packages/jobs/tests/expected-capacity.test.ts
@@ -92,7 +92,6 @@
   const expected = createExpected([createTarget('t0', [])])
   const step = new StepProgress('aa', 0, 0, createStep({ taskCount: 2, maximumPerTarget: 1, isLongRunning: true }))
   t.true(expected.hasSlots(step, ['t0'], NONE))
-  const [first] = step.tasks
-  if (first !== undefined) first.run = createRun({ targetId: 't0' })
+  step.addRun(0, createRun({ targetId: 't0' }))
   t.false(expected.hasSlots(step, ['t0'], NONE))
 })
--- a/packages/jobs/tests/job-records.test.ts
+++ b/packages/jobs/tests/job-records.test.ts
@@ -21,12 +21,12 @@
 test('decoded progress has the state of the encoded tasks', (t) => {
   const progress = new JobProgress(createJob('aa', [createStep({ taskCount: 3 }), createStep({ taskCount: 2 })]), 0)
   const [first, second] = progress.addOccurrence()
-  const [task, failed] = first?.tasks ?? []
-  if (first === undefined || second === undefined || task === undefined || failed === undefined) return t.fail()
-  first.markDone(task)
+  if (first === undefined || second === undefined) return t.fail()
+  first.markDone(0)
+  const failed = first.ensureTask(1)
   failed.failures = 2
   failed.checkpoint = 'c7'
-  for (const done of second.tasks) second.markDone(done)
+  second.markAllDone()
   const decoded = decodeProgress(encodeProgress(progress))
   t.deepEqual(decoded.ok ? decoded.val.steps : undefined, [
     { occurrence: 0, step: 0, done: [0], runs: [], failures: [[1, 2]], gangFailures: 0, checkpoints: [[1, 'c7']] },
@@ -37,7 +37,7 @@
 test('of a finished job only the final state is stored', (t) => {
   const progress = new JobProgress(createJob('aa'), 0)
   const [step] = progress.addOccurrence()
-  for (const task of step?.tasks ?? []) step?.markDone(task)
+  step?.markAllDone()
   const mutations = buildMutations(progress, new FakeClock().readWallMs())
   t.deepEqual(mutations.map(({ type, ...rest }) => [type, 'key' in rest ? rest.key : '']), [
     ['put', 'finished/aa'], ['delete', 'work/job/aa'], ['delete', 'progress/aa']
--- a/packages/jobs/tests/progress-growth.test.ts
+++ b/packages/jobs/tests/progress-growth.test.ts
@@ -60,7 +60,7 @@
   const progress = new JobProgress(createScheduledJob('aa', 5_000, 0), 0)
   let longest = 0
   for (let occurrence = 0; occurrence < 2_000; occurrence++) {
-    for (const step of progress.addOccurrence()) for (const task of step.tasks) step.markDone(task)
+    for (const step of progress.addOccurrence()) step.markAllDone()
     progress.dropCompleted(occurrence)
     longest = Math.max(longest, encodeProgress(progress).length)
   }
@@ -79,15 +79,15 @@
     for (const tasks of occurrences) {
       const added = progress.addOccurrence()
       const occurrence = progress.countAdded() - 1
-      const drawn = [...added[0]?.tasks ?? [], ...added[1]?.tasks ?? []]
-      drawn.forEach((task, index) => {
-        const values = tasks[index]
+      const drawn = added.slice(0, 2).flatMap((step) => Array.from({ length: step.step.taskCount }, (_, index) => ({ step, index })))
+      drawn.forEach(({ step, index }, position) => {
+        const values = tasks[position]
         if (values === undefined) return
-        if (values.isDone) added[task.key.step]?.markDone(task)
-        else Object.assign(task, { failures: values.failures, checkpoint: values.checkpoint })
-        if (values.hasRun) task.run = createRun({ task: task.key, number: 7 })
+        if (values.isDone) step.markDone(index)
+        else Object.assign(step.ensureTask(index), { failures: values.failures, checkpoint: values.checkpoint })
+        if (values.hasRun) step.addRun(index, createRun({ task: { ...step.key, index }, number: 7 }))
       })
-      for (const step of added.slice(2)) for (const task of step.tasks) step.markDone(task)
+      for (const step of added.slice(2)) step.markAllDone()
       progress.dropCompleted(occurrence)
     }
     const text = encodeProgress(progress)
@@ -99,13 +99,10 @@
     for (const { occurrence, step: index, done, runs, failures, checkpoints } of record.val.steps) {
       const step = restored.findStep(occurrence, index)
       if (step === undefined) return false
-      for (const task of step.tasks) if (done === true || done.includes(task.key.index)) step.markDone(task)
-      for (const [task, number, targetId] of runs) {
-        const found = step.tasks[task]
-        if (found !== undefined) found.run = createRun({ task: found.key, number, targetId })
-      }
-      for (const [task, count] of failures) Object.assign(step.tasks[task] ?? {}, { failures: count })
-      for (const [task, checkpoint] of checkpoints) Object.assign(step.tasks[task] ?? {}, { checkpoint })
+      for (let task = 0; task < step.step.taskCount; task++) if (done === true || done.includes(task)) step.markDone(task)
+      for (const [task, number, targetId] of runs) step.addRun(task, createRun({ task: { ...step.key, index: task }, number, targetId }))
+      for (const [task, count] of failures) step.ensureTask(task).failures = count
+      for (const [task, checkpoint] of checkpoints) step.ensureTask(task).checkpoint = checkpoint
     }
     for (let occurrence = 0; occurrence < restored.countAdded(); occurrence++) restored.dropCompleted(occurrence)
     t.deepEqual(restored.listCompleted(), progress.listCompleted())
@@ -139,7 +136,7 @@
   }
   t.is(added, 2)
   const [first] = progress.findSteps(0)
-  for (const task of first?.tasks ?? []) first?.markDone(task)
+  first?.markAllDone()
   progress.dropCompleted(0)
   t.true(progress.hasRoomForOccurrence())
 })
--- a/packages/jobs/tests/recover-jobs.test.ts
+++ b/packages/jobs/tests/recover-jobs.test.ts
@@ -58,7 +58,7 @@
 }
 
 function listPendingNames (table: JobTable): string[] {
-  return [...table.listReady()].flatMap(({ step }) => step.listPending().map((task) => `${task.key.step}.${task.key.index}`))
+  return [...table.listReady()].flatMap(({ step }) => step.listPending().map((index) => `${step.key.step}.${index}`))
 }
 
 // Guards against running the earlier steps again: the first task that is done completes a gang while its other runs are still recorded.
@@ -66,11 +66,10 @@
   const job = createJob('aa', [createStep({ taskCount: 3 }), createStep({ taskCount: 2, isGang: true, after: [0] })])
   const progress = new JobProgress(job, 0)
   const [first, gang] = progress.addOccurrence()
-  const [ended, member] = gang?.tasks ?? []
-  if (first === undefined || gang === undefined || ended === undefined || member === undefined) return t.fail()
-  for (const task of first.tasks) first.markDone(task)
-  gang.markDone(ended)
-  member.run = createGangRun(1, 1)
+  if (first === undefined || gang === undefined) return t.fail()
+  first.markAllDone()
+  gang.markDone(0)
+  gang.addRun(1, createGangRun(1, 1))
   t.is(progress.readState(), 'completed')
   const { table, adopted } = await recoverJob(job, encodeProgress(progress))
   t.deepEqual(listPendingNames(table), [])
@@ -83,9 +82,9 @@
   for (const outcome of ['isCancelled', 'hasFailed'] as const) {
     const job = createJob('aa', [createStep({ taskCount: 2 })])
     const progress = new JobProgress(job, 0)
-    const [task] = progress.addOccurrence()[0]?.tasks ?? []
-    if (task === undefined) return t.fail()
-    task.run = createGangRun(0, 0)
+    const [step] = progress.addOccurrence()
+    if (step === undefined) return t.fail()
+    step.addRun(0, createGangRun(0, 0))
     progress[outcome] = true
     const { table, stopped } = await recoverJob(job, encodeProgress(progress))
     t.deepEqual(listPendingNames(table), [], outcome)
@@ -97,14 +96,14 @@
 test('a stray run of a task is stopped by the next owner, and the task waits for its end', async (t) => {
   const job = createJob('aa')
   const progress = new JobProgress(job, 0)
-  const [task] = progress.addOccurrence()[0]?.tasks ?? []
-  if (task === undefined) return t.fail()
-  task.run = createRun({ number: 2 })
-  task.strayRuns = [createRun({ number: 1 })]
+  const [step] = progress.addOccurrence()
+  if (step === undefined) return t.fail()
+  step.addRun(0, createRun({ number: 2 }))
+  step.addRun(0, createRun({ number: 1 }))
   const { table, adopted, stopped } = await recoverJob(job, encodeProgress(progress))
   t.deepEqual(adopted.map((run) => run.number), [1, 2])
   t.deepEqual(stopped.map((run) => run.number), [1])
-  const recovered = table.find('aa')?.findTask(task.key)
+  const recovered = table.find('aa')?.findStep(0, 0)?.findTask(0)
   t.is(recovered?.run?.number, 2)
   t.is(recovered?.strayRuns?.length, 1)
 })
--- a/packages/jobs/tests/restart-backoff.test.ts
+++ b/packages/jobs/tests/restart-backoff.test.ts
@@ -9,10 +9,8 @@
 
 /** Returns for how long the task of a step is not pending after a run that took `ranMs` has failed. */
 async function measureDelay (clock: FakeClock, backoff: RestartBackoff, step: StepProgress, ranMs: number): Promise<number> {
-  const [task] = step.tasks
-  if (task === undefined) throw new Error('the step has no task')
   const nowMs = clock.readMonotonicMs()
-  backoff.pauseTask(task, createRun({ sentAtMs: nowMs - ranMs }))
+  backoff.pauseTask(step, 0, createRun({ sentAtMs: nowMs - ranMs }))
   while (step.countPending() === 0) {
     await clock.advanceBy(PERIOD_MS)
     backoff.resumeTasks()
@@ -36,7 +34,7 @@
   const clock = new FakeClock()
   const backoff = new RestartBackoff(clock, new SeededRandomSource(1))
   const step = new StepProgress('aa', 0, 0, createStep({ taskCount: 50, isLongRunning: true }))
-  for (const task of step.tasks) backoff.pauseTask(task, createRun())
+  for (let index = 0; index < step.step.taskCount; index++) backoff.pauseTask(step, index, createRun())
   const pending: number[] = []
   for (let passedMs = 0; passedMs <= 200; passedMs += PERIOD_MS) {
     await clock.advanceBy(PERIOD_MS)
@@ -50,8 +48,7 @@
 test('a gang is not pending while one of its members waits', (t) => {
   const clock = new FakeClock()
   const step = new StepProgress('aa', 0, 0, createStep({ taskCount: 3, isGang: true, isLongRunning: true }))
-  const [first] = step.tasks
-  if (first !== undefined) new RestartBackoff(clock, new SeededRandomSource(1)).pauseTask(first, createRun())
+  new RestartBackoff(clock, new SeededRandomSource(1)).pauseTask(step, 0, createRun())
   t.is(step.countPending(), 0)
   t.deepEqual(step.listPending(), [])
 })
--- a/packages/jobs/tests/stray-runs.test.ts
+++ b/packages/jobs/tests/stray-runs.test.ts
@@ -1,6 +1,6 @@
 import test from 'ava'
 import { JobTable } from '../src/job-table.js'
-import { addRun, StepProgress } from '../src/step-progress.js'
+import { StepProgress } from '../src/step-progress.js'
 import { buildStepRecord } from '../src/step-record.js'
 import { RUN_END_BASES, RUN_PHASES, type TaskRun } from '../src/task-run.js'
 import type { TaskSupervisor } from '../src/task-supervisor.js'
@@ -28,10 +28,9 @@
   const stopped: TaskRun[] = []
   const supervisor = createSupervisor({ table, requestStop: (run) => { stopped.push(run) } })
   const step = supervisor.adoptJob(createJob('aa'), 0).findStep(0, 0)
-  const [task] = step?.tasks ?? []
-  if (step === undefined || task === undefined) throw new Error('the job has no task')
+  if (step === undefined) throw new Error('the job has no step')
   const run = createRun({ number: 2, ...values })
-  task.run = run
+  step.addRun(0, run)
   return { supervisor, step, stopped, run }
 }
 
@@ -97,10 +96,8 @@
   const [jobStep] = steps
   if (jobStep === undefined) return t.fail()
   const step = new StepProgress('aa', 0, 0, jobStep)
-  const [task] = step.tasks
-  if (task === undefined) return t.fail()
-  addRun(task, createRun({ number: 2, targetId: 't2' }))
-  addRun(task, createRun({ number: 1, targetId: 't1' }))
+  step.addRun(0, createRun({ number: 2, targetId: 't2' }))
+  step.addRun(0, createRun({ number: 1, targetId: 't1' }))
   t.deepEqual(buildStepRecord(step, 'running')?.runs.map(([, number]) => number).sort(), [1, 2])
 })
 
