Keep the done tasks of a job as ranges in its progress

It searched the list of all done tasks once for each task of the step.

The done tasks of a step are ranges from the record to the owner's memory, so that recovery takes a range at a time. Records keep their two stored forms. Occurrences that are completed are restored as ranges as well, and only open ones are visited. The jobs of a turn of recovery are limited by the length of their records too, since 20 records may hold 20 MB. Recovery counts its work.

--- a/packages/jobs/src/compact-progress-record.ts
+++ b/packages/jobs/src/compact-progress-record.ts
@@ -50,7 +50,7 @@
 export function convertCompactRecord ({ state, occurrences, completed, open }: z.output<typeof compactRecordSchema>): ProgressRecord {
   const steps = open.flatMap(({ occurrence, completeSteps, steps }): StepRecord[] => [
     ...[...listIndexes(completeSteps)].map((step) => createCompleteRecord(occurrence, step)),
-    ...steps.map((record) => ({ ...record, occurrence, done: [...listIndexes(record.done)] }))
+    ...steps.map((record) => ({ ...record, occurrence }))
   ])
   return { state, occurrences, completed, steps }
 }
--- a/packages/jobs/src/index-ranges.ts
+++ b/packages/jobs/src/index-ranges.ts
@@ -27,7 +27,9 @@
     this.addRange(index, index)
   }
 
+  /** Adds the indexes from `first` to `last`; none if `last` is lower. */
   addRange (first: number, last: number): void {
+    if (last < first) return
     // All ranges from `from` up to `to`, exclusive, overlap the new one or are adjacent to it.
     const from = this.#findFirst(first - 1)
     let to = from
--- a/packages/jobs/src/job-metrics.ts
+++ b/packages/jobs/src/job-metrics.ts
@@ -26,6 +26,8 @@
   progressWrite: 'progress_write',
   /** Timing, by part: for how long one part of the owner's work blocked the event loop. */
   ownerTurn: 'owner_turn',
+  /** Counter, by part: entries that the owner's loops visited. */
+  ownerWork: 'owner_work',
   /** Gauges of the owner. */
   activeJobs: 'jobs_active',
   /** Steps of all open occurrences. */
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,4 +1,4 @@
-import { IndexSet, listIndexes, type IndexRange } from './index-ranges.js'
+import { IndexSet, type IndexRange } from './index-ranges.js'
 import { computeCriticalPathMs, JOB_STATES, type Job, type JobState } from './job.js'
 import { listRuns, StepProgress, type RunTally } from './step-progress.js'
 import type { TaskRun } from './task-run.js'
@@ -49,11 +49,19 @@
 
   /** Restores the occurrences that an earlier owner has added, of which some are completed. */
   restoreOccurrences (count: number, completed: readonly IndexRange[]): void {
-    for (const index of listIndexes(completed)) this.#completed.add(index)
-    while (this.#addedCount < count) {
-      if (this.#completed.has(this.#addedCount)) this.#addedCount++
-      else this.addOccurrence()
+    for (const [first, last] of completed) this.#completed.addRange(first, last)
+    // The first occurrence of a job without a schedule is there already.
+    for (const occurrence of this.#completed.listMissing(count)) {
+      if (occurrence < this.#addedCount) continue
+      this.#addedCount = occurrence
+      this.addOccurrence()
     }
+    this.#addedCount = Math.max(this.#addedCount, count)
+  }
+
+  /** Lists the numbers of the occurrences that weren't dropped. */
+  listOpenOccurrences (): number[] {
+    return [...this.#open.keys()]
   }
 
   /** Drops the steps of an occurrence of a scheduled job once they are complete and have no runs. Returns the dropped steps. */
--- a/packages/jobs/src/progress-record.ts
+++ b/packages/jobs/src/progress-record.ts
@@ -6,7 +6,7 @@
 import { formatCancelKey, formatFinishedKey, formatJobKey, formatProgressKey } from './job-keys.js'
 import type { JobProgress } from './job-progress.js'
 import { isFinalState, JOB_STATES, type JobState } from './job.js'
-import { buildStepRecord, createCompleteRecord, stepRecordSchema, type StepRecord } from './step-record.js'
+import { buildStepRecord, convertPlainStep, convertToPlainStep, createCompleteRecord, plainStepSchema, type StepRecord } from './step-record.js'
 
 const PLAIN_VERSION = 1
 const FINISHED_VERSION = 1
@@ -20,7 +20,7 @@
   version: z.literal(PLAIN_VERSION),
   state: z.enum(JOB_STATES),
   occurrences: z.number().int().nonnegative(),
-  steps: z.array(stepRecordSchema)
+  steps: z.array(plainStepSchema)
 })
 
 const recordSchema = z.discriminatedUnion('version', [plainRecordSchema, compactRecordSchema])
@@ -88,14 +88,18 @@
   }
   const parsed = recordSchema.safeParse(value)
   if (!parsed.success) return Err(`the progress record is invalid at ${parsed.error.issues.map((issue) => issue.path.join('.')).join(', ')}`)
-  return Ok(parsed.data.version === PLAIN_VERSION ? { ...parsed.data, completed: [] } : convertCompactRecord(parsed.data))
+  return Ok(parsed.data.version === PLAIN_VERSION ? convertPlainRecord(parsed.data) : convertCompactRecord(parsed.data))
 }
 
 function buildPlainRecord (progress: JobProgress): z.infer<typeof plainRecordSchema> {
   const state = progress.readState()
   const open = [...progress.listOpen()].flatMap((steps) => steps.flatMap((step) => buildStepRecord(step, state) ?? []))
   const completed = isFinalState(state) ? [] : listCompletedSteps(progress)
-  return { version: PLAIN_VERSION, state, occurrences: progress.countAdded(), steps: [...completed, ...open] }
+  return { version: PLAIN_VERSION, state, occurrences: progress.countAdded(), steps: [...completed, ...open].map(convertToPlainStep) }
+}
+
+function convertPlainRecord ({ state, occurrences, steps }: z.infer<typeof plainRecordSchema>): ProgressRecord {
+  return { state, occurrences, completed: [], steps: steps.map(convertPlainStep) }
 }
 
 /** Lists the steps of the completed occurrences, of which memory holds only the indexes. */
--- a/packages/jobs/src/recover-jobs.ts
+++ b/packages/jobs/src/recover-jobs.ts
@@ -12,14 +12,19 @@
 import type { JobTable } from './job-table.js'
 import { decodeProgress, type ProgressRecord } from './progress-record.js'
 import type { StepProgress } from './step-progress.js'
+import type { StepRecord } from './step-record.js'
 import type { TaskSupervisor } from './task-supervisor.js'
 import { computeReservedResources } from './capacity-tracker.js'
 import { computeExpectedEndMs, RUN_PHASES, type TaskRun } from './task-run.js'
 import { TURN_PARTS, type TurnMeter } from './turns/turn-meter.js'
 import { splitWorkListing } from './work-listing.js'
 
-/** Jobs recovered before control returns to the event loop, so that lease renewals are sent in time however many jobs there are. */
+/**
+ * Jobs, and characters of their records, that are recovered before control returns to the event loop, so that lease renewals are sent
+ * in time however many and large the jobs are.
+ */
 const JOBS_PER_BATCH = 20
+const CHARACTERS_PER_BATCH = 128 * 1024
 /** Upper bound of a job's computed age, since the clocks of instances may differ by seconds. */
 const MAXIMUM_JOB_AGE_MS = 60_000
 
@@ -44,9 +49,18 @@
   readonly orphanedIds: readonly string[]
 }
 
+/** The records of a job as stored. */
+interface StoredJob {
+  readonly id: string
+  readonly text: string
+  readonly progressText: string | undefined
+}
+
 interface DecodedJob {
   readonly job: Job
   readonly record: ProgressRecord | undefined
+  /** Length of the records. */
+  readonly characters: number
 }
 
 /** Reads all stored jobs, cancellations and progress records for a new owner, and adopts the jobs and their runs. */
@@ -61,10 +75,11 @@
   const records = new Map(progressListing.val.values.map((value) => [value.key.slice(PROGRESS_PREFIX.length), value.value]))
   const { jobs, cancelledIds } = splitWorkListing(workListing.val.values)
   const decoded: DecodedJob[] = []
-  await applyInTurns(options, jobs, ({ id, record }) => { decoded.push(...decodeRecords(options, id, record, records.get(id))) })
+  const stored = jobs.map(({ id, record }): StoredJob => ({ id, text: record, progressText: records.get(id) }))
+  await applyInTurns(options, stored, countCharacters, (job) => { decoded.push(...decodeRecords(options, job)) })
   // The jobs of an account take its tokens in the order in which they were accepted.
   if (decoded.some(({ job }) => job.account !== undefined)) decoded.sort((left, right) => left.job.acceptedAtMs - right.job.acceptedAtMs)
-  await applyInTurns(options, decoded, ({ job, record }) => adoptDecoded(options, job, record))
+  await applyInTurns(options, decoded, ({ characters }) => characters, (job) => adoptDecoded(options, job))
   logger.logInfo(JOB_EVENTS.recovered, { records: records.size, work: workListing.val.values.length, revision: workListing.val.revision })
   const listedIds = new Set(jobs.map(({ id }) => id))
   const orphanedIds = cancelledIds.filter((id) => !listedIds.has(id))
@@ -73,20 +88,38 @@
 
 /** Applies an action to each item, a batch in each turn of the event loop. */
 async function applyInTurns<Item> (
-  { clock, turns }: RecoveryOptions, items: readonly Item[], apply: (item: Item) => void
+  { clock, turns }: RecoveryOptions, items: readonly Item[], readCharacters: (item: Item) => number, apply: (item: Item) => void
 ): Promise<void> {
-  for (let first = 0; first < items.length; first += JOBS_PER_BATCH) {
-    if (first > 0) await waitForNextTurn(clock)
-    turns.measure(TURN_PARTS.recovery, () => { items.slice(first, first + JOBS_PER_BATCH).forEach(apply) })
+  let batch: Item[] = []
+  let characters = 0
+  for (const item of items) {
+    if (batch.length >= JOBS_PER_BATCH || characters >= CHARACTERS_PER_BATCH) {
+      applyBatch()
+      await waitForNextTurn(clock)
+    }
+    batch.push(item)
+    characters += readCharacters(item)
+  }
+  applyBatch()
+
+  function applyBatch (): void {
+    turns.measure(TURN_PARTS.recovery, () => { batch.forEach(apply) })
+    batch = []
+    characters = 0
   }
 }
 
+function countCharacters ({ text, progressText = '' }: StoredJob): number {
+  return text.length + progressText.length
+}
+
 async function waitForNextTurn (clock: Clock): Promise<void> {
   await new Promise<void>((resolve) => { clock.startTimer(0, resolve) })
 }
 
 /** Decodes the records of a job; returns nothing if the job is known or can't be recovered. */
-function decodeRecords ({ table, logger }: RecoveryOptions, id: string, text: string, progressText: string | undefined): DecodedJob[] {
+function decodeRecords ({ table, logger, turns }: RecoveryOptions, stored: StoredJob): DecodedJob[] {
+  const { id, text, progressText } = stored
   if (table.has(id)) return []
   const record = progressText === undefined ? undefined : decodeProgress(progressText)
   if (record?.err === true) {
@@ -96,12 +129,15 @@
     return []
   }
   const job = decodeJob(text)
-  if (job.ok) return [{ job: job.val, record: record?.val }]
+  if (job.ok) {
+    turns.work.add(job.val.steps.length + (record?.val.steps.length ?? 0))
+    return [{ job: job.val, record: record?.val, characters: countCharacters(stored) }]
+  }
   logger.logError(JOB_EVENTS.recordMalformed, { jobId: id, message: job.val })
   return []
 }
 
-function adoptDecoded (options: RecoveryOptions, job: Job, record: ProgressRecord | undefined): void {
+function adoptDecoded (options: RecoveryOptions, { job, record }: DecodedJob): void {
   const { clock, supervisor } = options
   const ageMs = Math.min(MAXIMUM_JOB_AGE_MS, Math.max(0, clock.readWallMs() - job.acceptedAtMs))
   const progress = supervisor.adoptJob(job, clock.readMonotonicMs() - ageMs)
@@ -109,15 +145,16 @@
 }
 
 function applyProgress (options: RecoveryOptions, progress: JobProgress, record: ProgressRecord): void {
-  const { clock, table, supervisor, adoptRun, requestStop } = options
+  const { clock, turns, table, supervisor, adoptRun, requestStop } = options
   progress.restoreOccurrences(record.occurrences, record.completed)
   progress.hasStarted = record.state !== 'queued'
   for (const stepRecord of record.steps) {
     const step = progress.findStep(stepRecord.occurrence, stepRecord.step)
     if (step === undefined) continue
     step.gangFailures = stepRecord.gangFailures
+    turns.work.add(countEntries(stepRecord))
     if (stepRecord.done === true) step.markAllDone()
-    else for (const index of stepRecord.done) if (step.hasTask(index)) step.markDone(index)
+    else for (const [first, last] of stepRecord.done) step.markRangeDone(first, last)
     for (const [index, failures] of stepRecord.failures) if (isRestorable(step, index)) step.ensureTask(index).failures = failures
     for (const [index, checkpoint] of stepRecord.checkpoints) if (isRestorable(step, index)) step.ensureTask(index).checkpoint = checkpoint
     for (const [index, number, targetId] of stepRecord.runs) {
@@ -147,13 +184,17 @@
   // The record of a completed job contains only steps that still have runs.
   if (record.state === JOB_STATES.completed) progress.markAllDone()
   const nowMs = clock.readMonotonicMs()
-  for (let occurrence = 0; occurrence < progress.countAdded(); occurrence++) {
+  for (const occurrence of progress.listOpenOccurrences()) {
     progress.dropCompleted(occurrence)
     table.updateReady(progress, occurrence, nowMs)
   }
   supervisor.closeIfFinal(progress)
 }
 
+function countEntries ({ done, runs, failures, checkpoints }: StepRecord): number {
+  return 1 + (done === true ? 1 : done.length) + runs.length + failures.length + checkpoints.length
+}
+
 /** Whether a recorded failure or checkpoint of a task still matters. */
 function isRestorable (step: StepProgress, index: number): boolean {
   return step.hasTask(index) && !step.isDone(index)
--- a/packages/jobs/src/step-record.ts
+++ b/packages/jobs/src/step-record.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import { listIndexes } from './index-ranges.js'
+import { groupIndexes, listIndexes, type IndexRange } from './index-ranges.js'
 import { isFinalState, type JobState } from './job.js'
 import { listRuns, type StepProgress } from './step-progress.js'
 
@@ -10,7 +10,8 @@
 /** Task index and last checkpoint. */
 export const checkpointsSchema = z.array(z.tuple([z.number(), z.string()]))
 
-export const stepRecordSchema = z.object({
+/** A step in the plain form of a progress record. */
+export const plainStepSchema = z.object({
   occurrence: z.number().int().nonnegative(),
   step: z.number().int().nonnegative(),
   /** Indexes of the tasks that are done; true when all are. */
@@ -21,13 +22,18 @@
   checkpoints: checkpointsSchema
 })
 
+type PlainStep = z.infer<typeof plainStepSchema>
+
 /** Progress of one step in a job's progress record. */
-export type StepRecord = z.infer<typeof stepRecordSchema>
+export interface StepRecord extends Omit<PlainStep, 'done'> {
+  /** Ranges of the tasks that are done; true when all are. A list of the tasks would be as long as the caller has chosen. */
+  readonly done: true | readonly IndexRange[]
+}
 
 /** Builds the record of a step; undefined when there is nothing to store about it. */
 export function buildStepRecord (progress: StepProgress, state: JobState): StepRecord | undefined {
   const runs: StepRecord['runs'] = []
-  const done = [...listIndexes(progress.readDone().listRanges())]
+  const done = progress.readDone().listRanges()
   const failures: StepRecord['failures'] = []
   const checkpoints: StepRecord['checkpoints'] = []
   for (const task of [...progress.listTasks()].sort((left, right) => left.key.index - right.key.index)) {
@@ -43,6 +49,15 @@
   return { occurrence, step, done: progress.isComplete() ? true : done, runs, failures, gangFailures: progress.gangFailures, checkpoints }
 }
 
+/** Converts a record to the plain form, which lists each task. */
+export function convertToPlainStep ({ done, ...rest }: StepRecord): PlainStep {
+  return { ...rest, done: done === true ? true : [...listIndexes(done)] }
+}
+
+export function convertPlainStep ({ done, ...rest }: PlainStep): StepRecord {
+  return { ...rest, done: done === true ? true : groupIndexes([...done].sort((left, right) => left - right)) }
+}
+
 /** Creates the record of a complete step without runs. */
 export function createCompleteRecord (occurrence: number, step: number): StepRecord {
   return { occurrence, step, done: true, runs: [], failures: [], gangFailures: 0, checkpoints: [] }
--- a/packages/jobs/src/turns/turn-meter.ts
+++ b/packages/jobs/src/turns/turn-meter.ts
@@ -46,27 +46,31 @@
 
 /** Measures for how long each part of the owner's work blocks the event loop, and how much work it does in that time. */
 export class TurnMeter {
+  /** Counts the work of all turns. */
+  readonly work: WorkMeter
   readonly #options: TurnMeterOptions
 
   constructor (options: TurnMeterOptions) {
+    this.work = options.work
     this.#options = options
   }
 
   /** Runs a part, which must not wait for anything, and records its duration. A part within another one counts in both. */
   measure<Value> (part: TurnPart, run: () => Value): Value {
-    const { clock, work } = this.#options
+    const { clock } = this.#options
     const startedAtMs = clock.readMonotonicMs()
-    const workBefore = work.readTotal()
+    const workBefore = this.work.readTotal()
     try {
       return run()
     } finally {
-      this.#record(part, clock.readMonotonicMs() - startedAtMs, work.readTotal() - workBefore)
+      this.#record(part, clock.readMonotonicMs() - startedAtMs, this.work.readTotal() - workBefore)
     }
   }
 
   #record (part: TurnPart, durationMs: number, units: number): void {
     const { logger, metrics, readHoldings } = this.#options
     metrics.recordTiming(JOB_METRICS.ownerTurn, durationMs, { part })
+    if (units > 0) metrics.incrementCounter(JOB_METRICS.ownerWork, units, { part })
     if (durationMs < LOGGED_TURN_MS) return
     logger.logWarning(JOB_EVENTS.turnBlocked, { part, durationMs: Math.round(durationMs), work: units, ...readHoldings() })
   }
--- a/packages/jobs/tests/job-records.test.ts
+++ b/packages/jobs/tests/job-records.test.ts
@@ -29,7 +29,7 @@
   second.markAllDone()
   const decoded = decodeProgress(encodeProgress(progress))
   t.deepEqual(decoded.ok ? decoded.val.steps : undefined, [
-    { occurrence: 0, step: 0, done: [0], runs: [], failures: [[1, 2]], gangFailures: 0, checkpoints: [[1, 'c7']] },
+    { occurrence: 0, step: 0, done: [[0, 0]], runs: [], failures: [[1, 2]], gangFailures: 0, checkpoints: [[1, 'c7']] },
     { occurrence: 0, step: 1, done: true, runs: [], failures: [], gangFailures: 0, checkpoints: [] }
   ])
 })
--- a/packages/jobs/tests/large-jobs.test.ts
+++ b/packages/jobs/tests/large-jobs.test.ts
@@ -1,10 +1,25 @@
+import { SilentMetricSink, type MetricTags } from '@hibiscusledge/runtime/metric-sink.js'
 import test from 'ava'
+import { JOB_METRICS } from '../src/job-metrics.js'
+import { JobProgress } from '../src/job-progress.js'
 import { JobTable } from '../src/job-table.js'
+import { decodeProgress, encodeProgress } from '../src/progress-record.js'
+import { FakeJobCell } from './fake-job-cell.js'
 import { createJob, createStep } from './job-fixtures.js'
 import { createSupervisor } from './supervisor-fixture.js'
 
 const TASKS = 100_000
 
+/** Keeps the largest work of one turn by part. */
+class WorkRecorder extends SilentMetricSink {
+  readonly largest = new Map<string, number>()
+
+  override incrementCounter (name?: string, by = 1, tags?: MetricTags): void {
+    const part = tags?.['part']
+    if (name === JOB_METRICS.ownerWork && part !== undefined) this.largest.set(part, Math.max(this.largest.get(part) ?? 0, by))
+  }
+}
+
 // Guards against an owner that runs out of memory (review/11): it made an object for each task of each accepted job, so that 30 bodies of
 // 98 bytes ended each owner in turn.
 test('what an owner holds does not grow with the number of tasks that accepted jobs have', (t) => {
@@ -14,3 +29,35 @@
   t.deepEqual(table.measureHoldings(), { jobs: 3, steps: 3, tasks: 0 })
   t.deepEqual([...table.listReady()].map(({ step }) => step.countPending()), [TASKS, TASKS, TASKS])
 })
+
+// Guards against a new owner that blocks for longer than its lease (review/12): it searched a list of all done tasks once for each task.
+test('the progress of a job with very many tasks is read without an entry for each of them', (t) => {
+  const progress = new JobProgress(createJob('aa', [createStep({ taskCount: TASKS })]), 0)
+  const [step] = progress.addOccurrence()
+  step?.markRangeDone(0, TASKS / 2 - 1)
+  step?.markDone(TASKS - 1)
+  const decoded = decodeProgress(encodeProgress(progress))
+  t.deepEqual(decoded.ok ? decoded.val.steps.map(({ done }) => done) : undefined, [[[0, TASKS / 2 - 1], [TASKS - 1, TASKS - 1]]])
+})
+
+test('a new owner takes a half done job with very many tasks over with little work, and completes it', async (t) => {
+  const cell = new FakeJobCell(2)
+  const recorder = new WorkRecorder()
+  for (let index = 0; index < 2; index++) cell.addInstance(undefined, () => ({ metrics: recorder }))
+  await cell.advanceUntil(() => cell.findOwner() !== undefined, 2_000)
+  await cell.clock.advanceBy(100)
+  const [first] = cell.instances
+  if (first === undefined) return t.fail()
+  const size = { cpuMillis: 40, memoryMb: 1, accelerators: 0 }
+  t.is(await cell.submit(first, createJob('aa', [createStep({ taskCount: TASKS / 50, size, estimatedMs: 300 })])), 'stored')
+  await cell.advanceUntil(() => cell.targets.starts.length > TASKS / 100, 20_000)
+  recorder.largest.clear()
+  cell.findOwner()?.kill()
+  t.true(await cell.advanceUntil(() => cell.findOwner() !== undefined, 5_000))
+  const [other] = cell.instances
+  if (other === undefined) return t.fail()
+  t.true(await cell.advanceUntil(async () => await cell.readState(other, 'aa') === 'completed', 60_000))
+  t.deepEqual(cell.targets.violations, [])
+  const work = recorder.largest.get('recovery') ?? 0
+  t.true(work > 0 && work < TASKS / 100, String(work))
+})
--- a/packages/jobs/tests/progress-growth.test.ts
+++ b/packages/jobs/tests/progress-growth.test.ts
@@ -99,7 +99,7 @@
     for (const { occurrence, step: index, done, runs, failures, checkpoints } of record.val.steps) {
       const step = restored.findStep(occurrence, index)
       if (step === undefined) return false
-      for (let task = 0; task < step.step.taskCount; task++) if (done === true || done.includes(task)) step.markDone(task)
+      for (const [first, last] of done === true ? [[0, step.step.taskCount - 1] as const] : done) step.markRangeDone(first, last)
       for (const [task, number, targetId] of runs) step.addRun(task, createRun({ task: { ...step.key, index: task }, number, targetId }))
       for (const [task, count] of failures) step.ensureTask(task).failures = count
       for (const [task, checkpoint] of checkpoints) step.ensureTask(task).checkpoint = checkpoint
