Follow the steps of a job without passes over all of them

In each round the critical path was computed over all steps of a job for each of its ready steps, and each end of a step looked at all steps for those that had become ready; the job's state, its runs and its records took passes of their own.

StepGraph walks the dependencies once, at acceptance or recovery. OccurrenceProgress counts down what each step waits for, and keeps the longest remaining path, so that the end of a step visits only the steps that name it. Whether a job is complete or has runs is counted. A round computes the urgency once for each job, sorts jobs instead of steps, and looks for targets for at most 5,000 steps; the others take turns as before. The table groups the ready steps by job.

--- a/packages/jobs/src/accounts/quota-holds.ts
+++ b/packages/jobs/src/accounts/quota-holds.ts
@@ -1,6 +1,6 @@
 import { addResources } from '../capacity-tracker.js'
 import type { ReadyStep } from '../job-table.js'
-import { computeCriticalPathMs, type JobStep, type Resources } from '../job.js'
+import type { JobStep, Resources } from '../job.js'
 import type { StepProgress } from '../step-progress.js'
 import { LATE_LIMIT_FACTOR } from '../urgency.js'
 
@@ -41,8 +41,7 @@
       else this.#byAccount.delete(account)
       return
     }
-    const { objectiveMs, job: { steps, terms } } = progress
-    const pathMs = computeCriticalPathMs(steps)
+    const { objectiveMs, graph: { criticalPathMs: pathMs }, job: { terms } } = progress
     const fromMs = objectiveMs - pathMs
     // Later, the job has no value that the rest of its account should wait for. Of a scheduled job, the occurrence decides.
     const untilMs = objectiveMs + (LATE_LIMIT_FACTOR - 1) * (terms.stretch * pathMs + terms.targetDurationMs)
--- a/packages/jobs/src/admission/waiting-demand.ts
+++ b/packages/jobs/src/admission/waiting-demand.ts
@@ -2,7 +2,7 @@
 import { addResources, computeReservedResources, NO_RESOURCES } from '../capacity-tracker.js'
 import type { JobProgress } from '../job-progress.js'
 import type { ReadyStep } from '../job-table.js'
-import { computeCriticalPathMs, type JobStep, type Resources } from '../job.js'
+import type { JobStep, Resources } from '../job.js'
 import type { RoomChecker } from '../room-checker.js'
 import type { StepProgress } from '../step-progress.js'
 import { computeLateEndMs, computeUrgency, URGENCY_BANDS } from '../urgency.js'
@@ -69,7 +69,7 @@
     const { service } = progress.job.terms
     let demand = demands.get(service)
     if (demand === undefined) demands.set(service, demand = { jobs: [], inflow: inflow.readRates(service), lasting: NO_RESOURCES })
-    if (progress.job.steps.some((step) => step.isLongRunning)) {
+    if (progress.graph.hasLongRunningStep) {
       const size = sumSteps(progress, context, (step) => step.isLongRunning ? 1 : 0)
       if (context.budget.tryAddLasting(progress.job.account, size)) demand.lasting = addResources(demand.lasting, size)
     } else {
@@ -111,10 +111,10 @@
 }
 
 function createWaitingJob (progress: JobProgress, work: Resources, isLate: boolean, { nowMs, shares }: DemandContext): WaitingJob {
-  const { job, objectiveMs, acceptedAtMs, hasStarted } = progress
+  const { job, objectiveMs, acceptedAtMs, hasStarted, graph: { criticalPathMs } } = progress
   // The objective of a scheduled job moves with its occurrences, so its slack is computed from the terms.
-  const slackMs = (job.terms.stretch - 1) * computeCriticalPathMs(job.steps) + job.terms.targetDurationMs
-  const waitedSinceMs = job.schedule === undefined ? acceptedAtMs : objectiveMs - slackMs - computeCriticalPathMs(job.steps)
+  const slackMs = (job.terms.stretch - 1) * criticalPathMs + job.terms.targetDurationMs
+  const waitedSinceMs = job.schedule === undefined ? acceptedAtMs : objectiveMs - slackMs - criticalPathMs
   return {
     progress,
     deadlineMs: isLate ? computeLateEndMs(progress) : objectiveMs,
@@ -134,7 +134,7 @@
   const groups = new Map<string, Map<number, Resources>>()
   const ahead: JobProgress[] = []
   for (const progress of listJobs(ready)) {
-    if (progress.job.steps.some((step) => step.isLongRunning) || context.shares.isBeyondShare(progress, context.nowMs)) continue
+    if (progress.graph.hasLongRunningStep || context.shares.isBeyondShare(progress, context.nowMs)) continue
     if (computeUrgency(progress, context.nowMs).band < URGENCY_BANDS.overdue) ahead.push(progress)
   }
   for (const progress of ahead.sort((left, right) => computeLateEndMs(left) - computeLateEndMs(right))) {
@@ -176,7 +176,8 @@
 /** Counts the pending tasks of a step that the usable targets could run, one after the other unless they are a gang. */
 function countServable (progress: JobProgress, step: StepProgress, { nowMs, checker, isPermittedNowhere }: DemandContext): number {
   const pending = step.countPending()
-  if (pending === 0 || nowMs < step.notBeforeMs || isPermittedNowhere(step)) return 0
+  if (pending === 0 || nowMs < step.notBeforeMs) return 0
+  if (progress.job.terms.advice !== undefined && isPermittedNowhere(step)) return 0
   const needed = step.step.isGang ? pending : 1
   return checker.countPlaceable(progress.job.terms.service, step.step, needed, NO_LIMITS) < needed ? 0 : pending
 }
--- a/packages/jobs/src/compact-progress-record.ts
+++ b/packages/jobs/src/compact-progress-record.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod'
-import { groupIndexes, listIndexes } from './index-ranges.js'
+import { IndexSet, listIndexes } from './index-ranges.js'
 import type { JobProgress } from './job-progress.js'
-import { JOB_STATES, type JobState } from './job.js'
+import { isFinalState, JOB_STATES, type JobState } from './job.js'
 import type { ProgressRecord } from './progress-record.js'
 import type { StepProgress } from './step-progress.js'
 import { buildStepRecord, checkpointsSchema, createCompleteRecord, failuresSchema, runsSchema, type StepRecord } from './step-record.js'
@@ -56,15 +56,22 @@
 }
 
 function buildOccurrence (steps: readonly StepProgress[], state: JobState): z.input<typeof occurrenceSchema>[] {
-  const records = steps.flatMap((step) => buildStepRecord(step, state) ?? [])
-  const [first] = records
+  const [first] = steps
   if (first === undefined) return []
-  const isComplete = ({ done, runs }: StepRecord): boolean => done === true && runs.length === 0
-  return [{
-    occurrence: first.occurrence,
-    completeSteps: groupIndexes(records.filter(isComplete).map(({ step }) => step)),
-    steps: records.filter((record) => !isComplete(record)).map(buildStep)
-  }]
+  const isFinal = isFinalState(state)
+  const completeSteps = new IndexSet()
+  const records: StepRecord[] = []
+  for (const step of steps) {
+    if (!step.isComplete() || step.hasRuns()) addRecord(step)
+    else if (!isFinal) completeSteps.add(step.key.step)
+  }
+  if (records.length + completeSteps.count() === 0) return []
+  return [{ occurrence: first.key.occurrence, completeSteps: completeSteps.listRanges(), steps: records.map(buildStep) }]
+
+  function addRecord (step: StepProgress): void {
+    const record = buildStepRecord(step, state)
+    if (record !== undefined) records.push(record)
+  }
 
   function buildStep ({ step, runs, failures, gangFailures, checkpoints }: StepRecord): z.input<typeof stepSchema> {
     const doneRanges = steps[step]?.readDone().listRanges() ?? []
--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -70,7 +70,7 @@
   readonly #options: JobOwnerOptions
   readonly #work = new WorkMeter()
   readonly #turns: TurnMeter
-  readonly #table = new JobTable()
+  readonly #table = new JobTable(this.#work)
   readonly #speeds = new TargetSpeeds()
   readonly #runTimes: RunTimeRecorder
   readonly #sessions = new Map<string, TargetSession>()
@@ -146,6 +146,7 @@
       clock,
       logger,
       metrics,
+      work: this.#work,
       table: this.#table,
       advice: new AdviceDispatcher(clock, logger, options.network),
       term: ownership.term,
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,6 +1,8 @@
 import { IndexSet, type IndexRange } from './index-ranges.js'
-import { computeCriticalPathMs, JOB_STATES, type Job, type JobState } from './job.js'
-import { listRuns, StepProgress, type RunTally } from './step-progress.js'
+import { JOB_STATES, type Job, type JobState } from './job.js'
+import { OccurrenceProgress, type JobTally, type ReadinessChanges } from './progress/occurrence-progress.js'
+import { StepGraph } from './progress/step-graph.js'
+import { listRuns, type StepProgress } from './step-progress.js'
 import type { TaskRun } from './task-run.js'
 
 /** Occurrences that are due wait while a job has this many open tasks, since its progress record grows with them. */
@@ -16,11 +18,12 @@
   readonly acceptedAtMs: number
   /** Completion objective on the owner's monotonic clock. */
   objectiveMs: number
-  /** Steps of the added occurrences that are not completed, by index. Later occurrences are added when they are due. */
-  readonly #open = new Map<number, readonly StepProgress[]>()
+  readonly graph: StepGraph
+  /** The added occurrences that are not completed, by index. Later occurrences are added when they are due. */
+  readonly #open = new Map<number, OccurrenceProgress>()
   readonly #completed = new IndexSet()
   readonly #tasksPerOccurrence: number
-  readonly #tally: RunTally = { placedTasks: 0, activeTasks: 0 }
+  readonly #tally: JobTally = { placedTasks: 0, activeTasks: 0, incompleteOccurrences: 0 }
   #addedCount = 0
   /** Monotonic time until which the job, once later than three objectives, comes after all others, since its tasks keep failing. */
   demotedUntilMs = Number.NEGATIVE_INFINITY
@@ -36,15 +39,16 @@
     this.job = job
     this.acceptedAtMs = acceptedAtMs
     this.#tasksPerOccurrence = job.steps.reduce((sum, step) => sum + step.taskCount, 0)
-    this.objectiveMs = acceptedAtMs + job.terms.stretch * computeCriticalPathMs(job.steps) + job.terms.targetDurationMs
+    this.graph = new StepGraph(job.steps)
+    this.objectiveMs = acceptedAtMs + this.#computeObjectiveDurationMs()
   }
 
   /** Adds the next occurrence and returns its steps. */
   addOccurrence (): readonly StepProgress[] {
     const occurrence = this.#addedCount++
-    const steps = this.job.steps.map((step, index) => new StepProgress(this.job.id, occurrence, index, step, this.#tally))
-    this.#open.set(occurrence, steps)
-    return steps
+    const added = new OccurrenceProgress(this.job, occurrence, this.graph, this.#tally)
+    this.#open.set(occurrence, added)
+    return added.steps
   }
 
   /** Restores the occurrences that an earlier owner has added, of which some are completed. */
@@ -66,10 +70,11 @@
 
   /** Drops the steps of an occurrence of a scheduled job once they are complete and have no runs. Returns the dropped steps. */
   dropCompleted (occurrence: number): readonly StepProgress[] {
-    const steps = this.findSteps(occurrence)
-    if (this.job.schedule === undefined || !steps.every((step) => step.isComplete() && !step.hasRuns())) return []
-    if (this.#open.delete(occurrence)) this.#completed.add(occurrence)
-    return steps
+    const open = this.#open.get(occurrence)
+    if (this.job.schedule === undefined || open?.isComplete() !== true || open.hasRuns()) return []
+    this.#open.delete(occurrence)
+    this.#completed.add(occurrence)
+    return open.steps
   }
 
   /** Returns the number of occurrences that were added, including the completed ones. */
@@ -83,8 +88,8 @@
   }
 
   /** Returns the steps of each occurrence that wasn't dropped. */
-  listOpen (): Iterable<readonly StepProgress[]> {
-    return this.#open.values()
+  * listOpen (): Generator<readonly StepProgress[]> {
+    for (const { steps } of this.#open.values()) yield steps
   }
 
   /** Returns the number of steps in the occurrences that weren't dropped. */
@@ -105,7 +110,7 @@
   /** Returns the number of tasks that have an entry of their own. */
   countTaskEntries (): number {
     let count = 0
-    for (const steps of this.#open.values()) for (const step of steps) count += step.countEntries()
+    for (const steps of this.listOpen()) for (const step of steps) count += step.countEntries()
     return count
   }
 
@@ -121,7 +126,7 @@
 
   /** Restarts the objective when the next occurrence of a scheduled job is due. */
   renewObjective (nowMs: number): void {
-    this.objectiveMs = nowMs + this.job.terms.stretch * computeCriticalPathMs(this.job.steps) + this.job.terms.targetDurationMs
+    this.objectiveMs = nowMs + this.#computeObjectiveDurationMs()
   }
 
   /** Returns the total number of occurrences of the job. */
@@ -137,31 +142,33 @@
 
   /** Marks all tasks of the open occurrences as done. */
   markAllDone (): void {
-    for (const steps of this.#open.values()) for (const step of steps) step.markAllDone()
+    for (const steps of this.listOpen()) for (const step of steps) step.markAllDone()
   }
 
   /** Returns the steps of an occurrence; empty when it was dropped or not added yet. */
   findSteps (occurrence: number): readonly StepProgress[] {
-    return this.#open.get(occurrence) ?? []
+    return this.#open.get(occurrence)?.steps ?? []
   }
 
   findStep (occurrence: number, step: number): StepProgress | undefined {
     return this.findSteps(occurrence)[step]
   }
 
-  /** Whether all steps that a step depends on are complete. */
-  isReady (occurrence: number, step: StepProgress): boolean {
-    const steps = this.findSteps(occurrence)
-    return step.step.after.every((earlier) => steps[earlier]?.isComplete() === true)
+  /** Returns the steps of an occurrence that have become ready, and those that have been completed, since the last call. */
+  takeReadinessChanges (occurrence: number): ReadinessChanges {
+    return this.#open.get(occurrence)?.takeChanges() ?? { ready: [], completed: [] }
+  }
+
+  /** Returns the run time of the critical path through the incomplete steps of the newest occurrence. */
+  computeRemainingMs (): number {
+    return this.#open.get(this.#addedCount - 1)?.computeRemainingMs() ?? 0
   }
 
   /** Returns the state in memory, which may be ahead of the store. */
   readState (): JobState {
     if (this.isCancelled) return JOB_STATES.cancelled
     if (this.hasFailed) return JOB_STATES.failed
-    const isComplete = this.#addedCount === this.readOccurrenceCount() &&
-      [...this.#open.values()].every((steps) => steps.every((step) => step.isComplete()))
-    if (isComplete) return JOB_STATES.completed
+    if (this.#addedCount === this.readOccurrenceCount() && this.#tally.incompleteOccurrences === 0) return JOB_STATES.completed
     return this.hasStarted ? JOB_STATES.running : JOB_STATES.queued
   }
 
@@ -178,8 +185,12 @@
   /** Lists the runs of all tasks that a target has or may have. */
   * listRuns (): Generator<TaskRun> {
     if (!this.hasRuns()) return
-    for (const steps of this.#open.values()) {
+    for (const steps of this.listOpen()) {
       for (const step of steps) for (const task of step.listTasks()) yield * listRuns(task)
     }
   }
+
+  #computeObjectiveDurationMs (): number {
+    return this.job.terms.stretch * this.graph.criticalPathMs + this.job.terms.targetDurationMs
+  }
 }
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -2,6 +2,7 @@
 import { JobProgress } from './job-progress.js'
 import type { StepProgress } from './step-progress.js'
 import type { Holdings } from './turns/turn-meter.js'
+import { WorkMeter } from './turns/work-meter.js'
 
 /** A step whose preceding steps are complete. */
 export interface ReadyStep {
@@ -21,8 +22,15 @@
 export class JobTable {
   readonly #active = new Map<string, JobProgress>()
   readonly #finished = new Map<string, FinishedJob>()
-  readonly #ready = new Map<StepProgress, ReadyStep>()
+  /** The ready steps of each job. */
+  readonly #ready = new Map<JobProgress, Map<StepProgress, ReadyStep>>()
   readonly #quarantined = new Set<string>()
+  readonly #work: WorkMeter
+
+  /** `work` counts the steps that are visited. */
+  constructor (work = new WorkMeter()) {
+    this.#work = work
+  }
 
   has (id: string): boolean {
     return this.#active.has(id) || this.#finished.has(id) || this.#quarantined.has(id)
@@ -60,32 +68,36 @@
     return { jobs: this.#active.size, steps, tasks }
   }
 
-  listReady (): Iterable<ReadyStep> {
-    return this.#ready.values()
+  /** Lists the ready steps, those of each job one after the other. */
+  * listReady (): Generator<ReadyStep> {
+    for (const steps of this.#ready.values()) yield * steps.values()
   }
 
   add (job: Job, acceptedAtMs: number): JobProgress {
     const progress = new JobProgress(job, acceptedAtMs)
+    this.#work.add(progress.graph.size)
     this.#active.set(job.id, progress)
     return progress
   }
 
   /** Adds the steps of an occurrence that have become ready to the ready steps, and removes the complete ones. */
   updateReady (progress: JobProgress, occurrence: number, nowMs: number): void {
-    for (const step of progress.findSteps(occurrence)) {
-      if (step.isComplete()) {
-        this.#ready.delete(step)
-        continue
-      }
-      if (this.#ready.has(step) || !progress.isReady(occurrence, step)) continue
+    const { ready, completed } = progress.takeReadinessChanges(occurrence)
+    if (ready.length + completed.length === 0) return
+    this.#work.add(ready.length + completed.length)
+    const steps = this.#ready.get(progress) ?? new Map<StepProgress, ReadyStep>()
+    for (const step of completed) steps.delete(step)
+    for (const step of ready) {
       step.readyAtMs ??= nowMs
-      this.#ready.set(step, { progress, step })
+      steps.set(step, { progress, step })
     }
+    if (steps.size > 0) this.#ready.set(progress, steps)
+    else this.#ready.delete(progress)
   }
 
   /** Removes a job's steps from the ready steps. */
   withdraw (progress: JobProgress): void {
-    for (const steps of progress.listOpen()) for (const step of steps) this.#ready.delete(step)
+    this.#ready.delete(progress)
   }
 
   finish (progress: JobProgress, state: JobState, nowMs: number): void {
--- a/packages/jobs/src/job.ts
+++ b/packages/jobs/src/job.ts
@@ -90,15 +90,16 @@
   return state === JOB_STATES.completed || state === JOB_STATES.failed || state === JOB_STATES.cancelled
 }
 
-/**
- * Computes the run time of the critical path through the steps from the caller's estimates. `readDoneMs` returns the part of a
- * step's estimate that isn't counted.
- */
-export function computeCriticalPathMs (steps: readonly JobStep[], readDoneMs: (index: number) => number = () => 0): number {
+/** Computes the run time of the critical path through the steps from the caller's estimates. */
+export function computeCriticalPathMs (steps: readonly JobStep[]): number {
   const endTimesMs: number[] = []
-  steps.forEach((step, index) => {
-    const startMs = Math.max(0, ...step.after.map((earlier) => endTimesMs[earlier] ?? 0))
-    endTimesMs.push(startMs + Math.max(0, step.estimatedMs - readDoneMs(index)))
-  })
-  return Math.max(0, ...endTimesMs)
+  let pathMs = 0
+  for (const step of steps) {
+    let startMs = 0
+    for (const earlier of step.after) startMs = Math.max(startMs, endTimesMs[earlier] ?? 0)
+    const endMs = startMs + Math.max(0, step.estimatedMs)
+    endTimesMs.push(endMs)
+    pathMs = Math.max(pathMs, endMs)
+  }
+  return pathMs
 }
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -23,6 +23,7 @@
 import type { TargetSession } from './target-session.js'
 import { computeReservedResources } from './capacity-tracker.js'
 import { computeExpectedEndMs, formatStepName, RUN_PHASES, type TaskRun } from './task-run.js'
+import type { WorkMeter } from './turns/work-meter.js'
 import { countByTarget, listPlaceable, readStepName } from './waiting-tasks.js'
 
 /** Size of the range of run numbers that each term of ownership has for a task, so that numbers of different owners differ. */
@@ -40,6 +41,8 @@
   readonly clock: Clock
   readonly logger: EventLogger
   readonly metrics: MetricSink
+  /** Counts the work of the rounds. */
+  readonly work: WorkMeter
   readonly table: JobTable
   readonly advice: AdviceDispatcher
   readonly term: number
@@ -80,7 +83,7 @@
     this.#adviceRequester = new AdviceRequester(clock, logger, metrics, advice, requestRound)
     this.#quotaWaits = new QuotaWaitRecorder(logger, metrics)
     this.#quota = new QuotaGate(options.readAccounts, options.accountUsage, (ready, account) => this.#quotaWaits.recordWait(ready, account))
-    this.#selector = new StepSelector(this.#adviceRequester, this.#inventory, this.#quota)
+    this.#selector = new StepSelector(this.#adviceRequester, this.#inventory, this.#quota, options.work)
     this.#overload = new OverloadControl({
       clock,
       logger,
--- a/packages/jobs/src/room-checker.ts
+++ b/packages/jobs/src/room-checker.ts
@@ -2,6 +2,7 @@
 import { computeLastingFree } from './targets/expected-capacity.js'
 import type { JobStep, Resources } from './job.js'
 import type { TargetView } from './target-view.js'
+import { WorkMeter } from './turns/work-meter.js'
 
 const ALL_RESOURCES: Resources = {
   cpuMillis: Number.POSITIVE_INFINITY, memoryMb: Number.POSITIVE_INFINITY, accelerators: Number.POSITIVE_INFINITY
@@ -36,7 +37,11 @@
 export class RoomChecker {
   readonly #services = new Map<string, ServiceRooms>()
 
-  constructor (targets: readonly TargetView[]) {
+  readonly #work: WorkMeter
+
+  /** `work` counts the targets that are visited. */
+  constructor (targets: readonly TargetView[], work = new WorkMeter()) {
+    this.#work = work
     for (const target of targets) {
       const service = this.#ensureService(target.service)
       const size = computeLastingFree(target)
@@ -55,6 +60,7 @@
     if (!isRestricted && found.rooms.length * countSlots(found.smallest, step) >= pendingCount) return pendingCount
     let slots = 0
     for (const { target, size } of found.rooms) {
+      this.#work.add(1)
       if (step.requiredLabel !== undefined && !target.labels.includes(step.requiredLabel)) continue
       if (permittedIds?.has(target.id) === false) continue
       const unlimited = countSlots(size, step)
--- a/packages/jobs/src/step-progress.ts
+++ b/packages/jobs/src/step-progress.ts
@@ -27,14 +27,14 @@
 /** A task as only its step may change it. */
 type TaskState = { -readonly [Field in keyof TaskProgress]: TaskProgress[Field] }
 
-/** Counts over all steps of a job. */
-export interface RunTally {
-  /** Tasks with a run. */
-  placedTasks: number
-  /** Tasks of which a target has or may have any run. */
-  activeTasks: number
+/** Follows the steps of an occurrence. */
+export interface StepObserver {
+  onComplete (step: StepProgress): void
+  /** Tells by how much the number of tasks with a run has changed, and of those of which a target has or may have any run. */
+  onRunsChanged (placedTasks: number, activeTasks: number): void
 }
 
+const NO_OBSERVER: StepObserver = { onComplete: () => {}, onRunsChanged: () => {} }
 const NO_TASKS: ReadonlyMap<number, TaskState> = new Map()
 const NO_INDEXES = new IndexSet()
 
@@ -53,7 +53,7 @@
   lastFailedRun = 0
   /** Monotonic time before which no task of the step is placed again, as a backoff after repeated failures. */
   notBeforeMs = Number.NEGATIVE_INFINITY
-  readonly #tally: RunTally
+  readonly #observer: StepObserver
   #failedTargets: FailedTargets | undefined
   #tasks: Map<number, TaskState> | undefined
   #done: IndexSet | undefined
@@ -61,10 +61,10 @@
   #blockedCount = 0
   #activeCount = 0
 
-  constructor (jobId: string, occurrence: number, index: number, step: JobStep, tally: RunTally = { placedTasks: 0, activeTasks: 0 }) {
+  constructor (jobId: string, occurrence: number, index: number, step: JobStep, observer: StepObserver = NO_OBSERVER) {
     this.step = step
     this.key = { jobId, occurrence, step: index }
-    this.#tally = tally
+    this.#observer = observer
   }
 
   /** Targets on which a task of the step has failed. Shared by all tasks, since they run the same work. */
@@ -105,6 +105,11 @@
     return (this.#tasks ?? NO_TASKS).values()
   }
 
+  /** Whether anything about the step is to be stored. */
+  hasState (): boolean {
+    return this.countEntries() > 0 || this.#readDone().count() > 0
+  }
+
   /** Returns the number of tasks that have a state of their own. */
   countEntries (): number {
     return this.#tasks?.size ?? 0
@@ -119,12 +124,13 @@
   /** Marks consecutive tasks as done. */
   markRangeDone (first: number, last: number): void {
     const end = Math.min(last, this.step.taskCount - 1)
-    if (end < first) return
+    if (end < first || this.isComplete()) return
     const entries = end - first < this.countEntries() ? this.#listEntriesBetween(first, end) : this.#listEntriesWithin(first, end)
     for (const task of entries) if (!this.isDone(task.key.index) && isBlocked(task)) this.#blockedCount--
     this.#done ??= new IndexSet()
     this.#done.addRange(first, end)
     for (const task of entries) this.#prune(task)
+    if (this.isComplete()) this.#observer.onComplete(this)
   }
 
   /** Marks all tasks as done. */
@@ -193,21 +199,16 @@
   /** Changes a task and keeps the counts up to date. */
   #updateTask (index: number, apply: (task: TaskState) => void): void {
     const task = this.#ensureState(index)
-    const isDone = this.isDone(index)
-    this.#count(task, isDone, -1)
+    const before = { isBlocked: isBlocked(task), isPlaced: task.run !== undefined, isActive: hasAnyRun(task) }
     apply(task)
-    this.#count(task, isDone, 1)
+    if (!this.isDone(index)) this.#blockedCount += Number(isBlocked(task)) - Number(before.isBlocked)
+    const placed = Number(task.run !== undefined) - Number(before.isPlaced)
+    const active = Number(hasAnyRun(task)) - Number(before.isActive)
+    this.#activeCount += active
+    if (placed !== 0 || active !== 0) this.#observer.onRunsChanged(placed, active)
     this.#prune(task)
   }
 
-  #count (task: TaskState, isDone: boolean, by: 1 | -1): void {
-    if (!isDone && isBlocked(task)) this.#blockedCount += by
-    if (task.run !== undefined) this.#tally.placedTasks += by
-    if (!hasAnyRun(task)) return
-    this.#tally.activeTasks += by
-    this.#activeCount += by
-  }
-
   #ensureState (index: number): TaskState {
     this.#tasks ??= new Map()
     let task = this.#tasks.get(index)
--- a/packages/jobs/src/step-record.ts
+++ b/packages/jobs/src/step-record.ts
@@ -32,6 +32,7 @@
 
 /** Builds the record of a step; undefined when there is nothing to store about it. */
 export function buildStepRecord (progress: StepProgress, state: JobState): StepRecord | undefined {
+  if (!progress.hasState()) return undefined
   const runs: StepRecord['runs'] = []
   const done = progress.readDone().listRanges()
   const failures: StepRecord['failures'] = []
--- a/packages/jobs/src/step-selector.ts
+++ b/packages/jobs/src/step-selector.ts
@@ -8,6 +8,7 @@
 import type { TargetInventory } from './target-inventory.js'
 import type { TargetView } from './target-view.js'
 import { TurnRotation } from './turn-rotation.js'
+import { WorkMeter } from './turns/work-meter.js'
 import { compareUrgency, computeUrgency, URGENCY_BANDS, type OverloadDecision, type Urgency } from './urgency.js'
 import { countByTarget, countPlaceable, readStepName } from './waiting-tasks.js'
 
@@ -16,6 +17,12 @@
 /** Share of a service's processor capacity that is free while the work within the limit can't fill its targets. */
 const IDLE_SHARE = 0.5
 
+/**
+ * Steps of which a round looks for targets. A backlog of steps that demand next to nothing, or that no target could hold, would
+ * otherwise be walked in each round.
+ */
+const CONSIDERED_STEPS_PER_ROUND = 5_000
+
 /** A step that a round considers. */
 export interface SelectedStep {
   readonly ready: ReadyStep
@@ -61,24 +68,32 @@
   readonly #inventory: TargetInventory
   readonly #quota: QuotaGate
   readonly #turns = new TurnRotation(TURNS_PER_ROUND)
+  readonly #work: WorkMeter
 
-  constructor (advice: AdviceState, inventory: TargetInventory, quota: QuotaGate) {
+  /** `work` counts the steps that are visited. */
+  constructor (advice: AdviceState, inventory: TargetInventory, quota: QuotaGate, work = new WorkMeter()) {
     this.#advice = advice
     this.#inventory = inventory
     this.#quota = quota
+    this.#work = work
   }
 
   * select (ready: Iterable<ReadyStep>, targets: RoundTargets): Generator<SelectedStep> {
     const limiter = new DemandLimiter(targets.usable)
-    const checker = new RoomChecker(targets.usable)
+    const checker = new RoomChecker(targets.usable, this.#work)
+    const idleServices = listIdleServices(targets.usable)
     const leftOut: SelectedStep[] = []
+    let consideredCount = 0
     const canPlace = (candidate: Candidate): boolean => this.#countPlaceable(checker, candidate, targets.nowMs) > 0
-    for (const waiting of sortByUrgency(ready, targets, this.#quota, canPlace)) {
+    for (const waiting of listByUrgency(ready, { targets, quota: this.#quota, canPlace, work: this.#work })) {
       const { step, progress: { job: { account, terms: { service } } } } = waiting.ready
-      if (limiter.isLimitReached(service) || this.#quota.isDemandLimitReached(account, service)) {
-        leftOut.push({ ...waiting, mayReserve: false })
+      const isBeyondLimit = consideredCount >= CONSIDERED_STEPS_PER_ROUND || limiter.isLimitReached(service) ||
+        this.#quota.isDemandLimitReached(account, service)
+      if (isBeyondLimit) {
+        if (idleServices.has(service)) leftOut.push({ ...waiting, mayReserve: false })
         continue
       }
+      consideredCount++
       const selected = this.#updateStartable(waiting, canPlace)
       const placeable = this.#countPlaceable(checker, selected, targets.nowMs)
       if (placeable === 0) continue
@@ -86,9 +101,7 @@
       this.#quota.addDemand(account, service, step.step, placeable)
       yield selected
     }
-    const idleServices = listIdleServices(targets.usable)
-    const waiting = leftOut.filter(({ ready: { progress } }) => idleServices.has(progress.job.terms.service))
-    for (const chosen of this.#turns.choose(waiting)) {
+    for (const chosen of this.#turns.choose(leftOut)) {
       const { advice } = chosen.ready.progress.job.terms
       if (advice !== undefined && !this.#advice.hasSpareTime(advice)) continue
       const selected = this.#updateStartable(chosen, canPlace)
@@ -132,29 +145,50 @@
   return new Set([...excess].filter(([, millis]) => millis > 0).map(([service]) => service))
 }
 
-function sortByUrgency (
-  ready: Iterable<ReadyStep>, targets: RoundTargets, quota: QuotaGate, canPlace: (candidate: Candidate) => boolean
-): SelectedStep[] {
-  const { nowMs, decisions } = targets
-  const selected: SelectedStep[] = []
+/** What decides which ready steps a round may consider. */
+interface UrgencyContext {
+  readonly targets: RoundTargets
+  readonly quota: QuotaGate
+  readonly canPlace: (candidate: Candidate) => boolean
+  readonly work: WorkMeter
+}
+
+/** The ready steps of a job that have startable tasks. All of them are as urgent as the job. */
+interface UrgentJob {
+  readonly urgency: Urgency
+  readonly activeIds: readonly string[]
+  readonly steps: Pick<SelectedStep, 'ready' | 'pendingCount' | 'startableCount'>[]
+}
+
+/** Lists the ready steps with startable tasks, those of the most urgent job first. */
+function * listByUrgency (ready: Iterable<ReadyStep>, context: UrgencyContext): Generator<SelectedStep> {
+  const jobs = groupByJob(ready, context).sort((left, right) => compareUrgency(left.urgency, right.urgency))
+  for (const { urgency, activeIds, steps } of jobs) {
+    // Capacity that a delayed gang reserves would be kept from the jobs for which it is delayed.
+    const mayReserve = urgency.band !== URGENCY_BANDS.delayed
+    for (const step of steps) yield { ...step, urgency, activeIds, mayReserve }
+  }
+}
+
+function groupByJob (ready: Iterable<ReadyStep>, { targets, quota, canPlace, work }: UrgencyContext): UrgentJob[] {
+  const { nowMs, decisions, activeIds: idsByService } = targets
+  const jobs = new Map<JobProgress, UrgentJob>()
   for (const entry of ready) {
-    const pendingCount = countPlaceable(entry.progress, entry.step)
+    work.add(1)
+    const { progress, step } = entry
+    const pendingCount = countPlaceable(progress, step)
     if (pendingCount === 0) continue
-    const activeIds = targets.activeIds.get(entry.progress.job.terms.service) ?? []
+    const activeIds = idsByService.get(progress.job.terms.service) ?? []
     const startableCount = quota.countStartable(entry, pendingCount, () => {
       return canPlace({ ready: entry, activeIds, startableCount: pendingCount })
     })
     if (startableCount === 0) continue
-    const urgency = computeUrgency(entry.progress, nowMs, decisions.get(entry.progress))
-    selected.push({
-      ready: entry,
-      urgency,
-      activeIds,
-      pendingCount,
-      startableCount,
-      // Capacity that a delayed gang reserves would be kept from the jobs for which it is delayed.
-      mayReserve: urgency.band !== URGENCY_BANDS.delayed
-    })
+    let job = jobs.get(progress)
+    if (job === undefined) {
+      job = { urgency: computeUrgency(progress, nowMs, decisions.get(progress)), activeIds, steps: [] }
+      jobs.set(progress, job)
+    }
+    job.steps.push({ ready: entry, pendingCount, startableCount })
   }
-  return selected.sort((left, right) => compareUrgency(left.urgency, right.urgency))
+  return [...jobs.values()]
 }
--- a/packages/jobs/src/urgency.ts
+++ b/packages/jobs/src/urgency.ts
@@ -1,4 +1,3 @@
-import { computeCriticalPathMs } from './job.js'
 import type { JobProgress } from './job-progress.js'
 
 /** A job that completes after this multiple of its objective has no more value than one that completes later still. */
@@ -42,9 +41,7 @@
 
 /** Computes the urgency of a job from its objective and the critical path of its incomplete steps. */
 export function computeUrgency (progress: JobProgress, nowMs: number, decision?: OverloadDecision): Urgency {
-  const occurrence = progress.findSteps(progress.countAdded() - 1)
-  const remainingMs = computeCriticalPathMs(progress.job.steps,
-    (index) => occurrence[index]?.isComplete() === false ? 0 : Number.POSITIVE_INFINITY)
+  const remainingMs = progress.computeRemainingMs()
   const latestStartMs = progress.objectiveMs - remainingMs
   if (nowMs <= latestStartMs) {
     return { band: decision === OVERLOAD_DECISIONS.delayed ? URGENCY_BANDS.delayed : URGENCY_BANDS.inTime, latestStartMs }
--- a/packages/jobs/tests/large-jobs.test.ts
+++ b/packages/jobs/tests/large-jobs.test.ts
@@ -3,12 +3,15 @@
 import { JOB_METRICS } from '../src/job-metrics.js'
 import { JobProgress } from '../src/job-progress.js'
 import { JobTable } from '../src/job-table.js'
+import type { Job } from '../src/job.js'
 import { decodeProgress, encodeProgress } from '../src/progress-record.js'
 import { FakeJobCell } from './fake-job-cell.js'
+import { createSelector, listSelected } from './selector-fixture.js'
 import { createJob, createStep } from './job-fixtures.js'
 import { createSupervisor } from './supervisor-fixture.js'
 
 const TASKS = 100_000
+const STEPS = 1_000
 
 /** Keeps the largest work of one turn by part. */
 class WorkRecorder extends SilentMetricSink {
@@ -61,3 +64,43 @@
   const work = recorder.largest.get('recovery') ?? 0
   t.true(work > 0 && work < TASKS / 100, String(work))
 })
+
+/** Creates a job of many steps and counts how often a field that its graph is built from is read. */
+function createCountedJob (stepCount: number, after: (index: number) => readonly number[]): { job: Job, readCount: () => number } {
+  let count = 0
+  const steps = Array.from({ length: stepCount }, (_, index) => {
+    const step = createStep({ size: { cpuMillis: 1, memoryMb: 1, accelerators: 0 } })
+    return {
+      ...step,
+      get estimatedMs () { count++; return step.estimatedMs },
+      get after () { count++; return after(index) }
+    }
+  })
+  return { job: createJob('aa', steps), readCount: () => count }
+}
+
+// Guards against rounds that block the owner for longer than its lease (review/13): for each ready step of a job, the critical path was
+// computed anew over all steps of the job.
+test('a placement round visits a job with very many ready steps once, not once for each of them', (t) => {
+  const { job, readCount } = createCountedJob(STEPS, () => [])
+  const table = new JobTable()
+  createSupervisor({ table }).adoptJob(job, 0)
+  const before = readCount()
+  t.true(listSelected(createSelector(), [...table.listReady()]).length > 0)
+  t.true(readCount() - before <= STEPS, String(readCount() - before))
+})
+
+// Guards against the same when steps end: each end looked at all steps of the job for those that had become ready.
+test('the end of a step visits only the steps that wait for it', (t) => {
+  const { job, readCount } = createCountedJob(STEPS, (index) => index < STEPS / 2 ? [] : [index - STEPS / 2])
+  const table = new JobTable()
+  const progress = createSupervisor({ table }).adoptJob(job, 0)
+  const before = readCount()
+  for (const index of [3, 4, 5]) {
+    progress.findStep(0, index)?.markDone(0)
+    table.updateReady(progress, 0, 0)
+  }
+  t.is([...table.listReady()].length, STEPS / 2)
+  t.true([...table.listReady()].some(({ step }) => step.key.step === STEPS / 2 + 3))
+  t.is(readCount() - before, 0)
+})
--- a/packages/jobs/tests/step-selector.test.ts
+++ b/packages/jobs/tests/step-selector.test.ts
@@ -2,20 +2,11 @@
 import { AccountTable } from '../src/accounts/account-table.js'
 import { AccountUsage } from '../src/accounts/account-usage.js'
 import { QuotaGate } from '../src/accounts/quota-gate.js'
-import { AdviceCache } from '../src/advice-cache.js'
 import { JobTable, type ReadyStep } from '../src/job-table.js'
 import type { JobStep } from '../src/job.js'
-import { StepSelector, type RoundTargets } from '../src/step-selector.js'
-import { TargetInventory } from '../src/target-inventory.js'
-import { TargetSpeeds } from '../src/targets/target-speeds.js'
-import type { TargetView } from '../src/target-view.js'
 import { TurnRotation } from '../src/turn-rotation.js'
 import { createAccount, createJob, createQueuePolicy, createStep } from './job-fixtures.js'
-
-const CAPACITY = { cpuMillis: 16_000, memoryMb: 64_000, accelerators: 0 }
-const NOW_MS = 1_000
-const TARGET: TargetView = { id: 't0', service: 'ledger', rack: 'r1', labels: [], capacity: CAPACITY, free: CAPACITY, runs: [] }
-const ROUND: RoundTargets = { nowMs: NOW_MS, usable: [TARGET], activeIds: new Map([['ledger', ['t0']]]), decisions: new Map() }
+import { CAPACITY, createSelector, listSelected, NOW_MS, ROUND, TARGET } from './selector-fixture.js'
 
 /** Creates ready steps whose jobs were accepted one after the other. */
 function createReady (count: number, hasPolicy = false, account?: string): ReadyStep[] {
@@ -29,15 +20,6 @@
   return [...table.listReady()]
 }
 
-function createSelector (hasSpareTime = true, quota = new QuotaGate(() => new AccountTable(), new AccountUsage(), () => {})): StepSelector {
-  const inventory = new TargetInventory(new Map(), new TargetSpeeds())
-  return new StepSelector({ cache: new AdviceCache(), hasSpareTime: () => hasSpareTime }, inventory, quota)
-}
-
-function listSelected (selector: StepSelector, ready: readonly ReadyStep[]): string[] {
-  return [...selector.select(ready, ROUND)].map(({ ready: { progress } }) => progress.job.id)
-}
-
 test('the most urgent steps are selected first, and some of the others in turn', (t) => {
   const selector = createSelector()
   const ready = createReady(40)
