Count the places of a gang on a target instead of listing each

The places that become free at one time are a group with a count, at most the number of the gang's tasks. What a task doesn't request isn't compared with what is reserved, so that a gang that requests nothing starts beside one that has reserved all capacity; before, it waited for that. A task that requests nothing fits on no target of which more is in use than there is, as in placement itself.

--- a/packages/jobs/src/capacity-tracker.ts
+++ b/packages/jobs/src/capacity-tracker.ts
@@ -86,14 +86,22 @@
   return usesIdleCapacity ? { ...size, cpuMillis: 0 } : size
 }
 
-/** Returns how many tasks of a step fit into a capacity, either that of a whole target or the free part of one. */
-export function countSlots (capacity: Resources, step: JobStep): number {
-  const size = computeReservedResources(step.size, step.usesIdleCapacity)
-  const counts = [
+export function computeMultiple ({ cpuMillis, memoryMb, accelerators }: Resources, factor: number): Resources {
+  return { cpuMillis: cpuMillis * factor, memoryMb: memoryMb * factor, accelerators: accelerators * factor }
+}
+
+/** Returns how many tasks of a size fit into a capacity. Infinite for a task that requests nothing, unless more is in use than there is. */
+export function countFitting (capacity: Resources, size: Resources): number {
+  if (!hasCapacity(capacity, size)) return 0
+  return Math.floor(Math.min(
     size.cpuMillis > 0 ? capacity.cpuMillis / size.cpuMillis : Number.POSITIVE_INFINITY,
     size.memoryMb > 0 ? capacity.memoryMb / size.memoryMb : Number.POSITIVE_INFINITY,
-    size.accelerators > 0 ? capacity.accelerators / size.accelerators : Number.POSITIVE_INFINITY,
-    step.maximumPerTarget > 0 ? step.maximumPerTarget : Number.POSITIVE_INFINITY
-  ]
-  return Math.floor(Math.min(...counts))
+    size.accelerators > 0 ? capacity.accelerators / size.accelerators : Number.POSITIVE_INFINITY
+  ))
+}
+
+/** Returns how many tasks of a step fit into a capacity, either that of a whole target or the free part of one. */
+export function countSlots (capacity: Resources, step: JobStep): number {
+  const count = countFitting(capacity, computeReservedResources(step.size, step.usesIdleCapacity))
+  return step.maximumPerTarget > 0 ? Math.min(step.maximumPerTarget, count) : count
 }
--- a/packages/jobs/src/gang-reservations.ts
+++ b/packages/jobs/src/gang-reservations.ts
@@ -1,7 +1,7 @@
 import { computeWaitBoundMs, isExpectedToEnd } from './targets/expected-capacity.js'
 import type { JobStep, Resources } from './job.js'
 import type { TargetView } from './target-view.js'
-import { addResources, hasCapacity, NO_RESOURCES, subtractResources } from './capacity-tracker.js'
+import { addResources, countFitting, computeMultiple, NO_RESOURCES, subtractResources } from './capacity-tracker.js'
 
 /** Capacity of one target that is reserved for some tasks of a gang. */
 export interface ReservedCapacity {
@@ -27,8 +27,8 @@
 /** Capacity of a target for a gang that is expected to start at `fromMs`. */
 interface Reservation { readonly size: Resources, readonly fromMs: number }
 
-/** A place for one task that is expected to be free at `atMs`; a lower `rank` is preferred. */
-interface Slot { readonly targetId: string, readonly atMs: number, readonly rank: number }
+/** Places for tasks on one target that are expected to be free at `atMs`; a lower `rank` is preferred. */
+interface Slots { readonly targetId: string, readonly atMs: number, readonly rank: number, readonly count: number }
 
 /**
  * Reservations that gangs make in one round until they fit. A gang prefers the targets that it reserved in the previous round:
@@ -70,7 +70,7 @@
   /** Whether a task would use capacity reserved in the previous round by a gang that this round hasn't considered yet. */
   isReservedInPreviousRound (targetId: string, free: Resources, size: Resources): boolean {
     const reserved = this.#previousPending.get(targetId)
-    return reserved !== undefined && !isZero(reserved) && !hasCapacity(subtractResources(free, reserved), size)
+    return reserved !== undefined && !isZero(reserved) && isUsing(free, reserved, size)
   }
 
   /**
@@ -83,7 +83,7 @@
     const endMs = this.#nowMs + durationMs * DURATION_SAFETY_FACTOR
     const latestFromMs = durationMs === Number.POSITIVE_INFINITY ? this.#nowMs + LASTING_TASK_WAIT_MS : Number.POSITIVE_INFINITY
     return reservations.some((reservation) => endMs > reservation.fromMs && reservation.fromMs <= latestFromMs &&
-      !hasCapacity(subtractResources(free, reservation.size), size))
+      isUsing(free, reservation.size, size))
   }
 
   /** Reserves the capacity in which the gang is expected to fit first, unless it never fits on the candidates. */
@@ -92,13 +92,14 @@
   ): void {
     const previous = this.#previous.get(stepName)
     const slots = candidates.flatMap((target) => {
-      return this.#listSlots(target, step, readFree(target.id), previous?.get(target.id)?.taskCount ?? 0)
+      return this.#listSlots(target, step, taskCount, readFree(target.id), previous?.get(target.id)?.taskCount ?? 0)
     })
-    const needed = slots.sort((left, right) => left.rank - right.rank).slice(0, taskCount)
-    if (needed.length < taskCount) return
+    const needed = takeSlots(slots.sort((left, right) => left.rank - right.rank), taskCount)
+    if (needed === undefined) return
     this.#gangCount++
     const fromMs = Math.max(...needed.map(({ atMs }) => atMs))
-    const reserved = this.recordReservation(stepName, step, needed.map(({ targetId }) => targetId))
+    const targetIds = needed.flatMap(({ targetId, count }) => new Array<string>(count).fill(targetId))
+    const reserved = this.recordReservation(stepName, step, targetIds)
     for (const [id, { size }] of reserved) this.#reservations.set(id, [...this.#reservations.get(id) ?? [], { size, fromMs }])
   }
 
@@ -118,9 +119,11 @@
     return this.#reservedByStep
   }
 
-  /** Lists a slot for each time at which one more task of the step fits on the target. */
-  #listSlots (target: TargetView, step: JobStep, targetFree: Resources, previousCount: number): Slot[] {
-    const slots: Slot[] = []
+  /** Lists how many more tasks of the step fit on the target now and after each run that ends, up to the number of its tasks. */
+  #listSlots (target: TargetView, step: JobStep, taskCount: number, targetFree: Resources, previousCount: number): Slots[] {
+    const slots: Slots[] = []
+    const limit = step.maximumPerTarget > 0 ? Math.min(step.maximumPerTarget, taskCount) : taskCount
+    let found = 0
     let free = (this.#reservations.get(target.id) ?? []).reduce((left, reserved) => subtractResources(left, reserved.size), targetFree)
     let atMs = this.#nowMs
     // A target that another gang reserved in the previous round, and is likely to reserve again, is ranked lower.
@@ -128,24 +131,52 @@
     // A run that lasts, or is far overdue, is not expected to give its capacity back.
     const boundMs = computeWaitBoundMs(step)
     const runs = target.runs.filter((run) => isExpectedToEnd(run, boundMs)).sort((left, right) => left.expectedEndMs - right.expectedEndMs)
-    const limit = step.maximumPerTarget > 0 ? step.maximumPerTarget : Number.POSITIVE_INFINITY
-    for (let next = 0; slots.length < limit;) {
-      if (hasCapacity(free, step.size)) {
-        slots.push({
-          targetId: target.id, atMs, rank: slots.length < previousCount ? atMs - PREVIOUS_TARGET_ADVANTAGE_MS : atMs + penaltyMs
-        })
-        free = subtractResources(free, step.size)
-        continue
-      }
-      const run = runs[next++]
-      if (run === undefined) break
+    addFitting()
+    for (const run of runs) {
+      if (found >= limit) break
       free = addResources(free, run.size)
       atMs = Math.max(this.#nowMs, run.expectedEndMs)
+      addFitting()
     }
     return slots
+
+    function addFitting (): void {
+      const count = Math.min(limit - found, countFitting(free, step.size))
+      if (count <= 0) return
+      const preferredCount = Math.min(count, Math.max(0, previousCount - found))
+      addSlots(preferredCount, atMs - PREVIOUS_TARGET_ADVANTAGE_MS)
+      addSlots(count - preferredCount, atMs + penaltyMs)
+      free = subtractResources(free, computeMultiple(step.size, count))
+      found += count
+    }
+
+    function addSlots (count: number, rank: number): void {
+      if (count > 0) slots.push({ targetId: target.id, atMs, rank, count })
+    }
   }
 }
 
+/** Takes the first slots, as many as there are tasks; undefined when there are fewer. */
+function takeSlots (slots: readonly Slots[], taskCount: number): Slots[] | undefined {
+  const taken: Slots[] = []
+  let left = taskCount
+  for (const group of slots) {
+    if (left === 0) break
+    const count = Math.min(left, group.count)
+    taken.push({ ...group, count })
+    left -= count
+  }
+  return left === 0 ? taken : undefined
+}
+
+/** Whether a task would use reserved capacity. One that requests nothing of a resource uses none of it, however much is reserved. */
+function isUsing (free: Resources, reserved: Resources, size: Resources): boolean {
+  const left = subtractResources(free, reserved)
+  return (size.cpuMillis > 0 && left.cpuMillis < size.cpuMillis) ||
+    (size.memoryMb > 0 && left.memoryMb < size.memoryMb) ||
+    (size.accelerators > 0 && left.accelerators < size.accelerators)
+}
+
 function isZero ({ cpuMillis, memoryMb, accelerators }: Resources): boolean {
   return cpuMillis === 0 && memoryMb === 0 && accelerators === 0
 }
--- a/packages/jobs/tests/placement-round.test.ts
+++ b/packages/jobs/tests/placement-round.test.ts
@@ -149,3 +149,43 @@
     t.is(round.place(createWaiting(createStep({ size: createSize(4_000), isLongRunning: true }))).length, placed, String(endsInMs))
   }
 })
+
+const NOTHING: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
+
+/** Creates four targets, each with a run that leaves no room for a task of a whole target. */
+function createBusyTargets (values: Partial<TargetView> = {}): TargetView[] {
+  return ['t0', 't1', 't2', 't3'].map((id) => createTarget(id, [{ size: createSize(9_000), expectedEndMs: NOW_MS + 5_000 }], values))
+}
+
+// Guards against a round that never ends and fills the heap (review/15): places for a task that requests nothing were listed without end.
+test('a gang that requests nothing and fits on no target reserves a place for each member', (t) => {
+  const round = new PlacementRound(NOW_MS, createBusyTargets({ free: { ...CAPACITY, cpuMillis: -1_000 } }))
+  t.deepEqual(round.place(createWaiting(createStep({ taskCount: 3, size: NOTHING, isGang: true }))), [])
+  t.deepEqual([...round.listReservations().get('aa.0.0') ?? []], [['t0', { taskCount: 3, size: NOTHING }]])
+})
+
+test('a gang that requests nothing starts beside one that has reserved all capacity', (t) => {
+  const round = new PlacementRound(NOW_MS, createBusyTargets())
+  const large = createWaiting(createStep({ taskCount: 4, size: createSize(16_000), isGang: true }))
+  t.deepEqual(round.place(large), [])
+  t.is(round.listReservations().get('aa.0.0')?.size, 4)
+  const nothing = createStep({ taskCount: 2, size: NOTHING, isGang: true, estimatedMs: 100_000 })
+  t.is(round.place(createWaiting(nothing, { stepName: 'bb.0.0' })).length, 2)
+})
+
+// Guards against reservations that differ from the places that the targets will have: they are counted in groups.
+test('a gang reserves on each target what becomes free there first, and on the targets of the round before', (t) => {
+  const targets = [
+    createTarget('t0', [{ size: createSize(4_000), expectedEndMs: NOW_MS + 100 }, { size: createSize(12_000), expectedEndMs: NOW_MS + 900 }]),
+    createTarget('t1', [{ size: createSize(16_000), expectedEndMs: NOW_MS + 500 }])
+  ]
+  const gang = createWaiting(createStep({ taskCount: 4, size: createSize(4_000), isGang: true }))
+  const first = new PlacementRound(NOW_MS, targets)
+  t.deepEqual(first.place(gang), [])
+  const reserved = [...first.listReservations().get('aa.0.0') ?? []].map(([id, { taskCount }]) => [id, taskCount])
+  t.deepEqual(reserved, [['t0', 1], ['t1', 3]])
+  const late = targets.map((target) => target.id === 't1' ? { ...target, runs: [{ size: createSize(16_000), expectedEndMs: NOW_MS + 1_400 }] } : target)
+  const second = new PlacementRound(NOW_MS, late, first.listReservations())
+  t.deepEqual(second.place(gang), [])
+  t.deepEqual([...second.listReservations().get('aa.0.0') ?? []].map(([id, { taskCount }]) => [id, taskCount]), [['t0', 1], ['t1', 3]])
+})
