Limit what one placement round looks at, and small runs on a target

A step whose tasks request next to nothing never reached the limit on demand, and its tasks never filled a target, so that a round placed up to 3,000 tasks of each such job, each with a look at every target, and the targets' reports listed all of them.

A round looks at 500,000 candidates and leaves the remaining steps to the next round, which it requests. A gang of which the free capacity can't hold all tasks is left out after one look at each target. A target with 3,000 runs gets no more tasks of which still more would fit. Rounds, reports, records, the load report and overload control count their work.

The two new tests failed before: the round placed all 60,000 tasks, and the target got all 9.

--- a/packages/jobs/src/admission/load-reporter.ts
+++ b/packages/jobs/src/admission/load-reporter.ts
@@ -66,7 +66,10 @@
     if (this.#accounts.isEmpty() || !isAuthorized()) return
     const nowMs = clock.readMonotonicMs()
     const targets = inventory.listUsable(nowMs, nowMs)
-    const context = { nowMs, checker: new RoomChecker(targets), shares, budget: new QuotaBudget(this.#accounts), isPermittedNowhere }
+    const { work } = this.#options.turns
+    const context = {
+      nowMs, checker: new RoomChecker(targets, work), shares, budget: new QuotaBudget(this.#accounts), isPermittedNowhere, work
+    }
     const services = buildServiceLoads(table.listReady(), context, targets, this.#drain)
     const report: LoadReport = { term, sequence: ++this.#sequence, services }
     for (const { instance } of [network.self, ...network.listConnected()]) {
--- a/packages/jobs/src/admission/overload-control.ts
+++ b/packages/jobs/src/admission/overload-control.ts
@@ -11,6 +11,7 @@
 import { RoomChecker } from '../room-checker.js'
 import type { StepProgress } from '../step-progress.js'
 import type { TargetView } from '../target-view.js'
+import type { WorkMeter } from '../turns/work-meter.js'
 import { OVERLOAD_DECISIONS } from '../urgency.js'
 import { OverloadPlanner, type OverloadPlan } from './overload-planner.js'
 import { RateMeter } from './rate-meter.js'
@@ -36,6 +37,8 @@
   readonly shares: ShareClassifier
   /** Whether the policy service has answered for a step and has permitted no target so far. */
   readonly isPermittedNowhere: (step: StepProgress) => boolean
+  /** Counts the steps that are visited. */
+  readonly work?: WorkMeter | undefined
 }
 
 /** Keeps the decisions on waiting jobs up to date. There are none while the configuration names no account. */
@@ -55,7 +58,7 @@
 
   /** Returns the decisions for this round. */
   update (ready: Iterable<ReadyStep>, targets: readonly TargetView[], nowMs: number): OverloadPlan {
-    const { clock, shares, isPermittedNowhere } = this.#options
+    const { clock, shares, isPermittedNowhere, work } = this.#options
     this.#accounts.refresh()
     if (this.#accounts.isEmpty()) {
       if (this.#plan.size > 0) this.#replacePlan(NO_DECISIONS)
@@ -65,9 +68,10 @@
     const startedAtMs = clock.readMonotonicMs()
     // The backlog that is found in the first plan has not just arrived.
     const previousMs = Number.isFinite(this.#plannedAtMs) ? this.#plannedAtMs : nowMs
-    const checker = new RoomChecker(targets)
+    const checker = new RoomChecker(targets, work)
     const budget = new QuotaBudget(this.#accounts)
-    const demands = groupWaitingDemand(ready, { nowMs, previousMs, inflow: this.#inflow, checker, shares, budget, isPermittedNowhere })
+    const context = { nowMs, previousMs, inflow: this.#inflow, checker, shares, budget, isPermittedNowhere, work }
+    const demands = groupWaitingDemand(ready, context)
     this.#plannedAtMs = nowMs
     this.#replacePlan(this.#planner.plan(demands, targets, nowMs))
     const durationMs = clock.readMonotonicMs() - startedAtMs
--- a/packages/jobs/src/admission/waiting-demand.ts
+++ b/packages/jobs/src/admission/waiting-demand.ts
@@ -5,6 +5,7 @@
 import type { JobStep, Resources } from '../job.js'
 import type { RoomChecker } from '../room-checker.js'
 import type { StepProgress } from '../step-progress.js'
+import type { WorkMeter } from '../turns/work-meter.js'
 import { computeLateEndMs, computeUrgency, URGENCY_BANDS } from '../urgency.js'
 import type { RateMeter } from './rate-meter.js'
 import type { ShareClassifier } from './share-classifier.js'
@@ -46,6 +47,8 @@
   readonly budget: QuotaBudget
   /** Whether the policy service has answered for a step and has permitted no target so far. */
   readonly isPermittedNowhere: (step: StepProgress) => boolean
+  /** Counts the steps that are visited. */
+  readonly work?: WorkMeter | undefined
 }
 
 /** Where the inflow of work is measured. */
@@ -158,6 +161,7 @@
   let cpuMillis = 0
   let memoryMb = 0
   let accelerators = 0
+  context.work?.add(progress.countOpenSteps())
   for (const steps of progress.listOpen()) {
     for (const step of steps) {
       const weight = countServable(progress, step, context) * readWeight(step.step)
--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -325,7 +325,9 @@
 
   #buildMutations (jobId: string): readonly Mutation[] {
     const progress = this.#table.find(jobId)
-    return progress === undefined ? [] : buildMutations(progress, this.#options.clock.readWallMs())
+    if (progress === undefined) return []
+    this.#work.add(progress.countOpenSteps())
+    return buildMutations(progress, this.#options.clock.readWallMs())
   }
 
   #update (): void {
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -90,23 +90,29 @@
       metrics,
       readAccounts: options.readAccounts,
       shares: options.shares,
+      work: options.work,
       isPermittedNowhere: (step) => this.isPermittedNowhere(step)
     })
   }
 
   /** Places the steps that fit now. The orders are sent once the intents are stored. */
   runRound (): void {
-    const { clock, table, isAuthorized } = this.#options
+    const { clock, table, work, isAuthorized, requestRound } = this.#options
     if (!isAuthorized()) return
     const nowMs = clock.readMonotonicMs()
     const targets = this.#inventory.listUsable(nowMs, nowMs + RUN_OVERHEAD_MS)
-    const round = new PlacementRound(nowMs, targets, this.#reservations)
+    const round = new PlacementRound(nowMs, targets, this.#reservations, work)
     this.#adviceChecksLeft = ADVICE_CHECKS_PER_ROUND
     this.#quota.beginRound(nowMs)
     const decisions = this.#overload.update(table.listReady(), targets, nowMs)
     const activeIds = this.#inventory.groupActive(nowMs)
     const selected = this.#selector.select(table.listReady(), { nowMs, usable: targets, activeIds, decisions })
-    for (const step of selected) this.#placeStep(round, step, nowMs)
+    for (const step of selected) {
+      this.#placeStep(round, step, nowMs)
+      if (!round.isExhausted()) continue
+      requestRound()
+      break
+    }
     this.#reservations = round.listReservations()
     this.#quotaWaits.publish()
   }
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -1,9 +1,10 @@
 import { ExpectedCapacity } from './targets/expected-capacity.js'
-import type { JobStep, Resources } from './job.js'
+import { MAXIMUM_RUNS_PER_JOB, type JobStep, type Resources } from './job.js'
 import { type ReservationsByStep, NO_RESERVATIONS, GangReservations } from './gang-reservations.js'
-import { addResources, computeReservedResources, countSlots, hasCapacity, mergeMaximum, NO_RESOURCES, subtractResources } from './capacity-tracker.js'
+import { addResources, computeReservedResources, countFitting, countSlots, hasCapacity, mergeMaximum, NO_RESOURCES, subtractResources } from './capacity-tracker.js'
 import type { TargetView } from './target-view.js'
 import { computeSpeedScore, listSteadyTargets } from './targets/speed-preference.js'
+import { WorkMeter } from './turns/work-meter.js'
 
 /** A step with tasks to be placed. */
 export interface WaitingStep {
@@ -38,6 +39,17 @@
 const REMOTE_RACK_PENALTY = 5
 /** Added to the score of a target whose capacity a less urgent gang reserved in the previous round. */
 const RESERVED_PENALTY = 3
+/**
+ * Candidates for tasks that one round looks at. Callers choose how many tasks a job has and how little each requests, so that a round
+ * without a limit could place tens of thousands, and would block lease renewals for as long.
+ */
+const MAXIMUM_LOOKS = 500_000
+/**
+ * A target with this many runs gets no more tasks that are so small that more of them would fit, since its reports list each run. The
+ * largest gang fits on one target.
+ */
+const MAXIMUM_SMALL_RUNS = MAXIMUM_RUNS_PER_JOB
+
 /**
  * One placement round over the free capacity of the targets. Call `place` for steps in order of urgency. A gang that doesn't
  * fit reserves the capacity in which it is expected to fit first; later steps may use that capacity only if they end before.
@@ -49,13 +61,28 @@
   readonly #free = new Map<string, Resources>()
   readonly #reservations: GangReservations
   readonly #largestFree = new Map<string, Resources>()
+  /** Runs on each target, with those placed in this round. */
+  readonly #runCounts = new Map<string, number>()
+  readonly #work: WorkMeter
+  #looks = 0
 
-  /** `previous`: the reservations of the round before. */
-  constructor (nowMs: number, targets: readonly TargetView[], previous: ReservationsByStep = NO_RESERVATIONS) {
+  /** `previous`: the reservations of the round before. `work` counts the candidates that are looked at. */
+  constructor (
+    nowMs: number, targets: readonly TargetView[], previous: ReservationsByStep = NO_RESERVATIONS, work = new WorkMeter()
+  ) {
+    this.#work = work
     this.#targets = new Map(targets.map((target) => [target.id, target]))
     this.expected = new ExpectedCapacity(nowMs, this.#targets)
     this.#reservations = new GangReservations(nowMs, previous)
-    for (const target of targets) this.#free.set(target.id, target.free)
+    for (const target of targets) {
+      this.#free.set(target.id, target.free)
+      this.#runCounts.set(target.id, target.runs.length)
+    }
+  }
+
+  /** Whether the round has looked at as many candidates as it may, so that the remaining steps are left to the next one. */
+  isExhausted (): boolean {
+    return this.#looks >= MAXIMUM_LOOKS
   }
 
   /** Places the tasks of a step that fit: all or none of a gang. Their capacity is taken for the rest of the round. */
@@ -81,7 +108,10 @@
   /** Frees the capacity of placements that can't be used, for the rest of the round. */
   releasePlaced (step: JobStep, placements: readonly Placement[]): void {
     const size = computeReservedResources(step.size, step.usesIdleCapacity)
-    for (const { targetId } of placements) this.#free.set(targetId, addResources(this.#readFree(targetId), size))
+    for (const { targetId } of placements) {
+      this.#free.set(targetId, addResources(this.#readFree(targetId), size))
+      this.#runCounts.set(targetId, this.#countRuns(targetId) - 1)
+    }
     this.#largestFree.clear()
   }
 
@@ -98,6 +128,7 @@
 
   #listCandidates (waiting: WaitingStep): TargetView[] {
     const { requiredLabel } = waiting.step
+    this.#addLooks(waiting.permittedIds?.length ?? this.#targets.size)
     const candidates = this.#listPermitted(waiting.permittedIds).filter((target) => target.service === waiting.service &&
       (requiredLabel === undefined || target.labels.includes(requiredLabel)))
     if (waiting.excluded.size === 0) return candidates
@@ -114,6 +145,7 @@
     const placements: Placement[] = []
     const counts = new Map(waiting.countByTarget)
     for (const index of waiting.pending) {
+      if (this.isExhausted() && !waiting.step.isGang) break
       const target = this.#chooseTarget(waiting, candidates, counts)
       if (target === undefined) break
       this.#reserve(target.id, waiting.step)
@@ -139,14 +171,23 @@
   }
 
   #placeAllOrNone (waiting: WaitingStep, candidates: readonly TargetView[]): Placement[] {
+    if (!this.#hasSlots(waiting, candidates)) return []
     const before = new Map(candidates.map((target) => [target.id, this.#readFree(target.id)]))
     const placements = this.#placeEach(waiting, candidates)
     if (placements.length === waiting.pending.length) return placements
     for (const [id, free] of before) this.#free.set(id, free)
+    for (const { targetId } of placements) this.#runCounts.set(targetId, this.#countRuns(targetId) - 1)
     this.#largestFree.clear()
     return []
   }
 
+  /** Whether the free capacity could hold all tasks of a gang, however it is reserved. */
+  #hasSlots ({ step, pending }: WaitingStep, candidates: readonly TargetView[]): boolean {
+    this.#addLooks(candidates.length)
+    let slots = 0
+    return candidates.some(({ id }) => (slots += countSlots(this.#readFree(id), step)) >= pending.length)
+  }
+
   #chooseTarget (
     waiting: WaitingStep, candidates: readonly TargetView[], counts: ReadonlyMap<string, number>
   ): TargetView | undefined {
@@ -155,9 +196,11 @@
     const { step } = waiting
     const size = computeReservedResources(step.size, step.usesIdleCapacity)
     const durationMs = step.isLongRunning ? Number.POSITIVE_INFINITY : step.estimatedMs
+    this.#addLooks(candidates.length)
     for (const target of candidates) {
       if (step.maximumPerTarget > 0 && (counts.get(target.id) ?? 0) >= step.maximumPerTarget) continue
       const free = this.#readFree(target.id)
+      if (this.#countRuns(target.id) >= MAXIMUM_SMALL_RUNS && countFitting(target.capacity, size) > MAXIMUM_SMALL_RUNS) continue
       if (!hasCapacity(free, size) || this.#reservations.isReserved(target.id, free, size, durationMs)) continue
       const wasReserved = this.#reservations.isReservedInPreviousRound(target.id, free, size)
       if (wasReserved && waiting.canWait) continue
@@ -173,6 +216,15 @@
     return best
   }
 
+  #addLooks (count: number): void {
+    this.#looks += count
+    this.#work.add(count)
+  }
+
+  #countRuns (targetId: string): number {
+    return this.#runCounts.get(targetId) ?? 0
+  }
+
   #readFree (targetId: string): Resources {
     return this.#free.get(targetId) ?? NO_RESOURCES
   }
@@ -191,6 +243,7 @@
 
   #reserve (targetId: string, step: JobStep): void {
     this.#largestFree.clear()
+    this.#runCounts.set(targetId, this.#countRuns(targetId) + 1)
     this.#free.set(targetId, subtractResources(this.#readFree(targetId), computeReservedResources(step.size, step.usesIdleCapacity)))
   }
 }
--- a/packages/jobs/src/target-session.ts
+++ b/packages/jobs/src/target-session.ts
@@ -229,6 +229,7 @@
 
   #applyReport (report: TargetReport, poll: SentPoll): boolean {
     const nowMs = this.#context.clock.readMonotonicMs()
+    this.#context.turns.work.add(report.running.length + report.ended.length + this.#runs.count())
     const receivedAt = this.#messages.advance()
     const incarnation = this.#incarnations.resolve(report, poll.sentAt, receivedAt)
     if (incarnation === undefined) {
--- a/packages/jobs/tests/placement-round.test.ts
+++ b/packages/jobs/tests/placement-round.test.ts
@@ -2,6 +2,7 @@
 import type { Resources } from '../src/job.js'
 import { PlacementRound, type WaitingStep } from '../src/placement-round.js'
 import type { RunView, TargetView } from '../src/target-view.js'
+import { WorkMeter } from '../src/turns/work-meter.js'
 import { createStep, createWaiting } from './job-fixtures.js'
 
 const NOW_MS = 10_000
@@ -189,3 +190,25 @@
   t.deepEqual(second.place(gang), [])
   t.deepEqual([...second.listReservations().get('aa.0.0') ?? []].map(([id, { taskCount }]) => [id, taskCount]), [['t0', 1], ['t1', 3]])
 })
+
+// Guards against a round that places so many tasks of next to no size that the owner loses its lease.
+test('a round that has looked at very many candidates leaves the remaining tasks to the next one', (t) => {
+  const targets = Array.from({ length: 400 }, (_, index) => createTarget(`t${index}`))
+  const work = new WorkMeter()
+  const round = new PlacementRound(NOW_MS, targets, undefined, work)
+  const tiny = createStep({ taskCount: 3_000, size: { cpuMillis: 1, memoryMb: 0, accelerators: 0 } })
+  let placed = 0
+  for (let index = 0; index < 20; index++) placed += round.place(createWaiting(tiny, { stepName: `a${index}.0.0` })).length
+  t.true(round.isExhausted())
+  t.true(placed > 1_000 && placed < 1_300, String(placed))
+  t.true(work.readTotal() < 510_000, String(work.readTotal()))
+})
+
+// Guards against targets whose reports list so many runs of tasks without a size that the owner can't follow them.
+test('a target gets a limited number of tasks of next to no size, and others beside them', (t) => {
+  const runs = Array.from({ length: 2_999 }, () => ({ size: NOTHING, expectedEndMs: NOW_MS + 500 }))
+  const round = new PlacementRound(NOW_MS, [createTarget('t0', runs)])
+  t.is(round.place(createWaiting(createStep({ taskCount: 9, size: NOTHING }))).length, 1)
+  t.is(round.place(createWaiting(createStep({ taskCount: 2, size: createSize(1_000) }), { stepName: 'bb.0.0' })).length, 2)
+  t.is(round.place(createWaiting(createStep({ taskCount: 2, size: NOTHING, isGang: true }), { stepName: 'cc.0.0' })).length, 0)
+})
