--- a/packages/jobs/tests/fake-job-cell.ts
+++ b/packages/jobs/tests/fake-job-cell.ts
@@ -97,9 +97,9 @@
     return instance
   }
 
-  /** Submits a job to an instance, advances the clock and returns the outcome. */
-  async submit (instance: FakeInstance, job: Job): Promise<string> {
-    this.jobs.set(job.id, job)
+  /** Submits a job to an instance, advances the clock and returns the outcome. To the targets its tasks are those of `work`. */
+  async submit (instance: FakeInstance, job: Job, work = job): Promise<string> {
+    this.jobs.set(job.id, work)
     const nowMs = this.clock.readMonotonicMs()
     const pending = instance.service.acceptJob(job, { refuseAtMs: nowMs + 1_000, giveUpAtMs: nowMs + 2_000 })
     for (let step = 0; step < 3; step++) await this.clock.advanceBy(5)
--- a/packages/jobs/tests/large-jobs.test.ts
+++ b/packages/jobs/tests/large-jobs.test.ts
@@ -1,6 +1,4 @@
-import { SilentMetricSink, type MetricTags } from '@hibiscusledge/runtime/metric-sink.js'
 import test from 'ava'
-import { JOB_METRICS } from '../src/job-metrics.js'
 import { JobProgress } from '../src/job-progress.js'
 import { JobTable } from '../src/job-table.js'
 import type { Job } from '../src/job.js'
@@ -9,20 +7,11 @@
 import { createSelector, listSelected } from './selector-fixture.js'
 import { createJob, createStep } from './job-fixtures.js'
 import { createSupervisor } from './supervisor-fixture.js'
+import { WorkRecorder } from './work-recorder.js'
 
 const TASKS = 100_000
 const STEPS = 1_000
 
-/** Keeps the largest work of one turn by part. */
-class WorkRecorder extends SilentMetricSink {
-  readonly largest = new Map<string, number>()
-
-  override incrementCounter (name?: string, by = 1, tags?: MetricTags): void {
-    const part = tags?.['part']
-    if (name === JOB_METRICS.ownerWork && part !== undefined) this.largest.set(part, Math.max(this.largest.get(part) ?? 0, by))
-  }
-}
-
 // Guards against an owner that runs out of memory (review/11): it made an object for each task of each accepted job, so that 30 bodies of
 // 98 bytes ended each owner in turn.
 test('what an owner holds does not grow with the number of tasks that accepted jobs have', (t) => {
