Limit the open occurrences of all scheduled jobs together

From 50,000 held steps on, only jobs without an open occurrence get another one, and one pass adds occurrences of about 10,000 steps; the jobs take turns. The number of task entries is counted as they come and go, so that the gauges need no pass over all steps.

The new test failed before: 1,500 jobs of 40 steps held 2,400,000 steps after 40 passes, and hold 60,000 now.

--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -23,7 +23,7 @@
   readonly #open = new Map<number, OccurrenceProgress>()
   readonly #completed = new IndexSet()
   readonly #tasksPerOccurrence: number
-  readonly #tally: JobTally = { placedTasks: 0, activeTasks: 0, incompleteOccurrences: 0 }
+  readonly #tally: JobTally = { entries: 0, placedTasks: 0, activeTasks: 0, incompleteOccurrences: 0 }
   #addedCount = 0
   /** Monotonic time until which the job, once later than three objectives, comes after all others, since its tasks keep failing. */
   demotedUntilMs = Number.NEGATIVE_INFINITY
@@ -72,6 +72,7 @@
   dropCompleted (occurrence: number): readonly StepProgress[] {
     const open = this.#open.get(occurrence)
     if (this.job.schedule === undefined || open?.isComplete() !== true || open.hasRuns()) return []
+    open.close()
     this.#open.delete(occurrence)
     this.#completed.add(occurrence)
     return open.steps
@@ -109,9 +110,7 @@
 
   /** Returns the number of tasks that have an entry of their own. */
   countTaskEntries (): number {
-    let count = 0
-    for (const steps of this.listOpen()) for (const step of steps) count += step.countEntries()
-    return count
+    return this.#tally.entries
   }
 
   /** Returns the number of tasks with a run. */
@@ -119,11 +118,22 @@
     return this.#tally.placedTasks
   }
 
+  /** Whether any occurrence wasn't dropped. */
+  hasOpenOccurrence (): boolean {
+    return this.#open.size > 0
+  }
+
   /** Whether the job's open tasks leave room for those of another occurrence. The first open occurrence may exceed the limit. */
   hasRoomForOccurrence (): boolean {
     return this.#open.size === 0 || this.countOpenTasks() + this.#tasksPerOccurrence <= MAXIMUM_OPEN_TASKS
   }
 
+  /** Whether the next occurrence of a scheduled job is due and may be added. */
+  isOccurrenceDue (wallMs: number): boolean {
+    if (this.job.schedule === undefined || this.isFinal() || this.#addedCount >= this.readOccurrenceCount()) return false
+    return this.computeDueWallMs(this.#addedCount) <= wallMs && this.hasRoomForOccurrence()
+  }
+
   /** Restarts the objective when the next occurrence of a scheduled job is due. */
   renewObjective (nowMs: number): void {
     this.objectiveMs = nowMs + this.#computeObjectiveDurationMs()
--- a/packages/jobs/src/progress/occurrence-progress.ts
+++ b/packages/jobs/src/progress/occurrence-progress.ts
@@ -10,6 +10,8 @@
 
 /** Counts over all occurrences of a job. */
 export interface JobTally {
+  /** Tasks with an entry of their own. */
+  entries: number
   /** Tasks with a run. */
   placedTasks: number
   /** Tasks of which a target has or may have any run. */
@@ -27,6 +29,7 @@
   readonly #waitingFor: number[]
   #incompleteCount: number
   #activeTasks = 0
+  #entries = 0
   #ready: StepProgress[]
   #completed: StepProgress[] = []
   /** Position of the longest remaining path that has not ended, in the graph's order. */
@@ -53,6 +56,11 @@
     }
   }
 
+  onEntriesChanged (by: 1 | -1): void {
+    this.#entries += by
+    this.#tally.entries += by
+  }
+
   onRunsChanged (placedTasks: number, activeTasks: number): void {
     this.#activeTasks += activeTasks
     this.#tally.placedTasks += placedTasks
@@ -67,6 +75,12 @@
     return this.#activeTasks > 0
   }
 
+  /** Stops counting the occurrence, which is dropped. */
+  close (): void {
+    this.#tally.entries -= this.#entries
+    this.#entries = 0
+  }
+
   /** Returns the steps that have become ready, and those that have been completed, since the last call. */
   takeChanges (): ReadinessChanges {
     const changes = { ready: this.#ready.filter((step) => !step.isComplete()), completed: this.#completed }
--- a/packages/jobs/src/step-progress.ts
+++ b/packages/jobs/src/step-progress.ts
@@ -30,11 +30,13 @@
 /** Follows the steps of an occurrence. */
 export interface StepObserver {
   onComplete (step: StepProgress): void
+  /** Tells that a task got an entry of its own, or lost it. */
+  onEntriesChanged (by: 1 | -1): void
   /** Tells by how much the number of tasks with a run has changed, and of those of which a target has or may have any run. */
   onRunsChanged (placedTasks: number, activeTasks: number): void
 }
 
-const NO_OBSERVER: StepObserver = { onComplete: () => {}, onRunsChanged: () => {} }
+const NO_OBSERVER: StepObserver = { onComplete: () => {}, onEntriesChanged: () => {}, onRunsChanged: () => {} }
 const NO_TASKS: ReadonlyMap<number, TaskState> = new Map()
 const NO_INDEXES = new IndexSet()
 
@@ -216,13 +218,15 @@
       const key = { ...this.key, index }
       task = { key, failures: 0, checkpoint: '', run: undefined, strayRuns: [], restarts: 0, isDelayed: false, runCount: 0 }
       this.#tasks.set(index, task)
+      this.#observer.onEntriesChanged(1)
     }
     return task
   }
 
   /** Drops the entry of a task that has no state of its own any more. */
   #prune (task: TaskState): void {
-    if (!hasAnyRun(task) && (this.isDone(task.key.index) || isBlank(task))) this.#tasks?.delete(task.key.index)
+    if (hasAnyRun(task) || !(this.isDone(task.key.index) || isBlank(task))) return
+    if (this.#tasks?.delete(task.key.index) === true) this.#observer.onEntriesChanged(-1)
   }
 
   #listEntriesBetween (first: number, last: number): TaskState[] {
--- a/packages/jobs/src/task-supervisor.ts
+++ b/packages/jobs/src/task-supervisor.ts
@@ -11,6 +11,7 @@
 import type { JobTable } from './job-table.js'
 import { shouldEvictRun } from './eviction.js'
 import { RestartBackoff } from './failures/restart-backoff.js'
+import { OccurrenceLimiter } from './progress/occurrence-limiter.js'
 import { listRuns, type StepProgress } from './step-progress.js'
 import type { ReportedEnd, ReportedRun } from './target-gateway.js'
 import { computeReservedResources } from './capacity-tracker.js'
@@ -48,6 +49,7 @@
 export class TaskSupervisor {
   readonly #options: TaskSupervisorOptions
   readonly #backoff: RestartBackoff
+  readonly #occurrences = new OccurrenceLimiter()
 
   constructor (options: TaskSupervisorOptions) {
     this.#options = options
@@ -72,15 +74,12 @@
     return progress
   }
 
-  /** Adds the next occurrence of each scheduled job for which it is due. */
+  /** Adds the next occurrence of each scheduled job for which it is due, as far as the limits leave room for them. */
   addDueOccurrences (): void {
     const { clock, table } = this.#options
-    const wallMs = clock.readWallMs()
     const nowMs = clock.readMonotonicMs()
-    for (const progress of table.listActive()) {
-      if (progress.job.schedule === undefined || progress.isFinal()) continue
+    for (const progress of this.#occurrences.selectDue(table.listActive(), table.measureHoldings().steps, clock.readWallMs())) {
       const next = progress.countAdded()
-      if (next >= progress.readOccurrenceCount() || progress.computeDueWallMs(next) > wallMs || !progress.hasRoomForOccurrence()) continue
       progress.addOccurrence()
       progress.renewObjective(nowMs)
       table.updateReady(progress, next, nowMs)
--- a/packages/jobs/tests/progress-growth.test.ts
+++ b/packages/jobs/tests/progress-growth.test.ts
@@ -3,10 +3,12 @@
 import { formatJobKey, formatProgressKey } from '../src/job-keys.js'
 import { JobProgress } from '../src/job-progress.js'
 import { encodeJob } from '../src/job-record.js'
+import { JobTable } from '../src/job-table.js'
 import { MAXIMUM_RUNS_PER_JOB, type Job } from '../src/job.js'
 import { decodeProgress, encodeProgress } from '../src/progress-record.js'
 import { FakeJobCell, startCell } from './fake-job-cell.js'
 import { createJob, createRun, createStep } from './job-fixtures.js'
+import { createSupervisor } from './supervisor-fixture.js'
 
 const SEED = 20_261_205
 const STEPS = 100
@@ -153,3 +155,21 @@
   t.true(await cell.advanceUntil(async () => await cell.readState(owner, 'aa') === 'failed', 6_000))
   t.deepEqual(cell.targets.starts.filter(({ taskName }) => taskName.startsWith('aa.')), [])
 })
+
+// Guards against an owner that runs out of memory by the occurrences of many small jobs that are due at the same time.
+test('the occurrences of many scheduled jobs that are due wait while very many steps are held, but for the first of each job', (t) => {
+  const table = new JobTable()
+  const supervisor = createSupervisor({ table })
+  const schedule = { occurrences: 1e9, firstDueMs: 0, intervalMs: 0 }
+  const steps = Array.from({ length: 40 }, () => createStep())
+  const jobs = Array.from({ length: 1_500 }, (_, index) => supervisor.adoptJob(createJob(`j${index}`, steps, { schedule }), 0))
+  let largestAddition = 0
+  for (let pass = 0; pass < 40; pass++) {
+    const before = table.measureHoldings().steps
+    supervisor.addDueOccurrences()
+    largestAddition = Math.max(largestAddition, table.measureHoldings().steps - before)
+  }
+  t.true(jobs.every((progress) => progress.hasOpenOccurrence()))
+  t.is(table.measureHoldings().steps, 1_500 * 40)
+  t.true(largestAddition <= 10_040, String(largestAddition))
+})
