Count fractional sizes exactly

Callers' jobs that needed whole executors were accepted and never started on idle ones (LOST), after tasks of 15,493.8, 13,677.1 and 19,160.5 MB had run there: sizes were added and subtracted as floating-point numbers, and 7e-12 MB stayed in use for good.

--- a/packages/jobs/src/job-record.ts
+++ b/packages/jobs/src/job-record.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type Result } from '@hibiscusledge/runtime/result.js'
 import { z } from 'zod'
+import { normalizeRequest } from './capacity-tracker.js'
 import type { Job } from './job.js'
 
 const RECORD_VERSION = 1
@@ -54,6 +55,11 @@
     return Err(`the job record is not JSON: ${String(error)}`)
   }
   const parsed = recordSchema.safeParse(value)
-  if (parsed.success) return Ok(parsed.data.job)
+  if (parsed.success) return Ok(normalizeSizes(parsed.data.job))
   return Err(`the job record is invalid at ${parsed.error.issues.map((issue) => issue.path.join('.')).join(', ')}`)
 }
+
+/** Rounds the sizes of the tasks, so that the owner counts them exactly. */
+function normalizeSizes (job: Job): Job {
+  return { ...job, steps: job.steps.map((step) => ({ ...step, size: normalizeRequest(step.size) })) }
+}
