Limit what an owner holds for all accepted jobs together

Each instance refuses a job, before anything is stored, with which all accepted jobs together would exceed a limit on the estimated length of their records, 4 % of the machine's memory by default. The owner reports what it holds every 500 ms; an instance assumes that all others accept as much as itself between two reports.

--- a/packages/jobs/src/admission/admission-decision.ts
+++ b/packages/jobs/src/admission/admission-decision.ts
@@ -12,8 +12,17 @@
 /** Estimates of run times are off by a factor of nearly two, so a job that would come too late by less than this is accepted. */
 const ESTIMATE_ERROR_FACTOR = 2
 
+export const EARLY_REFUSAL_REASONS = {
+  /** The job would complete only after three times its objective. */
+  overload: 'overload',
+  /** An owner would have to hold too much for all accepted jobs. */
+  heldWork: 'heldWork'
+} as const
+export type EarlyRefusalReason = typeof EARLY_REFUSAL_REASONS[keyof typeof EARLY_REFUSAL_REASONS]
+
 /** A job that is refused before anything of it is stored, and the time after which the caller may try again. */
 export interface EarlyRefusal {
+  readonly reason: EarlyRefusalReason
   readonly retryAfterS: number
 }
 
@@ -37,7 +46,8 @@
   // A job that would take too long on its own must not be refused for that, since waiting wouldn't help.
   const serviceMs = ownMs > limitMs ? pathMs : Math.max(pathMs, ownMs)
   const excessMs = Math.min(waitMs, waitMs + serviceMs - limitMs)
-  return excessMs > 0 && shortestWaitMs + serviceMs > limitMs ? { retryAfterS: computeRetryAfterS(excessMs, fraction) } : undefined
+  if (excessMs <= 0 || shortestWaitMs + serviceMs <= limitMs) return undefined
+  return { reason: EARLY_REFUSAL_REASONS.overload, retryAfterS: computeRetryAfterS(excessMs, fraction) }
 }
 
 /** Returns whole seconds after which this much work has drained, with the random part. */
--- a/packages/jobs/src/job-messages.ts
+++ b/packages/jobs/src/job-messages.ts
@@ -6,6 +6,10 @@
   announceCancel: 'announceCancel',
   /** Notification from the owner: how much work waits and how fast it is finished. */
   reportLoad: 'job.load',
+  /** Notification from the owner: how much it holds for all accepted jobs. */
+  reportHeldWork: 'job.heldWork',
+  /** Request to the owner: room for a large job that is about to be stored. */
+  reserveHeldWork: 'job.reserveHeldWork',
   /** Request to the owner: the state of a job, and on request its account. */
   readJob: 'readJob',
   /** Request to the owner: the number of jobs of a queue that have not started. */
--- a/packages/jobs/src/job-metrics.ts
+++ b/packages/jobs/src/job-metrics.ts
@@ -32,6 +32,8 @@
   activeJobs: 'jobs_active',
   /** Steps of all open occurrences. */
   heldSteps: 'job_steps_held',
+  /** Estimated length of the records of all active jobs. */
+  heldBytes: 'job_bytes_held',
   /** Tasks with an entry of their own in memory. */
   heldTasks: 'job_tasks_held',
   knownTargets: 'targets_known',
--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -17,6 +17,8 @@
 import { FinishedCleaner } from './finished-cleaner.js'
 import { JOB_STATES, type JobState } from './job.js'
 import { decodeJob } from './job-record.js'
+import { HeldWorkLedger } from './held-work/held-work-ledger.js'
+import { JOB_MESSAGES } from './job-messages.js'
 import { JOB_METRICS } from './job-metrics.js'
 import { JobTable } from './job-table.js'
 import type { OwnerElection, Ownership } from './owner-election.js'
@@ -47,6 +49,7 @@
 
 const RECOVERY_RETRY_DELAY_MS = 200
 const CLEANUP_PERIOD_MS = 60_000
+const HELD_WORK_PERIOD_MS = 500
 
 export interface JobOwnerOptions {
   readonly clock: Clock
@@ -63,6 +66,8 @@
   /** Time for which the state of a finished job can be read. */
   readonly retentionMs: number
   readonly readAccounts: ReadAccounts
+  /** Limit on what is held for all accepted jobs. */
+  readonly maximumHeldBytes: number
 }
 
 /** The owner of all targets. Only it places tasks and sends orders, until another instance takes over. */
@@ -86,6 +91,7 @@
   readonly #workWatcher: WorkWatcher
   readonly #cleaner: FinishedCleaner
   readonly #loadReporter: LoadReporter
+  readonly #heldWork: HeldWorkLedger
   #timers: Timer[] = []
   /** Revision up to which accepted work was read during recovery. */
   #workRevision = 0
@@ -172,6 +178,7 @@
       isAuthorized: () => election.isAuthorized(),
       isPermittedNowhere: (step) => this.#planner.isPermittedNowhere(step)
     })
+    this.#heldWork = new HeldWorkLedger({ clock, table: this.#table, term: ownership.term, maximumBytes: options.maximumHeldBytes })
     this.#lateStarts = new LateStartPolicy({
       clock,
       lateOrderMs: timings.lateOrderMs,
@@ -213,10 +220,12 @@
     for (const id of recovery.val.cancelledIds) this.#supervisor.cancelJob(id)
     for (const id of recovery.val.orphanedIds) this.#cleaner.recordOrphanedCancellation(id)
     this.#workWatcher.start(recovery.val.workRevision)
+    this.#reportHeldWork()
     this.#loadReporter.start()
     directory.subscribe({ onTargets: (targets) => this.#applyTargets(targets) })
     this.#timers = [
       clock.startInterval(UPDATE_PERIOD_MS, () => this.#turns.measure(TURN_PARTS.update, () => this.#update())),
+      clock.startInterval(HELD_WORK_PERIOD_MS, () => this.#reportHeldWork()),
       clock.startInterval(CLEANUP_PERIOD_MS, () => this.#forgetFinished())
     ]
   }
@@ -268,10 +277,24 @@
     return this.#isReady && !this.#isStopped
   }
 
+  /** Reserves room for a large job that is about to be stored. Returns whether there was enough. */
+  reserveHeldWork (id: string, bytes: number): boolean {
+    return this.#heldWork.reserve(id, bytes)
+  }
+
   countWaiting (queue: string): number {
     return this.#table.countWaiting(queue)
   }
 
+  /** Tells all instances, this one included, how much is held. */
+  #reportHeldWork (): void {
+    const { network, election } = this.#options
+    if (!election.isAuthorized()) return
+    const instances = [network.self, ...network.listConnected()]
+    const report = this.#heldWork.buildReport(instances.length)
+    for (const { instance } of instances) network.sendNotification(instance, JOB_MESSAGES.reportHeldWork, report)
+  }
+
   #applyStoredCancellation (id: string): void {
     const finished = this.#table.findFinished(id)
     // The final transaction of a cancelled job has deleted its cancellation.
--- a/packages/jobs/src/job-progress.ts
+++ b/packages/jobs/src/job-progress.ts
@@ -1,3 +1,4 @@
+import { estimateHeldBytes } from './held-work/estimate-held-bytes.js'
 import { IndexSet, type IndexRange } from './index-ranges.js'
 import { JOB_STATES, type Job, type JobState } from './job.js'
 import { OccurrenceProgress, type JobTally, type ReadinessChanges } from './progress/occurrence-progress.js'
@@ -19,6 +20,8 @@
   /** Completion objective on the owner's monotonic clock. */
   objectiveMs: number
   readonly graph: StepGraph
+  /** Estimated length of the job's record, in proportion to which memory is held for it. */
+  readonly heldBytes: number
   /** The added occurrences that are not completed, by index. Later occurrences are added when they are due. */
   readonly #open = new Map<number, OccurrenceProgress>()
   readonly #completed = new IndexSet()
@@ -40,6 +43,7 @@
     this.acceptedAtMs = acceptedAtMs
     this.#tasksPerOccurrence = job.steps.reduce((sum, step) => sum + step.taskCount, 0)
     this.graph = new StepGraph(job.steps)
+    this.heldBytes = estimateHeldBytes(job)
     this.objectiveMs = acceptedAtMs + this.#computeObjectiveDurationMs()
   }
 
--- a/packages/jobs/src/job-service.ts
+++ b/packages/jobs/src/job-service.ts
@@ -1,4 +1,4 @@
-import type { PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
+import { PEER_ERROR_CODES, type PeerNetwork } from '@hibiscusledge/peer/peer-network.js'
 import type { PortProbe } from '@hibiscusledge/peer/port-probe.js'
 import type { Clock } from '@hibiscusledge/runtime/clock.js'
 import type { EventLogger } from '@hibiscusledge/runtime/event-logger.js'
@@ -15,6 +15,7 @@
 import { JobAdmission } from './admission/job-admission.js'
 import { LoadReceiver } from './admission/load-receiver.js'
 import type { AdviceGateway, AdvisedTarget } from './advice-gateway.js'
+import { HeldWorkLimiter } from './held-work/held-work-limiter.js'
 import { ACCEPTANCE_OUTCOMES, JobAcceptor, type AcceptanceDeadlines, type AcceptanceOutcome } from './job-acceptor.js'
 import { CANCEL_OUTCOMES, JobCanceller, type CancelOutcome } from './job-canceller.js'
 import { OWNER_KEY } from './job-keys.js'
@@ -39,6 +40,8 @@
 const relayedJobSchema = z.object({ id: z.string(), record: z.string(), waitMs: z.number().nonnegative() })
 const acceptanceSchema = z.object({ outcome: z.enum(ACCEPTANCE_OUTCOMES) })
 const cancelSchema = z.object({ outcome: z.enum(CANCEL_OUTCOMES) })
+const reservationSchema = z.object({ id: z.string(), bytes: z.number().positive() })
+const grantSchema = z.object({ isGranted: z.boolean() })
 const storeSchema = z.object({ isQuick: z.boolean() })
 const leaseSchema = z.object({ lease: z.string() })
 const adviceRequestSchema = z.object({ stepName: z.string(), targetIds: z.array(z.string()), timeoutMs: z.number().positive() })
@@ -46,6 +49,7 @@
 /** Time given to another instance to store a relayed job or cancellation. */
 const RELAY_TIMEOUT_MS = 700
 const STORE_CHECK_TIMEOUT_MS = 300
+const RESERVATION_TIMEOUT_MS = 400
 /** Above this answer time the store is slow for the other instance as well, so that a change of owner would not help. */
 const QUICK_ANSWER_MS = 100
 const RECOVERY_FAILED_REASON = 'the jobs could not be taken over'
@@ -77,6 +81,8 @@
   readonly timings: OwnerTimings
   readonly retentionMs: number
   readonly readAccounts: ReadAccounts
+  /** Limit on what an owner holds for all accepted jobs, in estimated bytes of their records. */
+  readonly maximumHeldBytes: number
 }
 
 /** Job service of one instance: accepts, reads and cancels jobs, and may be the owner of the targets. */
@@ -85,6 +91,7 @@
   readonly #acceptor: JobAcceptor
   readonly #admission: JobAdmission
   readonly #loads = new LoadReceiver()
+  readonly #heldWork: HeldWorkLimiter
   readonly #canceller: JobCanceller
   readonly #reader: JobReader
   readonly #election: OwnerElection
@@ -106,8 +113,21 @@
       relay: async (id, record, deadlines) => await this.#relayJob(id, record, deadlines),
       resolveConflict: (record) => conflicts.resolve(record)
     })
+    this.#heldWork = new HeldWorkLimiter({
+      clock,
+      maximumBytes: options.maximumHeldBytes,
+      reserveAtOwner: async (id, bytes) => await this.#reserveHeldWork(id, bytes)
+    })
     this.#admission = new JobAdmission({
-      clock, random, logger, metrics, store, loads: this.#loads, readAccounts, isWriting: (id) => this.#acceptor.isWriting(id)
+      clock,
+      random,
+      logger,
+      metrics,
+      store,
+      loads: this.#loads,
+      heldWork: this.#heldWork,
+      readAccounts,
+      isWriting: (id) => this.#acceptor.isWriting(id)
     })
     this.#canceller = new JobCanceller(clock, store, (id) => this.#notifyOwner(JOB_MESSAGES.announceCancel, { id }),
       async (id, viewer) => await this.#relayCancel(id, viewer))
@@ -187,7 +207,7 @@
   }
 
   #startOwner (ownership: Ownership): void {
-    const { clock, logger, metrics, store, targetGateway, directory, network, timings, retentionMs, readAccounts } = this.#options
+    const { clock, logger, metrics, store, targetGateway, directory, network, timings, retentionMs } = this.#options
     this.#stopOwner()
     metrics.incrementCounter(JOB_METRICS.ownershipChanges, 1, { change: 'acquired' })
     this.#owner = new JobOwner({
@@ -203,7 +223,8 @@
       ownership,
       election: this.#election,
       retentionMs,
-      readAccounts
+      readAccounts: this.#options.readAccounts,
+      maximumHeldBytes: this.#options.maximumHeldBytes
     })
     this.#owner.start().catch((error: unknown) => {
       // An owner that can't start must not keep its lease.
@@ -241,6 +262,13 @@
     network.registerHandler(JOB_MESSAGES.reportLoad, async (body, from) => {
       if (from.instance === this.#ownerRecord?.instance) this.#loads.receive(body, this.#options.clock.readMonotonicMs())
     })
+    network.registerHandler(JOB_MESSAGES.reportHeldWork, async (body, from) => {
+      if (from.instance === this.#ownerRecord?.instance) this.#heldWork.receive(body)
+    })
+    network.registerHandler(JOB_MESSAGES.reserveHeldWork, async (body) => {
+      const { id, bytes } = reservationSchema.parse(body)
+      return { isGranted: this.#owner?.isReady() === true && this.#owner.reserveHeldWork(id, bytes) }
+    })
     network.registerHandler(JOB_MESSAGES.readJob, async (body) => {
       const { id, withAccount } = readSchema.parse(body)
       if (this.#owner?.isReady() !== true) return {}
@@ -298,6 +326,17 @@
     return parsed?.success === true ? parsed.data.outcome : undefined
   }
 
+  /** Asks the owner to reserve room for a large job. An owner of a build that doesn't know this message sets no limit. */
+  async #reserveHeldWork (id: string, bytes: number): Promise<boolean> {
+    const owner = this.#ownerRecord?.instance
+    if (owner === undefined) return false
+    const kind = JOB_MESSAGES.reserveHeldWork
+    const result = await this.#options.network.sendRequest(toInstanceId(owner), kind, { id, bytes }, RESERVATION_TIMEOUT_MS)
+    if (result.err) return result.val.code === PEER_ERROR_CODES.unknownKind
+    const parsed = grantSchema.safeParse(result.val)
+    return parsed.success && parsed.data.isGranted
+  }
+
   async #isStoreQuick (): Promise<boolean> {
     const { clock, store } = this.#options
     const startedAtMs = clock.readMonotonicMs()
--- a/packages/jobs/src/job-table.ts
+++ b/packages/jobs/src/job-table.ts
@@ -25,6 +25,7 @@
   /** The ready steps of each job. */
   readonly #ready = new Map<JobProgress, Map<StepProgress, ReadyStep>>()
   readonly #quarantined = new Set<string>()
+  #heldBytes = 0
   readonly #work: WorkMeter
 
   /** `work` counts the steps that are visited. */
@@ -68,6 +69,11 @@
     return { jobs: this.#active.size, steps, tasks }
   }
 
+  /** Returns the estimated length of the records of all active jobs. */
+  countHeldBytes (): number {
+    return this.#heldBytes
+  }
+
   /** Lists the ready steps, those of each job one after the other. */
   * listReady (): Generator<ReadyStep> {
     for (const steps of this.#ready.values()) yield * steps.values()
@@ -76,6 +82,7 @@
   add (job: Job, acceptedAtMs: number): JobProgress {
     const progress = new JobProgress(job, acceptedAtMs)
     this.#work.add(progress.graph.size)
+    this.#heldBytes += progress.heldBytes
     this.#active.set(job.id, progress)
     return progress
   }
@@ -102,7 +109,7 @@
 
   finish (progress: JobProgress, state: JobState, nowMs: number): void {
     this.withdraw(progress)
-    this.#active.delete(progress.job.id)
+    if (this.#active.delete(progress.job.id)) this.#heldBytes -= progress.heldBytes
     this.#finished.set(progress.job.id, { state, account: progress.job.account, atMs: nowMs })
   }
 
--- a/packages/jobs/src/owner-gauges.ts
+++ b/packages/jobs/src/owner-gauges.ts
@@ -15,6 +15,7 @@
   metrics.setGauge(JOB_METRICS.activeJobs, jobs)
   metrics.setGauge(JOB_METRICS.heldSteps, steps)
   metrics.setGauge(JOB_METRICS.heldTasks, tasks)
+  metrics.setGauge(JOB_METRICS.heldBytes, table.countHeldBytes())
   metrics.setGauge(JOB_METRICS.knownTargets, targets)
   metrics.setGauge(JOB_METRICS.activeRuns, runs)
 }
--- a/packages/jobs/tests/early-refusal.test.ts
+++ b/packages/jobs/tests/early-refusal.test.ts
@@ -31,7 +31,7 @@
   const other = cell.instances.find((instance) => instance !== cell.findOwner())
   if (other === undefined) return t.fail()
   await submitBacklog(cell, other)
-  t.regex(JSON.stringify(await submitNew(cell, other, 'aa')), /^{"retryAfterS":\d+}$/)
+  t.regex(JSON.stringify(await submitNew(cell, other, 'aa')), /^{"reason":"overload","retryAfterS":\d+}$/)
   t.is(await cell.readState(other, 'aa'), undefined)
   t.true((await cell.store.readKey('work/job/aa', 'critical')).map((value) => value === undefined).val)
   // The same job is accepted by an instance that has lost its link to the owner, and refused by none from then on.
--- a/packages/jobs/tests/fake-job-cell.ts
+++ b/packages/jobs/tests/fake-job-cell.ts
@@ -15,6 +15,8 @@
 import { FakeTargets } from './fake-targets.js'
 
 const MAXIMUM_LEASE_MS = 6_000
+/** As on the smallest machine. */
+const MAXIMUM_HELD_BYTES = 8_800_000
 const NO_RESOURCES: Resources = { cpuMillis: 0, memoryMb: 0, accelerators: 0 }
 
 /** One instance with its own client of the store and its own gateway to the targets. */
@@ -72,6 +74,7 @@
       timings: createOwnerTimings(MAXIMUM_LEASE_MS),
       retentionMs: 120_000,
       readAccounts: () => this.accounts,
+      maximumHeldBytes: MAXIMUM_HELD_BYTES,
       ...createOverrides(name, store)
     })
     service.start()
--- a/packages/jobs/tests/job-admission.test.ts
+++ b/packages/jobs/tests/job-admission.test.ts
@@ -10,6 +10,7 @@
 import { decideAdmission } from '../src/admission/admission-decision.js'
 import { DrainMeter } from '../src/admission/drain-meter.js'
 import { JobAdmission } from '../src/admission/job-admission.js'
+import { HeldWorkLimiter } from '../src/held-work/held-work-limiter.js'
 import { LoadReceiver } from '../src/admission/load-receiver.js'
 import { buildServiceLoads, type LoadReport } from '../src/admission/load-report.js'
 import { PACKING_FACTOR } from '../src/admission/work-amount.js'
@@ -125,6 +126,7 @@
     metrics: new SilentMetricSink(),
     store,
     loads,
+    heldWork: new HeldWorkLimiter({ clock, maximumBytes: 1_000_000, reserveAtOwner: async () => true }),
     readAccounts: () => accounts,
     isWriting: (id) => writing.has(id)
   })
--- a/packages/model/src/experiment.ts
+++ b/packages/model/src/experiment.ts
@@ -22,6 +22,8 @@
 const SAMPLE_PERIOD_MS = 50
 const STORE_LATENCY_MS = 5
 const MAXIMUM_LEASE_MS = 10_000
+/** As on the smallest machine. */
+const MAXIMUM_HELD_BYTES = 8_800_000
 const REFUSE_AFTER_MS = 1_000
 const GIVE_UP_AFTER_MS = 3_000
 /** Time until a caller repeats a job that was refused. */
@@ -85,7 +87,8 @@
     advice: undefined,
     timings: createOwnerTimings(MAXIMUM_LEASE_MS),
     retentionMs: 600_000,
-    readAccounts: () => accounts
+    readAccounts: () => accounts,
+    maximumHeldBytes: MAXIMUM_HELD_BYTES
   })
   service.start()
   await clock.runUntil(WARM_UP_MS)
