Start a placed run only on the incarnation that it was placed on

A run keeps the start of the incarnation that it was placed on, and isn't started if the target is listed as another one. Where entries have no start, nothing changes.

The new test failed before: the order was sent.

--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -258,7 +258,7 @@
       if (session === undefined) return []
       const task = step.ensureTask(placement.index)
       if (checkpoint !== undefined) task.checkpoint = checkpoint
-      return [{ session, run: this.#createRun(ready, task, placement.targetId, nowMs), task, ticket }]
+      return [{ session, run: this.#createRun(ready, task, session, nowMs), task, ticket }]
     })
     if (planned.length === 0) return
     for (const { session, run, task } of planned) {
@@ -283,17 +283,18 @@
     }
   }
 
-  #createRun ({ progress, step }: ReadyStep, task: TaskProgress, targetId: string, nowMs: number): TaskRun {
+  #createRun ({ progress, step }: ReadyStep, task: TaskProgress, session: TargetSession, nowMs: number): TaskRun {
     task.runCount++
     return {
       task: task.key,
       number: this.#options.term * RUNS_PER_TERM + task.runCount,
-      targetId,
+      targetId: session.id,
+      targetStartedAtMs: session.readDescription().startedAtMs,
       size: computeReservedResources(step.step.size, step.step.usesIdleCapacity),
       charge: createCharge(progress.job, step.step),
       phase: RUN_PHASES.reserved,
       sentAtMs: nowMs,
-      expectedEndMs: computeExpectedEndMs(step.step, nowMs + RUN_OVERHEAD_MS, this.#options.speeds.readRelativeRunTime(targetId, nowMs)),
+      expectedEndMs: computeExpectedEndMs(step.step, nowMs + RUN_OVERHEAD_MS, this.#options.speeds.readRelativeRunTime(session.id, nowMs)),
       confirmedAt: undefined,
       isStopWanted: false,
       stopAcknowledgedAt: undefined,
--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -51,7 +51,7 @@
     const nowMs = clock.readMonotonicMs()
     const incarnation = session.incarnations.readCurrent()
     const targetNowMs = incarnation?.clock.estimate(nowMs)
-    const isAllowed = this.#context.isAuthorized() && session.isOpenForStarts() && !run.isStopWanted
+    const isAllowed = this.#context.isAuthorized() && session.isOpenForStarts() && !run.isStopWanted && this.#isForPresent(run)
     if (incarnation === undefined || targetNowMs === undefined || !isAllowed) {
       return session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.notSent })
     }
@@ -74,6 +74,11 @@
     this.#onStartFailed(run, result.val, fencingToken)
   }
 
+  /** Whether the target is still listed as the incarnation that the run was placed on. A later one may have other labels and less room. */
+  #isForPresent ({ targetStartedAtMs }: TaskRun): boolean {
+    return targetStartedAtMs === undefined || this.#session.readDescription().startedAtMs === targetStartedAtMs
+  }
+
   /** Sends the stop order of a run, and repeats it until the target has answered. */
   requestStop (run: TaskRun): void {
     if (run.isStopWanted) return
--- a/packages/jobs/src/task-run.ts
+++ b/packages/jobs/src/task-run.ts
@@ -77,6 +77,8 @@
   /** Increases with each run of the task, also across owners. */
   readonly number: number
   readonly targetId: string
+  /** Start of the target's incarnation for which the run was placed; undefined when an earlier owner placed it, or it isn't known. */
+  readonly targetStartedAtMs?: number | undefined
   /** What the run reserves on its target. */
   readonly size: Resources
   /** What the run counts against a quota; undefined for a job without an account. */
--- a/packages/jobs/tests/restarted-target.test.ts
+++ b/packages/jobs/tests/restarted-target.test.ts
@@ -146,3 +146,19 @@
   await gateway.polls[0]?.answer(createReport({ startedAtMs: UNKNOWN_START_MS, targetClockMs: 1_300 }))
   t.true(session.isUsable(clock.readMonotonicMs()))
 })
+
+// Guards against a task that runs on an executor of another kind (ROUTE): the target restarted while the intent was stored, and both its
+// report and its entry were those of the next incarnation when the order was sent.
+test('a run that was placed on an earlier incarnation is not started on the next one', async (t) => {
+  const { clock, gateway, outcomes, session } = await createSessionFixture()
+  session.setDescription(describeTarget({ startedAtMs: EARLIER.startedAtMs, labels: ['gpu'] }))
+  const run = createRun({ phase: RUN_PHASES.reserved, targetStartedAtMs: EARLIER.startedAtMs })
+  session.addRun(run)
+  session.setDescription(describeTarget({ startedAtMs: LATER.startedAtMs }))
+  await clock.advanceBy(POLL_RETRY_MS)
+  await gateway.polls[0]?.answer(createReport(LATER))
+  t.true(session.isUsable(clock.readMonotonicMs()))
+  await session.startRun(run, { specification: '', checkpoint: '' })
+  t.is(gateway.starts.length, 0)
+  t.deepEqual([...outcomes], [[1, 'notStarted']])
+})
