Bound the starts that have no answer yet, and spread orders over turns

The orders of a gang of 3,000 took one turn of the event loop.

A round places tasks while fewer than 2,000 starts have no answer; a gang may exceed that as a whole. Start and stop orders are sent 100 a turn, the others in the turns that follow.

--- a/packages/jobs/src/job-owner.ts
+++ b/packages/jobs/src/job-owner.ts
@@ -39,6 +39,7 @@
 import type { TaskRun } from './task-run.js'
 import { TaskSupervisor } from './task-supervisor.js'
 import { TURN_PARTS, TurnMeter } from './turns/turn-meter.js'
+import { PacedQueue } from './turns/paced-queue.js'
 import { WorkMeter } from './turns/work-meter.js'
 import { WorkWatcher } from './work-watcher.js'
 
@@ -48,6 +49,8 @@
   fenced: 'a target has seen a newer owner'
 } as const
 
+/** Orders of which each takes up to 0.7 ms of a processor in the first seconds of a process. */
+const ORDERS_PER_TURN = 100
 const RECOVERY_RETRY_DELAY_MS = 200
 const CLEANUP_PERIOD_MS = 60_000
 const HELD_WORK_PERIOD_MS = 500
@@ -75,6 +78,7 @@
 export class JobOwner {
   readonly #options: JobOwnerOptions
   readonly #work = new WorkMeter()
+  readonly #orders: PacedQueue
   readonly #turns: TurnMeter
   readonly #table = new JobTable(this.#work)
   readonly #speeds = new TargetSpeeds()
@@ -101,6 +105,7 @@
 
   constructor (options: JobOwnerOptions) {
     this.#options = options
+    this.#orders = new PacedQueue(options.clock, ORDERS_PER_TURN)
     this.#turns = new TurnMeter({
       clock: options.clock,
       logger: options.logger,
@@ -154,6 +159,7 @@
       logger,
       metrics,
       work: this.#work,
+      orders: this.#orders,
       table: this.#table,
       advice: new AdviceDispatcher(clock, logger, options.network),
       term: ownership.term,
@@ -317,6 +323,7 @@
       clock,
       logger,
       turns: this.#turns,
+      orders: this.#orders,
       gateway,
       timings,
       fencingTokens: this.#writer,
--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -23,6 +23,7 @@
 import type { TargetSession } from './target-session.js'
 import { computeReservedResources } from './capacity-tracker.js'
 import { computeExpectedEndMs, formatStepName, RUN_PHASES, type TaskRun } from './task-run.js'
+import type { PacedQueue } from './turns/paced-queue.js'
 import type { WorkMeter } from './turns/work-meter.js'
 import { countByTarget, listPlaceable, readStepName } from './waiting-tasks.js'
 
@@ -34,6 +35,11 @@
 const ADVICE_CHECKS_PER_ROUND = 10
 /** A step that must start within this time may use capacity that a less urgent gang reserved in the previous round. */
 const RESERVATION_OVERRIDE_MS = 1_000
+/**
+ * Placed runs whose start has no answer yet, beyond which no more are placed: some 1 s of orders. With more, orders would wait until
+ * they are too late, and their tasks would be placed again and again.
+ */
+const MAXIMUM_UNCONFIRMED_STARTS = 2_000
 /** Added to a run's estimated duration for starting it and detecting its end. */
 const RUN_OVERHEAD_MS = 60
 
@@ -43,6 +49,7 @@
   readonly metrics: MetricSink
   /** Counts the work of the rounds. */
   readonly work: WorkMeter
+  readonly orders: PacedQueue
   readonly table: JobTable
   readonly advice: AdviceDispatcher
   readonly term: number
@@ -101,7 +108,9 @@
     if (!isAuthorized()) return
     const nowMs = clock.readMonotonicMs()
     const targets = this.#inventory.listUsable(nowMs, nowMs + RUN_OVERHEAD_MS)
-    const round = new PlacementRound(nowMs, targets, this.#reservations, work)
+    const placements = MAXIMUM_UNCONFIRMED_STARTS - this.#inventory.countUnconfirmedStarts()
+    if (placements <= 0) return requestRound()
+    const round = new PlacementRound(nowMs, targets, this.#reservations, { work, placements })
     this.#adviceChecksLeft = ADVICE_CHECKS_PER_ROUND
     this.#quota.beginRound(nowMs)
     const decisions = this.#overload.update(table.listReady(), targets, nowMs)
@@ -279,7 +288,9 @@
 
   #startRuns ({ progress }: ReadyStep, planned: readonly PlannedRun[]): void {
     for (const { session, run, task, ticket } of planned) {
-      void session.startRun(run, { specification: progress.job.specification, checkpoint: task.checkpoint, ticket })
+      this.#options.orders.run(() => {
+        void session.startRun(run, { specification: progress.job.specification, checkpoint: task.checkpoint, ticket })
+      })
     }
   }
 
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -29,6 +29,18 @@
   readonly reservesCapacity: boolean
 }
 
+/** What one round may do. */
+export interface RoundBudget {
+  /** Counts the candidates that are looked at. */
+  readonly work: WorkMeter
+  /** Tasks that may be placed. A gang that exceeds it is placed as a whole. */
+  readonly placements: number
+}
+
+function createUnlimitedBudget (): RoundBudget {
+  return { work: new WorkMeter(), placements: Number.POSITIVE_INFINITY }
+}
+
 export interface Placement {
   readonly index: number
   readonly targetId: string
@@ -63,14 +75,15 @@
   readonly #largestFree = new Map<string, Resources>()
   /** Runs on each target, with those placed in this round. */
   readonly #runCounts = new Map<string, number>()
-  readonly #work: WorkMeter
+  readonly #budget: RoundBudget
   #looks = 0
+  #placedCount = 0
 
-  /** `previous`: the reservations of the round before. `work` counts the candidates that are looked at. */
+  /** `previous`: the reservations of the round before. */
   constructor (
-    nowMs: number, targets: readonly TargetView[], previous: ReservationsByStep = NO_RESERVATIONS, work = new WorkMeter()
+    nowMs: number, targets: readonly TargetView[], previous: ReservationsByStep = NO_RESERVATIONS, budget = createUnlimitedBudget()
   ) {
-    this.#work = work
+    this.#budget = budget
     this.#targets = new Map(targets.map((target) => [target.id, target]))
     this.expected = new ExpectedCapacity(nowMs, this.#targets)
     this.#reservations = new GangReservations(nowMs, previous)
@@ -80,9 +93,9 @@
     }
   }
 
-  /** Whether the round has looked at as many candidates as it may, so that the remaining steps are left to the next one. */
+  /** Whether the round has placed as many tasks or looked at as many candidates as it may. The remaining steps are left to the next one. */
   isExhausted (): boolean {
-    return this.#looks >= MAXIMUM_LOOKS
+    return this.#looks >= MAXIMUM_LOOKS || this.#placedCount >= this.#budget.placements
   }
 
   /** Places the tasks of a step that fit: all or none of a gang. Their capacity is taken for the rest of the round. */
@@ -112,6 +125,7 @@
       this.#free.set(targetId, addResources(this.#readFree(targetId), size))
       this.#runCounts.set(targetId, this.#countRuns(targetId) - 1)
     }
+    this.#placedCount -= placements.length
     this.#largestFree.clear()
   }
 
@@ -177,6 +191,7 @@
     if (placements.length === waiting.pending.length) return placements
     for (const [id, free] of before) this.#free.set(id, free)
     for (const { targetId } of placements) this.#runCounts.set(targetId, this.#countRuns(targetId) - 1)
+    this.#placedCount -= placements.length
     this.#largestFree.clear()
     return []
   }
@@ -218,7 +233,7 @@
 
   #addLooks (count: number): void {
     this.#looks += count
-    this.#work.add(count)
+    this.#budget.work.add(count)
   }
 
   #countRuns (targetId: string): number {
@@ -243,6 +258,7 @@
 
   #reserve (targetId: string, step: JobStep): void {
     this.#largestFree.clear()
+    this.#placedCount++
     this.#runCounts.set(targetId, this.#countRuns(targetId) + 1)
     this.#free.set(targetId, subtractResources(this.#readFree(targetId), computeReservedResources(step.size, step.usesIdleCapacity)))
   }
--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -84,7 +84,8 @@
     if (run.isStopWanted) return
     run.isStopWanted = true
     if (run.phase === RUN_PHASES.reserved) return
-    void this.sendStop(run)
+    const { runs, isStopped } = this.#session
+    this.#context.orders.run(() => { if (!isStopped() && runs.has(run)) void this.sendStop(run) })
   }
 
   async sendStop (run: TaskRun): Promise<void> {
--- a/packages/jobs/src/session-context.ts
+++ b/packages/jobs/src/session-context.ts
@@ -5,6 +5,7 @@
 import type { OwnerTimings } from './owner-timings.js'
 import type { ReportedEnd, ReportedRun, TargetGateway } from './target-gateway.js'
 import type { RunEnd, TaskRun } from './task-run.js'
+import type { PacedQueue } from './turns/paced-queue.js'
 import type { TurnMeter } from './turns/turn-meter.js'
 
 /** Dependencies and callbacks that the owner provides to its target sessions. */
@@ -12,6 +13,8 @@
   readonly clock: Clock
   readonly logger: EventLogger
   readonly turns: TurnMeter
+  /** Spreads the orders of many runs over turns of the event loop. */
+  readonly orders: PacedQueue
   readonly gateway: TargetGateway
   readonly timings: OwnerTimings
   readonly fencingTokens: FencingTokenSource
--- a/packages/jobs/src/target-inventory.ts
+++ b/packages/jobs/src/target-inventory.ts
@@ -3,6 +3,7 @@
 import type { PlacementRound } from './placement-round.js'
 import type { TargetSession } from './target-session.js'
 import type { TargetView } from './target-view.js'
+import { RUN_PHASES } from './task-run.js'
 import type { TargetSpeeds } from './targets/target-speeds.js'
 
 const RACK_LABEL_PATTERN = /^r\d/
@@ -27,6 +28,15 @@
     return usable.map((session) => buildView(session, nowMs, earliestEndMs, this.#speeds.readRelativeRunTime(session.id, nowMs)))
   }
 
+  /** Counts the placed runs of all targets whose start order wasn't sent yet or has no answer. */
+  countUnconfirmedStarts (): number {
+    let count = 0
+    for (const session of this.#sessions.values()) {
+      for (const { phase } of session.listRuns()) if (phase === RUN_PHASES.reserved || phase === RUN_PHASES.sent) count++
+    }
+    return count
+  }
+
   /** Groups the ids of the active targets by service, usable ones first. */
   groupActive (nowMs: number): Map<string, string[]> {
     const active = [...this.#sessions.values()].filter((session) => session.isActive())
--- a/packages/jobs/tests/placement-round.test.ts
+++ b/packages/jobs/tests/placement-round.test.ts
@@ -195,7 +195,7 @@
 test('a round that has looked at very many candidates leaves the remaining tasks to the next one', (t) => {
   const targets = Array.from({ length: 400 }, (_, index) => createTarget(`t${index}`))
   const work = new WorkMeter()
-  const round = new PlacementRound(NOW_MS, targets, undefined, work)
+  const round = new PlacementRound(NOW_MS, targets, undefined, { work, placements: Number.POSITIVE_INFINITY })
   const tiny = createStep({ taskCount: 3_000, size: { cpuMillis: 1, memoryMb: 0, accelerators: 0 } })
   let placed = 0
   for (let index = 0; index < 20; index++) placed += round.place(createWaiting(tiny, { stepName: `a${index}.0.0` })).length
@@ -212,3 +212,17 @@
   t.is(round.place(createWaiting(createStep({ taskCount: 2, size: createSize(1_000) }), { stepName: 'bb.0.0' })).length, 2)
   t.is(round.place(createWaiting(createStep({ taskCount: 2, size: NOTHING, isGang: true }), { stepName: 'cc.0.0' })).length, 0)
 })
+
+// Guards against starts that wait in the process until they are too late, and are placed again and again: tasks that request nothing
+// were placed without regard to the starts that have no answer yet.
+test('a round places no more tasks than it may, but a whole gang', (t) => {
+  const budget = { work: new WorkMeter(), placements: 50 }
+  const single = createWaiting(createStep({ taskCount: 80, size: NOTHING }))
+  const gang = createWaiting(createStep({ taskCount: 80, size: NOTHING, isGang: true }), { stepName: 'bb.0.0' })
+  const first = new PlacementRound(NOW_MS, [createTarget('t0')], undefined, budget)
+  t.is(first.place(single).length, 50)
+  t.true(first.isExhausted())
+  const second = new PlacementRound(NOW_MS, [createTarget('t0')], undefined, budget)
+  t.is(second.place(gang).length, 80)
+  t.is(second.place(single).length, 0)
+})
--- a/packages/jobs/tests/session-fixture.ts
+++ b/packages/jobs/tests/session-fixture.ts
@@ -6,6 +6,7 @@
 import { TargetSession } from '../src/target-session.js'
 import { formatTaskName, RUN_PHASES, type RunOutcome, type TaskRun } from '../src/task-run.js'
 import { FakeFencingTokens } from './fake-fencing-tokens.js'
+import { PacedQueue } from '../src/turns/paced-queue.js'
 import { createRun, createTurnMeter } from './job-fixtures.js'
 import { createReport, ScriptedTargetGateway } from './scripted-target-gateway.js'
 
@@ -65,6 +66,7 @@
     clock,
     logger: new SilentEventLogger(),
     turns: createTurnMeter(),
+    orders: new PacedQueue(clock, 100),
     gateway,
     timings: createOwnerTimings(6_000),
     fencingTokens: tokens,
--- a/packages/jobs/tests/target-session.test.ts
+++ b/packages/jobs/tests/target-session.test.ts
@@ -8,6 +8,7 @@
 import { RUN_PHASES, type RunOutcome } from '../src/task-run.js'
 import { FakeFencingTokens } from './fake-fencing-tokens.js'
 import { FakeTargets } from './fake-targets.js'
+import { PacedQueue } from '../src/turns/paced-queue.js'
 import { createRun, createTurnMeter } from './job-fixtures.js'
 
 const SIZE: Resources = { cpuMillis: 1_000, memoryMb: 1_000, accelerators: 0 }
@@ -46,6 +47,7 @@
     clock,
     logger: new SilentEventLogger(),
     turns: createTurnMeter(),
+    orders: new PacedQueue(clock, 100),
     gateway,
     timings: createOwnerTimings(6_000),
     fencingTokens: new FakeFencingTokens(),
