Keep few starts on a target open at a time

A session has 24 start orders open at a time, and the others follow as answers arrive. A target with 200 starts without an answer gets no more single tasks.

--- a/packages/jobs/src/placement-planner.ts
+++ b/packages/jobs/src/placement-planner.ts
@@ -36,8 +36,8 @@
 /** A step that must start within this time may use capacity that a less urgent gang reserved in the previous round. */
 const RESERVATION_OVERRIDE_MS = 1_000
 /**
- * Placed runs whose start has no answer yet, beyond which no more are placed: some 1 s of orders. With more, orders would wait until
- * they are too late, and their tasks would be placed again and again.
+ * Placed runs on usable targets whose start has no answer yet, beyond which no more are placed: some 1 s of orders. With more, orders
+ * would wait until they are too late, and their tasks would be placed again and again.
  */
 const MAXIMUM_UNCONFIRMED_STARTS = 2_000
 /** Added to a run's estimated duration for starting it and detecting its end. */
@@ -108,7 +108,8 @@
     if (!isAuthorized()) return
     const nowMs = clock.readMonotonicMs()
     const targets = this.#inventory.listUsable(nowMs, nowMs + RUN_OVERHEAD_MS)
-    const placements = MAXIMUM_UNCONFIRMED_STARTS - this.#inventory.countUnconfirmedStarts()
+    const unconfirmedStarts = targets.reduce((sum, target) => sum + (target.unconfirmedStarts ?? 0), 0)
+    const placements = MAXIMUM_UNCONFIRMED_STARTS - unconfirmedStarts
     if (placements <= 0) return requestRound()
     const round = new PlacementRound(nowMs, targets, this.#reservations, { work, placements })
     this.#adviceChecksLeft = ADVICE_CHECKS_PER_ROUND
--- a/packages/jobs/src/placement-round.ts
+++ b/packages/jobs/src/placement-round.ts
@@ -61,6 +61,8 @@
  * largest gang fits on one target.
  */
 const MAXIMUM_SMALL_RUNS = MAXIMUM_RUNS_PER_JOB
+/** Starts without an answer on one target, beyond which it gets no more single tasks, so that later and more urgent ones don't wait. */
+const MAXIMUM_UNCONFIRMED_ON_TARGET = 200
 
 /**
  * One placement round over the free capacity of the targets. Call `place` for steps in order of urgency. A gang that doesn't
@@ -215,6 +217,7 @@
     for (const target of candidates) {
       if (step.maximumPerTarget > 0 && (counts.get(target.id) ?? 0) >= step.maximumPerTarget) continue
       const free = this.#readFree(target.id)
+      if (!step.isGang && this.#countUnconfirmed(target) >= MAXIMUM_UNCONFIRMED_ON_TARGET) continue
       if (this.#countRuns(target.id) >= MAXIMUM_SMALL_RUNS && countFitting(target.capacity, size) > MAXIMUM_SMALL_RUNS) continue
       if (!hasCapacity(free, size) || this.#reservations.isReserved(target.id, free, size, durationMs)) continue
       const wasReserved = this.#reservations.isReservedInPreviousRound(target.id, free, size)
@@ -236,6 +239,11 @@
     this.#budget.work.add(count)
   }
 
+  /** Counts the runs on a target whose start has no answer, with those placed in this round. */
+  #countUnconfirmed ({ id, runs, unconfirmedStarts = 0 }: TargetView): number {
+    return unconfirmedStarts + this.#countRuns(id) - runs.length
+  }
+
   #countRuns (targetId: string): number {
     return this.#runCounts.get(targetId) ?? 0
   }
--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -9,6 +9,12 @@
 import type { TargetHealth } from './target-health.js'
 import { formatTaskName, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
 
+/**
+ * Start orders to one target that may be without an answer. More would wait for a connection until they count as not sent, and polls
+ * with them, which extend the leases.
+ */
+const MAXIMUM_OPEN_STARTS = 24
+
 /** Contents of a start order besides the task name and the run number. */
 export interface StartParameters {
   readonly specification: string
@@ -37,14 +43,22 @@
 export class RunOrderSender {
   readonly #context: SessionContext
   readonly #session: OrderSession
+  #openStarts = 0
+  /** Starts that wait for the answers to others, oldest first. */
+  readonly #waitingStarts: (() => void)[] = []
 
   constructor (context: SessionContext, session: OrderSession) {
     this.#context = context
     this.#session = session
   }
 
-  /** Sends the start order of a reserved run. */
+  /** Sends the start order of a reserved run, when not too many are without an answer. */
   async startRun (run: TaskRun, parameters: StartParameters): Promise<void> {
+    if (this.#openStarts < MAXIMUM_OPEN_STARTS) return await this.#startNow(run, parameters)
+    this.#waitingStarts.push(() => { void this.#startNow(run, parameters) })
+  }
+
+  async #startNow (run: TaskRun, parameters: StartParameters): Promise<void> {
     const { clock, gateway, timings } = this.#context
     const session = this.#session
     if (session.isStopped() || !session.runs.has(run)) return
@@ -59,6 +73,7 @@
     run.sentAtMs = nowMs
     session.extendLease(nowMs, timings.startValidityMs)
     const fencingToken = session.fence.readToken()
+    this.#openStarts++
     const result = await gateway.startRun(session.readDescription(), {
       taskName: formatTaskName(run.task),
       run: run.number,
@@ -68,12 +83,23 @@
       checkpoint: parameters.checkpoint,
       ticket: parameters.ticket
     })
+    this.#openStarts--
+    this.#startWaiting()
     if (session.isStopped() || !session.runs.has(run)) return
     if (result.ok) return this.#onStartAnswered(run, result.val.targetClockMs, incarnation)
     if (this.#isOvertaken(result.val, fencingToken)) return await this.startRun(run, parameters)
     this.#onStartFailed(run, result.val, fencingToken)
   }
 
+  /** Sends the starts that wait, as far as there is room. One whose run has been given up sends nothing. */
+  #startWaiting (): void {
+    while (this.#openStarts < MAXIMUM_OPEN_STARTS) {
+      const start = this.#waitingStarts.shift()
+      if (start === undefined) return
+      start()
+    }
+  }
+
   /** Whether the target is still listed as the incarnation that the run was placed on. A later one may have other labels and less room. */
   #isForPresent ({ targetStartedAtMs }: TaskRun): boolean {
     return targetStartedAtMs === undefined || this.#session.readDescription().startedAtMs === targetStartedAtMs
--- a/packages/jobs/src/target-inventory.ts
+++ b/packages/jobs/src/target-inventory.ts
@@ -2,7 +2,7 @@
 import type { JobStep } from './job.js'
 import type { PlacementRound } from './placement-round.js'
 import type { TargetSession } from './target-session.js'
-import type { TargetView } from './target-view.js'
+import type { RunView, TargetView } from './target-view.js'
 import { RUN_PHASES } from './task-run.js'
 import type { TargetSpeeds } from './targets/target-speeds.js'
 
@@ -28,15 +28,6 @@
     return usable.map((session) => buildView(session, nowMs, earliestEndMs, this.#speeds.readRelativeRunTime(session.id, nowMs)))
   }
 
-  /** Counts the placed runs of all targets whose start order wasn't sent yet or has no answer. */
-  countUnconfirmedStarts (): number {
-    let count = 0
-    for (const session of this.#sessions.values()) {
-      for (const { phase } of session.listRuns()) if (phase === RUN_PHASES.reserved || phase === RUN_PHASES.sent) count++
-    }
-    return count
-  }
-
   /** Groups the ids of the active targets by service, usable ones first. */
   groupActive (nowMs: number): Map<string, string[]> {
     const active = [...this.#sessions.values()].filter((session) => session.isActive())
@@ -81,8 +72,13 @@
 
 function buildView (session: TargetSession, nowMs: number, earliestEndMs: number, relativeRunTime: number): TargetView {
   const { id, service, labels, capacity } = session.readDescription()
-  const runs = [...session.listRuns()].map(({ size, expectedEndMs }) => ({
-    size, expectedEndMs: Math.max(earliestEndMs, expectedEndMs), overdueMs: Math.max(0, nowMs - expectedEndMs)
-  }))
-  return { id, service, labels, capacity, rack: findRack(labels), free: session.capacity.readFree(), runs, relativeRunTime }
+  let unconfirmedStarts = 0
+  const runs: RunView[] = []
+  for (const { size, expectedEndMs, phase } of session.listRuns()) {
+    runs.push({ size, expectedEndMs: Math.max(earliestEndMs, expectedEndMs), overdueMs: Math.max(0, nowMs - expectedEndMs) })
+    if (phase === RUN_PHASES.reserved || phase === RUN_PHASES.sent) unconfirmedStarts++
+  }
+  return {
+    id, service, labels, capacity, rack: findRack(labels), free: session.capacity.readFree(), runs, unconfirmedStarts, relativeRunTime
+  }
 }
--- a/packages/jobs/src/target-view.ts
+++ b/packages/jobs/src/target-view.ts
@@ -18,6 +18,8 @@
   readonly capacity: Resources
   readonly free: Resources
   readonly runs: readonly RunView[]
+  /** Runs whose start order wasn't sent yet or has no answer; 0 when it is missing. */
+  readonly unconfirmedStarts?: number
   /** Expected run time relative to the median target of the service; 1 if left out. */
   readonly relativeRunTime?: number
 }
--- a/packages/jobs/tests/placement-round.test.ts
+++ b/packages/jobs/tests/placement-round.test.ts
@@ -226,3 +226,9 @@
   t.is(second.place(gang).length, 80)
   t.is(second.place(single).length, 0)
 })
+
+test('a target with very many starts without an answer gets no more single tasks, and another does', (t) => {
+  const targets = [createTarget('t0', [], { unconfirmedStarts: 199 }), createTarget('t1', [{ size: NOTHING, expectedEndMs: NOW_MS + 500 }])]
+  const placed = new PlacementRound(NOW_MS, targets).place(createWaiting(createStep({ taskCount: 9, size: NOTHING })))
+  t.deepEqual(placed.map(({ targetId }) => targetId), ['t0', ...new Array<string>(8).fill('t1')])
+})
