Give up the starts that wait behind one without an answer

With 24 starts open on a target at a time, those of a target that doesn't answer would time out one after another, and their tasks would wait for seconds; before, all were sent and failed together. When a start gets no answer, or the target can't take it, the ones that wait are ended as not sent, and their tasks are placed on other targets.

--- a/packages/jobs/src/run-order-sender.ts
+++ b/packages/jobs/src/run-order-sender.ts
@@ -1,10 +1,11 @@
+import type { Result } from '@hibiscusledge/runtime/result.js'
 import type { IncarnationTracker } from './incarnation-tracker.js'
 import { JOB_EVENTS } from './job-events.js'
 import type { MessageOrder } from './message-order.js'
 import type { SessionContext } from './session-context.js'
 import type { SessionRuns } from './session-runs.js'
 import type { TargetIncarnation } from './target-incarnation.js'
-import { ORDER_ERROR_CODES, type OrderError, type TargetDescription } from './target-gateway.js'
+import { ORDER_ERROR_CODES, type OrderAnswer, type OrderError, type TargetDescription } from './target-gateway.js'
 import type { TargetFence } from './target-fence.js'
 import type { TargetHealth } from './target-health.js'
 import { formatTaskName, RUN_END_BASES, RUN_OUTCOMES, RUN_PHASES, type RunEnd, type TaskRun } from './task-run.js'
@@ -22,6 +23,17 @@
   readonly ticket?: string | undefined
 }
 
+/** End of a run whose start order was never sent. */
+const NOT_SENT: RunEnd = { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.notSent }
+
+interface StartResult {
+  readonly result: Result<OrderAnswer, OrderError>
+  readonly incarnation: TargetIncarnation
+  readonly fencingToken: number
+}
+
+interface WaitingStart { readonly run: TaskRun, readonly parameters: StartParameters }
+
 /** State and operations of a target session that its order sender uses. */
 export interface OrderSession {
   readonly runs: SessionRuns
@@ -45,7 +57,7 @@
   readonly #session: OrderSession
   #openStarts = 0
   /** Starts that wait for the answers to others, oldest first. */
-  readonly #waitingStarts: (() => void)[] = []
+  #waitingStarts: WaitingStart[] = []
 
   constructor (context: SessionContext, session: OrderSession) {
     this.#context = context
@@ -55,7 +67,7 @@
   /** Sends the start order of a reserved run, when not too many are without an answer. */
   async startRun (run: TaskRun, parameters: StartParameters): Promise<void> {
     if (this.#openStarts < MAXIMUM_OPEN_STARTS) return await this.#startNow(run, parameters)
-    this.#waitingStarts.push(() => { void this.#startNow(run, parameters) })
+    this.#waitingStarts.push({ run, parameters })
   }
 
   async #startNow (run: TaskRun, parameters: StartParameters): Promise<void> {
@@ -67,7 +79,7 @@
     const targetNowMs = incarnation?.clock.estimate(nowMs)
     const isAllowed = this.#context.isAuthorized() && session.isOpenForStarts() && !run.isStopWanted && this.#isForPresent(run)
     if (incarnation === undefined || targetNowMs === undefined || !isAllowed) {
-      return session.endRun(run, { outcome: RUN_OUTCOMES.notStarted, basis: RUN_END_BASES.notSent })
+      return session.endRun(run, NOT_SENT)
     }
     run.phase = RUN_PHASES.sent
     run.sentAtMs = nowMs
@@ -84,22 +96,26 @@
       ticket: parameters.ticket
     })
     this.#openStarts--
+    if (!session.isStopped() && session.runs.has(run)) this.#onStartResult(run, parameters, { result, incarnation, fencingToken })
     this.#startWaiting()
-    if (session.isStopped() || !session.runs.has(run)) return
-    if (result.ok) return this.#onStartAnswered(run, result.val.targetClockMs, incarnation)
-    if (this.#isOvertaken(result.val, fencingToken)) return await this.startRun(run, parameters)
-    this.#onStartFailed(run, result.val, fencingToken)
   }
 
   /** Sends the starts that wait, as far as there is room. One whose run has been given up sends nothing. */
   #startWaiting (): void {
     while (this.#openStarts < MAXIMUM_OPEN_STARTS) {
-      const start = this.#waitingStarts.shift()
-      if (start === undefined) return
-      start()
+      const waiting = this.#waitingStarts.shift()
+      if (waiting === undefined) return
+      void this.#startNow(waiting.run, waiting.parameters)
     }
   }
 
+  /** Gives up the starts that wait, so that their tasks run on targets that answer. */
+  #dropWaiting (): void {
+    const abandoned = this.#waitingStarts
+    this.#waitingStarts = []
+    for (const { run } of abandoned) if (this.#session.runs.has(run)) this.#session.endRun(run, NOT_SENT)
+  }
+
   /** Whether the target is still listed as the incarnation that the run was placed on. A later one may have other labels and less room. */
   #isForPresent ({ targetStartedAtMs }: TaskRun): boolean {
     return targetStartedAtMs === undefined || this.#session.readDescription().startedAtMs === targetStartedAtMs
@@ -157,6 +173,12 @@
     this.#context.onRunStarted(run)
   }
 
+  #onStartResult (run: TaskRun, parameters: StartParameters, { result, incarnation, fencingToken }: StartResult): void {
+    if (result.ok) this.#onStartAnswered(run, result.val.targetClockMs, incarnation)
+    else if (this.#isOvertaken(result.val, fencingToken)) void this.startRun(run, parameters)
+    else this.#onStartFailed(run, result.val, fencingToken)
+  }
+
   #onStartAnswered (run: TaskRun, targetClockMs: number, incarnation: TargetIncarnation): void {
     this.markRunning(run)
     this.#session.incarnations.recordReading(targetClockMs, run.sentAtMs, this.#context.clock.readMonotonicMs(), incarnation)
@@ -172,6 +194,7 @@
     const { logger, clock } = this.#context
     const session = this.#session
     const target = session.readDescription().id
+    if (error.code === ORDER_ERROR_CODES.noAnswer || error.code === ORDER_ERROR_CODES.unhealthy) this.#dropWaiting()
     const fields = { jobId: run.task.jobId, task: formatTaskName(run.task), run: run.number, target, code: error.code }
     if (error.code === ORDER_ERROR_CODES.noAnswer) {
       logger.logWarning(JOB_EVENTS.startUnanswered, { ...fields, message: error.message })
